--- /dev/null
+++ b/packages/base/src/deadline.ts
@@ -0,0 +1,35 @@
+/**
+ * The time that a long operation has left. It is passed down every call, so that no layer waits longer
+ * than the caller does.
+ */
+import type { Clock } from './clock.js';
+
+/** A point on the monotonic clock by which an operation must have ended. */
+export class Deadline {
+  private readonly _clock: Clock;
+  private readonly _atMs: number;
+
+  private constructor(clock: Clock, atMs: number) {
+    this._clock = clock;
+    this._atMs = atMs;
+  }
+
+  /** A deadline `durationMs` from now. */
+  static after(clock: Clock, durationMs: number): Deadline {
+    return new Deadline(clock, clock.nowMs() + durationMs);
+  }
+
+  /** Milliseconds left, never below zero. */
+  leftMs(): number {
+    return Math.max(0, this._atMs - this._clock.nowMs());
+  }
+
+  isOver(): boolean {
+    return this.leftMs() === 0;
+  }
+
+  /** The earlier of this deadline and one `durationMs` from now. */
+  atMost(durationMs: number): Deadline {
+    return new Deadline(this._clock, Math.min(this._atMs, this._clock.nowMs() + durationMs));
+  }
+}
--- /dev/null
+++ b/packages/base/src/index.ts
@@ -0,0 +1,8 @@
+/** What every package shares. */
+export * from './clock.js';
+export * from './deadline.js';
+export * from './hash.js';
+export * from './outcome.js';
+export * from './random.js';
+export * from './settings.js';
+export * from './version.js';
--- /dev/null
+++ b/packages/ctl/src/output.ts
@@ -0,0 +1,26 @@
+/**
+ * Tables for people, JSON for scripts.
+ */
+
+/** Exit codes of the command line. */
+export const exitCodes = { done: 0, refused: 1, usage: 2, unknown: 3, unreachable: 4 } as const;
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
+
+/** What a command gives: text for people, the same as data, and how the program ends. */
+export interface CommandResult {
+  readonly text: string;
+  readonly data: unknown;
+  readonly exitCode: ExitCode;
+}
+
+/** A table with aligned columns. */
+export function table(head: readonly string[], rows: readonly (readonly unknown[])[]): string {
+  const cells = [head, ...rows.map(row => row.map(cell => String(cell)))];
+  const widths = head.map((_, column) => Math.max(...cells.map(row => row[column]?.length ?? 0)));
+  const line = (row: readonly string[]): string =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join('  ')
+      .trimEnd();
+  return cells.map(line).join('\n');
+}
--- /dev/null
+++ b/packages/ctl/src/ruleCommands.ts
@@ -0,0 +1,215 @@
+/**
+ * Commands on rules.
+ */
+import fs from 'node:fs';
+import { err, ok, type Result } from '@fuchsiahitch/base';
+import {
+  checkRules,
+  documentSchema,
+  planEdits,
+  readRuleFile,
+  ruleDigest,
+  writeRuleFile,
+  type Operation,
+  type Rule,
+  type RuleDocument,
+} from '@fuchsiahitch/rules';
+import { z } from 'zod';
+import type { OperatorClient, Unreachable } from './operatorClient.js';
+import { exitCodes, table, type CommandResult } from './output.js';
+
+const UNKNOWN_TRIES = 5;
+const RETRY_MS = 500;
+const OK_STATUS = 200;
+const CONFLICT = 409;
+
+const editReplySchema = z.looseObject({ kind: z.string(), revision: z.number().optional() });
+
+/** The rules in force, as YAML. */
+export async function getRules(client: OperatorClient): Promise<CommandResult> {
+  const document = await readDocument(client);
+  if (!document.ok) return unreachable(document.error);
+  const text = `# revision ${document.value.revision}\n${writeRuleFile(document.value.rules)}`;
+  return { text, data: document.value, exitCode: exitCodes.done };
+}
+
+/** Checks a file without a host: its form, and what its rules do together. */
+export function checkFile(file: string): CommandResult {
+  const rules = readFile(file);
+  if (!rules.ok) return rules.error;
+  const findings = checkRules(rules.value);
+  const hasErrors = findings.some(finding => finding.severity === 'error');
+  const lines = findings.map(finding => `${finding.severity}: ${finding.text}`);
+  const text = [...lines, `${rules.value.length} rules, ${findings.length} findings`].join('\n');
+  return { text, data: { findings }, exitCode: hasErrors ? exitCodes.refused : exitCodes.done };
+}
+
+/** Brings the rules in force to those of a file, by one small edit for each difference. */
+export async function applyFile(
+  client: OperatorClient,
+  file: string,
+  team: string,
+  id: () => string,
+): Promise<CommandResult> {
+  const rules = readFile(file);
+  if (!rules.ok) return rules.error;
+  const document = await readDocument(client);
+  if (!document.ok) return unreachable(document.error);
+  const operations = planEdits(document.value.rules, rules.value);
+  let last: CommandResult = { text: 'nothing to change', data: { edits: 0 }, exitCode: exitCodes.done };
+  for (const [i, operation] of operations.entries()) {
+    last = await submit(client, { id: id(), team, operation });
+    if (last.exitCode !== exitCodes.done)
+      return { ...last, text: `edit ${i + 1} of ${operations.length}: ${last.text}` };
+  }
+  return last;
+}
+
+/** One edit: `add FILE`, `replace FILE`, `remove ID`. Files hold one rule each. */
+export async function editRule(
+  client: OperatorClient,
+  words: readonly string[],
+  options: { readonly team: string; readonly before: string; readonly after: string; readonly id: string },
+): Promise<CommandResult> {
+  const operation = await makeOperation(client, words, options);
+  if (!operation.ok) return operation.error;
+  return submit(client, { id: options.id, team: options.team, operation: operation.value });
+}
+
+/** Which rule decides a request, and why the earlier ones did not. */
+export async function explain(client: OperatorClient, query: string): Promise<CommandResult> {
+  const reply = await client.call('GET', `/v1/rules/explain?${query}`);
+  if (!reply.ok) return unreachable(reply.error);
+  const schema = z.object({
+    decision: z.object({ revision: z.number(), ruleId: z.string().optional(), action: z.unknown() }),
+    rules: z.array(z.object({ ruleId: z.string(), matched: z.boolean(), failed: z.array(z.string()) })),
+  });
+  const parsed = schema.safeParse(reply.value.body);
+  if (!parsed.success) return refused(reply.value.body);
+  const rows = parsed.data.rules.map(line => [
+    line.ruleId,
+    line.matched ? 'decides' : `not: ${line.failed.join(', ')}`,
+  ]);
+  const { ruleId, revision, action } = parsed.data.decision;
+  const verdict = `revision ${revision}: ${ruleId ?? 'no rule, defaults'} ${JSON.stringify(action)}`;
+  return {
+    text: `${table(['RULE', 'RESULT'], rows)}\n${verdict}`,
+    data: parsed.data,
+    exitCode: exitCodes.done,
+  };
+}
+
+/** What a file would change for recorded requests. */
+export async function simulateFile(
+  client: OperatorClient,
+  file: string,
+  requestsFile: string,
+): Promise<CommandResult> {
+  const rules = readFile(file);
+  if (!rules.ok) return rules.error;
+  const requests = JSON.parse(fs.readFileSync(requestsFile, 'utf8')) as unknown;
+  const reply = await client.call('POST', '/v1/rules/simulate', { rules: rules.value, requests });
+  if (!reply.ok) return unreachable(reply.error);
+  if (reply.value.status !== OK_STATUS) return refused(reply.value.body);
+  return {
+    text: JSON.stringify(reply.value.body, null, 2),
+    data: reply.value.body,
+    exitCode: exitCodes.done,
+  };
+}
+
+async function makeOperation(
+  client: OperatorClient,
+  words: readonly string[],
+  options: { readonly before: string; readonly after: string },
+): Promise<Result<Operation, CommandResult>> {
+  const [verb = '', subject = ''] = words;
+  if (verb === 'add') {
+    const rule = readOneRule(subject);
+    if (!rule.ok) return rule;
+    const place = options.before ? { before: options.before } : options.after ? { after: options.after } : {};
+    return ok({ op: 'add', rule: rule.value, place });
+  }
+  if (verb !== 'replace' && verb !== 'remove') return err(usage('expected: rules edit add|replace|remove'));
+  const wanted = verb === 'replace' ? readOneRule(subject) : undefined;
+  if (wanted && !wanted.ok) return wanted;
+  const ruleId = wanted?.value.id ?? subject;
+  const document = await readDocument(client);
+  if (!document.ok) return err(unreachable(document.error));
+  const current = document.value.rules.find(rule => rule.id === ruleId);
+  if (!current)
+    return err({
+      text: `no rule '${ruleId}'`,
+      data: { kind: 'missing', ruleId },
+      exitCode: exitCodes.refused,
+    });
+  const base = ruleDigest(current);
+  return ok(wanted ? { op: 'replace', rule: wanted.value, base } : { op: 'remove', id: ruleId, base });
+}
+
+/** Sends an edit, and sends the very same one again while its fate is unknown. */
+async function submit(
+  client: OperatorClient,
+  edit: { readonly id: string; readonly team: string; readonly operation: Operation },
+): Promise<CommandResult> {
+  let isUnknown = false;
+  for (let i = 0; i < UNKNOWN_TRIES; i++) {
+    const reply = await client.call('POST', '/v1/rules/edits', edit);
+    if (!reply.ok) {
+      if (!reply.error.isSent && !isUnknown) return unreachable(reply.error);
+      isUnknown = true;
+    } else {
+      const body = editReplySchema.parse(reply.value.body);
+      if (body.kind === 'accepted') {
+        return { text: `accepted, revision ${body.revision ?? 0}`, data: body, exitCode: exitCodes.done };
+      }
+      if (reply.value.status === CONFLICT) return refused(reply.value.body);
+      if (body.kind !== 'unknown' && !isUnknown) return refused(reply.value.body);
+      isUnknown = true;
+    }
+    await new Promise<void>(resolve => setTimeout(resolve, RETRY_MS));
+  }
+  const text = `unknown whether edit ${edit.id} was accepted: run the same command again with --edit-id ${edit.id}`;
+  return { text, data: { kind: 'unknown', editId: edit.id }, exitCode: exitCodes.unknown };
+}
+
+async function readDocument(client: OperatorClient): Promise<Result<RuleDocument, Unreachable>> {
+  const reply = await client.call('GET', '/v1/rules');
+  return reply.ok ? ok(documentSchema.parse(reply.value.body)) : reply;
+}
+
+function readFile(file: string): Result<readonly Rule[], CommandResult> {
+  let text: string;
+  try {
+    text = fs.readFileSync(file, 'utf8');
+  } catch {
+    return err(usage(`cannot read the file '${file}'`));
+  }
+  const rules = readRuleFile(text);
+  if (rules.ok) return rules;
+  const lines = rules.error.map(problem => `${file}:${problem.line}: ${problem.text}`);
+  return err({ text: lines.join('\n'), data: { problems: rules.error }, exitCode: exitCodes.refused });
+}
+
+function readOneRule(file: string): Result<Rule, CommandResult> {
+  const rules = readFile(file);
+  if (!rules.ok) return rules;
+  const [rule, ...others] = rules.value;
+  return rule && others.length === 0 ? ok(rule) : err(usage(`expected one rule in '${file}'`));
+}
+
+function refused(body: unknown): CommandResult {
+  return { text: `not accepted: ${JSON.stringify(body, null, 2)}`, data: body, exitCode: exitCodes.refused };
+}
+
+export function usage(text: string): CommandResult {
+  return { text, data: { error: text }, exitCode: exitCodes.usage };
+}
+
+export function unreachable(error: Unreachable): CommandResult {
+  return {
+    text: `no host answered: ${error.problems.join('; ')}`,
+    data: error,
+    exitCode: exitCodes.unreachable,
+  };
+}
--- /dev/null
+++ b/packages/demo/src/deployment.ts
@@ -0,0 +1,44 @@
+/**
+ * The two deployments of the users, in small.
+ */
+
+/** A pool of one deployment and how many of its endpoints each failure domain has. */
+export interface PoolPlan {
+  readonly name: string;
+  readonly kind: 'engine' | 'service';
+  readonly perDomain: readonly number[];
+}
+
+export interface DeploymentPlan {
+  readonly name: string;
+  readonly domains: readonly string[];
+  readonly hostsPerDomain: readonly number[];
+  readonly engines: PoolPlan;
+  readonly services: PoolPlan;
+  readonly house: string;
+  readonly trainers: readonly string[];
+  /** A path of the plain service that may be called again, and one that may not. */
+  readonly lookupPath: string;
+}
+
+export const NILEMOD: DeploymentPlan = {
+  name: 'nilemod',
+  domains: ['nasr-hall', 'maadi-hall', 'giza-hall'],
+  hostsPerDomain: [3, 3, 3],
+  engines: { name: 'gen-pool', kind: 'engine', perDomain: [3, 3, 2] },
+  services: { name: 'storefront', kind: 'service', perDomain: [1, 1, 1] },
+  house: 'quest-house',
+  trainers: ['nasr-hall:quests', 'giza-hall:barks'],
+  lookupPath: '/listings',
+};
+
+export const AORAKI: DeploymentPlan = {
+  name: 'aoraki',
+  domains: ['tekapo', 'twizel', 'otautahi', 'otepoti'],
+  hostsPerDomain: [2, 2, 2, 2],
+  engines: { name: 'guide-lm', kind: 'engine', perDomain: [2, 2, 2, 2] },
+  services: { name: 'skybook-app', kind: 'service', perDomain: [1, 1, 1, 1] },
+  house: 'guides',
+  trainers: ['tekapo:guide', 'otautahi:school'],
+  lookupPath: '/listings',
+};
--- /dev/null
+++ b/packages/demo/src/supervisor.ts
@@ -0,0 +1,139 @@
+/**
+ * Starts and ends the processes of the demo. It is the one place that starts processes; no daemon does.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import { z } from 'zod';
+
+const START_TIMEOUT_MS = 30_000;
+const END_TIMEOUT_MS = 15_000;
+
+const standInLineSchema = z.looseObject({ address: z.string() });
+const entryLineSchema = z.looseObject({
+  message: z.literal('listening'),
+  context: z.looseObject({
+    callers: z.string(),
+    trainers: z.string(),
+    operators: z.string(),
+    peers: z.string(),
+  }),
+});
+
+/** A process that runs. */
+export interface Started<A> {
+  readonly child: ChildProcess;
+  readonly addresses: A;
+}
+
+export interface EntryAddresses {
+  readonly callers: string;
+  readonly trainers: string;
+  readonly operators: string;
+  readonly peers: string;
+}
+
+export class Supervisor {
+  private readonly _children = new Set<ChildProcess>();
+  private readonly _binFolder: string;
+
+  constructor(binFolder: string) {
+    this._binFolder = binFolder;
+    process.on('exit', () => this.killAll());
+  }
+
+  count(): number {
+    return this._children.size;
+  }
+
+  async standIn(flags: Readonly<Record<string, string>>): Promise<Started<string>> {
+    const child = this._start('fuchsiahitch-standin.mjs', flags);
+    const addresses = await firstLine(child, line => {
+      const parsed = standInLineSchema.safeParse(line);
+      return parsed.success ? parsed.data.address : undefined;
+    });
+    return { child, addresses };
+  }
+
+  async entry(flags: Readonly<Record<string, string>>): Promise<Started<EntryAddresses>> {
+    const child = this._start('fuchsiahitch-entry.mjs', flags);
+    const addresses = await firstLine(child, line => {
+      const parsed = entryLineSchema.safeParse(line);
+      return parsed.success ? parsed.data.context : undefined;
+    });
+    return { child, addresses };
+  }
+
+  /** Runs the command line to its end; its output and exit code. */
+  async ctl(args: readonly string[]): Promise<{ readonly output: string; readonly exitCode: number }> {
+    const child = spawn(process.execPath, [`${this._binFolder}/fuchsiahitchctl.mjs`, ...args], {
+      stdio: 'pipe',
+    });
+    let output = '';
+    child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+    child.stderr.on('data', (chunk: Buffer) => (output += chunk.toString()));
+    const exitCode = await new Promise<number>(resolve => child.on('exit', code => resolve(code ?? 1)));
+    return { output, exitCode };
+  }
+
+  /** Kills a process without warning, as a crash does. */
+  crash(child: ChildProcess): void {
+    child.kill('SIGKILL');
+  }
+
+  /** Asks all to end, and kills those that don't. */
+  async endAll(): Promise<void> {
+    const ends = [...this._children].map(async child => {
+      child.kill('SIGTERM');
+      await Promise.race([ended(child), delay(END_TIMEOUT_MS)]);
+    });
+    await Promise.all(ends);
+    this.killAll();
+  }
+
+  killAll(): void {
+    for (const child of this._children) child.kill('SIGKILL');
+  }
+
+  private _start(program: string, flags: Readonly<Record<string, string>>): ChildProcess {
+    const args = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, value]);
+    const child = spawn(process.execPath, [`${this._binFolder}/${program}`, ...args], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    this._children.add(child);
+    child.on('exit', () => this._children.delete(child));
+    return child;
+  }
+}
+
+async function firstLine<T>(child: ChildProcess, read: (line: unknown) => T | undefined): Promise<T> {
+  const { stdout } = child;
+  if (!stdout) throw new Error('broken invariant: no output of a started process');
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => reject(new Error('a process did not start in time')), START_TIMEOUT_MS);
+    child.once('exit', code => reject(new Error(`a process ended with ${code ?? 'a signal'} at its start`)));
+    // Later lines are read too: a full pipe would stop the process.
+    createInterface({ input: stdout }).on('line', line => {
+      const value = read(parse(line));
+      if (value === undefined) return;
+      clearTimeout(timer);
+      resolve(value);
+    });
+  });
+}
+
+function parse(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return undefined;
+  }
+}
+
+async function ended(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  await new Promise<void>(resolve => child.once('exit', () => resolve()));
+}
+
+export async function delay(durationMs: number): Promise<void> {
+  await new Promise<void>(resolve => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/demo/src/training.ts
@@ -0,0 +1,81 @@
+/**
+ * Trainers of the demo: each runs steps, trains on what it got, and announces new weights.
+ */
+import { Trainer, type StepReport } from '@fuchsiahitch/standins';
+import type { RunningDeployment } from './runningDeployment.js';
+import { delay } from './supervisor.js';
+
+const GROUPS = 24;
+const SAMPLES_A_GROUP = 4;
+const MAX_SAMPLES = 32;
+const TRAINING_MS = 800;
+const STEP_TIMEOUT_MS = 45_000;
+export const STALENESS_VERSIONS = 2;
+
+/** What the trainers of one deployment got. */
+export interface TrainingResult {
+  readonly reports: readonly StepReport[];
+  readonly idleMs: number;
+  readonly trainingMs: number;
+}
+
+/** The version that the deployment's trainers are at, raised by each announcement. */
+export class WeightVersion {
+  private _version = 1;
+
+  get now(): number {
+    return this._version;
+  }
+
+  raise(): number {
+    this._version += 1;
+    return this._version;
+  }
+}
+
+export async function train(
+  deployment: RunningDeployment,
+  name: string,
+  steps: number,
+  version: WeightVersion,
+  announces: boolean,
+): Promise<TrainingResult> {
+  const { plan } = deployment;
+  const trainer = new Trainer({
+    urls: deployment.urls('trainers'),
+    trainerVersion: () => version.now,
+    maxSamples: MAX_SAMPLES,
+    sendsHeld: announces,
+    stepTimeoutMs: STEP_TIMEOUT_MS,
+  });
+  const reports: StepReport[] = [];
+  let trainingMs = 0;
+  for (let step = 0; step < steps; step++) {
+    reports.push(
+      await trainer.runStep({
+        trainer: name,
+        step,
+        house: plan.house,
+        pool: plan.engines.name,
+        groups: Array.from({ length: GROUPS }, (_, i) => ({
+          prompt: `${name} ${step}/${i}`,
+          samples: SAMPLES_A_GROUP,
+          expectedTokens: 0,
+        })),
+        maxTokens: 128,
+        stalenessVersions: STALENESS_VERSIONS,
+        stalenessMs: 60_000,
+        deadlineMs: STEP_TIMEOUT_MS,
+      }),
+    );
+    await delay(TRAINING_MS);
+    trainingMs += TRAINING_MS;
+    const isLast = step === steps - 1;
+    if (announces && !isLast) await trainer.announce(plan.engines.name, version.raise());
+  }
+  const idleMs = reports.reduce((sum, report) => sum + report.durationMs, 0);
+  return { reports, idleMs, trainingMs };
+}
+
+/** The number of samples that one step asks for. */
+export const SAMPLES_A_STEP = GROUPS * SAMPLES_A_GROUP;
--- /dev/null
+++ b/packages/entry/src/callersController.ts
@@ -0,0 +1,224 @@
+/**
+ * The callers' listener: completions, and calls to plain services.
+ */
+import { All, Controller, Inject, Post, Req, Res } from '@nestjs/common';
+import type { FastifyReply, FastifyRequest } from 'fastify';
+import { OUTCOME_HEADER, REASON_HEADER, statusOf } from '@fuchsiahitch/requests';
+import { callerHeadersSchema, check, completionSchema, readJson, type CallerHeaders } from './callerInput.js';
+import { Metrics } from './metrics.js';
+import { reasonOf, RequestService, type CallerAnswer, type CallerRequest } from './requestService.js';
+
+/** The header that tells the revision of the rules that decided. */
+const REVISION_HEADER = 'fuchsiahitch-rules-revision';
+const MS_A_SECOND = 1000;
+const SERVICE_PREFIX = '/svc/';
+/** Headers that belong to one connection, or that this host sets itself. */
+const NOT_PASSED_ON = new Set([
+  'host',
+  'connection',
+  'content-length',
+  'transfer-encoding',
+  'keep-alive',
+  'expect',
+]);
+
+@Controller()
+export class CallersController {
+  constructor(
+    @Inject(RequestService) private readonly _requests: RequestService,
+    @Inject(Metrics) private readonly _metrics: Metrics,
+  ) {}
+
+  @Post('/v1/completions')
+  async complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+    const headers = check(request.headers, callerHeadersSchema);
+    const body = readJson(request.body, completionSchema);
+    if (!headers.ok) {
+      this._bad(reply, headers.error);
+      return;
+    }
+    if (!body.ok) {
+      this._bad(reply, body.error);
+      return;
+    }
+    const { model, prompt, max_tokens: maxTokens, stream } = body.value;
+    const output = stream ? new StreamedCompletion(reply) : new WholeCompletion();
+    const work = { kind: 'completion', prompt, maxTokens, onChunk: output.onChunk } as const;
+    const answer = await this._requests.run({
+      ...toRequest(reply, model, headers.value),
+      kind: 'completion',
+      work,
+    });
+    output.finish(reply, answer);
+  }
+
+  @All('/svc/*')
+  async serve(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+    const headers = check(request.headers, callerHeadersSchema);
+    if (!headers.ok) {
+      this._bad(reply, headers.error);
+      return;
+    }
+    const rest = request.url.slice(SERVICE_PREFIX.length);
+    const slash = rest.indexOf('/');
+    if (slash <= 0) {
+      this._bad(reply, 'expected /svc/POOL/PATH');
+      return;
+    }
+    const pool = rest.slice(0, slash);
+    const body = Buffer.isBuffer(request.body) && request.body.length > 0 ? request.body : undefined;
+    const passedOn = Object.entries(request.headers).filter(([name]) => !NOT_PASSED_ON.has(name));
+    const work = {
+      kind: 'service',
+      method: request.method,
+      path: rest.slice(slash),
+      headers: Object.fromEntries(passedOn.map(([name, value]) => [name, String(value)])),
+      body,
+    } as const;
+    const answer = await this._requests.run({
+      ...toRequest(reply, pool, headers.value),
+      kind: 'service',
+      work,
+    });
+    sendWhole(reply, answer);
+  }
+
+  private _bad(reply: FastifyReply, text: string): void {
+    this._metrics.badInput.inc({ listener: 'callers' });
+    void reply
+      .status(400)
+      .header(OUTCOME_HEADER, 'not-run')
+      .header(REASON_HEADER, 'bad-request')
+      .send({ error: text });
+  }
+}
+
+function toRequest(
+  reply: FastifyReply,
+  pool: string,
+  headers: CallerHeaders,
+): Omit<CallerRequest, 'kind' | 'work'> {
+  const left = new AbortController();
+  reply.raw.on('close', () => {
+    if (!reply.raw.writableFinished) left.abort();
+  });
+  return {
+    pool,
+    caller: headers['fuchsiahitch-caller'],
+    house: headers['fuchsiahitch-house'],
+    priority: headers['fuchsiahitch-priority'],
+    timeoutMs: headers['fuchsiahitch-timeout-ms'],
+    key: headers['idempotency-key'],
+    trace: headers.traceparent,
+    left: left.signal,
+  };
+}
+
+/** The headers that say how a request ended. */
+function outcomeHeaders(answer: CallerAnswer): Record<string, string> {
+  const { outcome } = answer;
+  const headers: Record<string, string> = {
+    [OUTCOME_HEADER]: outcome.kind,
+    [REVISION_HEADER]: String(answer.revision),
+  };
+  if (outcome.kind !== 'completed' && outcome.kind !== 'failed') {
+    headers[REASON_HEADER] = reasonOf(outcome);
+    headers['retry-after'] = String(Math.ceil(outcome.retryAfterMs / MS_A_SECOND));
+  }
+  return headers;
+}
+
+function sendWhole(reply: FastifyReply, answer: CallerAnswer): void {
+  void reply.status(answer.answer?.status ?? statusOf(answer.outcome)).headers(outcomeHeaders(answer));
+  if (answer.answer) void reply.header('content-type', answer.answer.contentType).send(answer.answer.body);
+  else void reply.send({ outcome: answer.outcome.kind, reason: answer.ruleText ?? reasonOf(answer.outcome) });
+}
+
+interface Chunk {
+  readonly text: string;
+  readonly tokens: number;
+  readonly version: number | undefined;
+}
+
+/** Collects a completion and answers it whole. */
+class WholeCompletion {
+  private _text = '';
+  private _tokens = 0;
+  private readonly _versions = new Set<number>();
+
+  readonly onChunk = (chunk: Chunk): void => {
+    this._text += chunk.text;
+    this._tokens += chunk.tokens;
+    if (chunk.version !== undefined) this._versions.add(chunk.version);
+  };
+
+  finish(reply: FastifyReply, answer: CallerAnswer): void {
+    if (answer.outcome.kind !== 'completed') {
+      sendWhole(reply, answer);
+      return;
+    }
+    void reply
+      .status(answer.outcome.status)
+      .headers(outcomeHeaders(answer))
+      .send({
+        choices: [{ index: 0, text: this._text, finish_reason: 'stop' }],
+        usage: { completion_tokens: this._tokens },
+        weight_versions: [...this._versions],
+      });
+  }
+}
+
+/**
+ * Passes a completion on as it comes. A caller that reads slowly holds the engine's stream back: no more than
+ * the socket's own buffer waits here.
+ */
+class StreamedCompletion {
+  private readonly _reply: FastifyReply;
+  private _isBegun = false;
+
+  constructor(reply: FastifyReply) {
+    this._reply = reply;
+  }
+
+  readonly onChunk = async (chunk: Chunk): Promise<void> => {
+    this._begin();
+    const event = {
+      choices: [{ index: 0, text: chunk.text }],
+      tokens: chunk.tokens,
+      weight_version: chunk.version,
+    };
+    const { raw } = this._reply;
+    if (raw.write(`data: ${JSON.stringify(event)}\n\n`) || raw.destroyed) return;
+    await new Promise<void>(resolve => {
+      raw.once('drain', resolve);
+      raw.once('close', resolve);
+    });
+  };
+
+  finish(reply: FastifyReply, answer: CallerAnswer): void {
+    if (!this._isBegun && answer.outcome.kind !== 'completed') {
+      sendWhole(reply, answer);
+      return;
+    }
+    this._begin();
+    const { outcome } = answer;
+    const last = {
+      choices: [],
+      outcome: outcome.kind,
+      reason: reasonOf(outcome),
+      rules_revision: answer.revision,
+    };
+    const { raw } = this._reply;
+    raw.write(`data: ${JSON.stringify(last)}\n\n`);
+    // Only a whole answer carries the last event that says so.
+    if (outcome.kind === 'completed') raw.write('data: [DONE]\n\n');
+    raw.end();
+  }
+
+  private _begin(): void {
+    if (this._isBegun) return;
+    this._isBegun = true;
+    this._reply.hijack();
+    this._reply.raw.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/endpointService.ts
@@ -0,0 +1,177 @@
+/**
+ * The endpoints that this host uses: its subset of each pool, their load reports and limits.
+ */
+import { Deadline, every } from '@fuchsiahitch/base';
+import type { EndpointEntry } from '@fuchsiahitch/membership';
+import type { EngineClient, EngineReport } from '@fuchsiahitch/platform';
+import { ConcurrencyLimit, EndpointStats, subsetFor, type EndpointView } from '@fuchsiahitch/requests';
+import type { Signal } from '@fuchsiahitch/rules';
+import type { HostContext } from './hostContext.js';
+import type { MembershipService } from './membershipService.js';
+
+const REPORT_PERIOD_MS = 2000;
+const REPORT_TIMEOUT_MS = 1000;
+/** Hosts that send to one endpoint, when nothing better is known. */
+const MIN_HOSTS = 1;
+
+interface Endpoint {
+  readonly entry: EndpointEntry;
+  readonly stats: EndpointStats;
+  readonly limit: ConcurrencyLimit;
+}
+
+/** A usable endpoint with what is needed to call it. */
+export interface CallableEndpoint extends EndpointView {
+  readonly url: string;
+  readonly kind: EndpointEntry['kind'];
+  readonly slots: number;
+}
+
+export class EndpointService {
+  private readonly _context: HostContext;
+  private readonly _membership: MembershipService;
+  private readonly _engines: EngineClient;
+  private readonly _endpoints = new Map<string, Endpoint>();
+  private readonly _views = new Map<string, readonly CallableEndpoint[]>();
+  private _onRoom: () => void = () => undefined;
+
+  constructor(context: HostContext, membership: MembershipService, engines: EngineClient) {
+    this._context = context;
+    this._membership = membership;
+    this._engines = engines;
+    membership.onDocuments(() => this._rebuild());
+    this._rebuild();
+  }
+
+  start(): void {
+    every(this._context.clock, REPORT_PERIOD_MS, this._context.stopped, () => this._readReports());
+  }
+
+  /** Called when a limit or the set of endpoints changed, so that waiting requests may go. */
+  onRoom(listener: () => void): void {
+    this._onRoom = listener;
+  }
+
+  /** The endpoints of a pool that this host uses, in all failure domains. */
+  pool(pool: string): readonly CallableEndpoint[] {
+    return this._views.get(pool) ?? [];
+  }
+
+  pools(): readonly string[] {
+    return [...this._views.keys()];
+  }
+
+  /** All endpoints of this host's own failure domain, whether it sends to them or not. */
+  ownDomain(): readonly EndpointEntry[] {
+    const own = this._membership.documents().find(document => document.domain === this._context.domain);
+    return own?.endpoints ?? [];
+  }
+
+  /** Endpoints that this host uses, for operators. */
+  all(): readonly CallableEndpoint[] {
+    return [...this._views.values()].flat();
+  }
+
+  /** Takes in a report, by a poll or with an answer. */
+  reported(endpointId: string, report: EngineReport): void {
+    const endpoint = this._endpoints.get(endpointId);
+    if (!endpoint) return;
+    this._membership.leaving.sawStart(endpointId, report.startId);
+    if (report.isLeaving) this._membership.noteLeaving({ endpointId, startId: report.startId });
+    endpoint.limit.reported(report.queued, report.inFlight);
+    endpoint.stats.reported({ ...report, version: String(report.version) });
+    this._onRoom();
+  }
+
+  /** An endpoint's own answer said that it leaves. */
+  saysLeaving(endpointId: string): void {
+    const startId = this._endpoints.get(endpointId)?.stats.report()?.startId ?? '';
+    this._membership.noteLeaving({ endpointId, startId });
+  }
+
+  /** The value of a signal that rules can read. */
+  signal(signal: Signal, pool: string, queueSize: number): number {
+    const views = this.pool(pool);
+    switch (signal) {
+      case 'queue':
+        return queueSize;
+      case 'load':
+        return loadShare(views);
+      case 'swapping':
+        return new Set(views.map(view => view.version)).size > 1 ? 1 : 0;
+    }
+  }
+
+  private _rebuild(): void {
+    const byPool = new Map<string, Map<string, EndpointEntry[]>>();
+    for (const document of this._membership.documents()) {
+      for (const entry of document.endpoints) {
+        const domains = byPool.get(entry.pool) ?? new Map<string, EndpointEntry[]>();
+        domains.set(entry.domain, [...(domains.get(entry.domain) ?? []), entry]);
+        byPool.set(entry.pool, domains);
+      }
+    }
+    this._views.clear();
+    for (const [pool, domains] of byPool) {
+      const used = [...domains.values()].flatMap(entries => this._subset(entries));
+      this._views.set(
+        pool,
+        used.map(entry => this._view(entry)),
+      );
+    }
+    this._onRoom();
+  }
+
+  private _subset(entries: readonly EndpointEntry[]): readonly EndpointEntry[] {
+    const ids = subsetFor(this._context.hostId, entries.map(entry => entry.id).sort());
+    return entries.filter(entry => ids.includes(entry.id));
+  }
+
+  private _view(entry: EndpointEntry): CallableEndpoint {
+    const endpoint = this._endpoints.get(entry.id) ?? this._create(entry);
+    const { leaving } = this._membership;
+    const { stats, limit } = endpoint;
+    return {
+      id: entry.id,
+      domain: entry.domain,
+      pool: entry.pool,
+      url: entry.url,
+      kind: entry.kind,
+      slots: entry.slots,
+      get isLeaving() {
+        return entry.state === 'leaving' || leaving.isLeaving(entry.id);
+      },
+      get version() {
+        return stats.report()?.version ?? '';
+      },
+      stats,
+      limit,
+    };
+  }
+
+  private _create(entry: EndpointEntry): Endpoint {
+    const hosts = Math.max(MIN_HOSTS, this._membership.view.liveIds().length);
+    const limit = new ConcurrencyLimit(entry.slots, hosts);
+    const endpoint = { entry, stats: new EndpointStats(this._context.clock), limit };
+    this._endpoints.set(entry.id, endpoint);
+    return endpoint;
+  }
+
+  private async _readReports(): Promise<void> {
+    const engines = this.all().filter(endpoint => endpoint.kind === 'engine');
+    await Promise.all(
+      engines.map(async endpoint => {
+        const deadline = Deadline.after(this._context.clock, REPORT_TIMEOUT_MS);
+        const report = await this._engines.report(endpoint.url, deadline);
+        if (report) this.reported(endpoint.id, report);
+      }),
+    );
+  }
+}
+
+/** Load of a pool as a share of what this host may have in flight there. */
+function loadShare(views: readonly CallableEndpoint[]): number {
+  const limit = views.reduce((sum, view) => sum + view.slots, 0);
+  const load = views.reduce((sum, view) => sum + view.stats.estimatedLoad(), 0);
+  return limit === 0 ? 0 : load / limit;
+}
--- /dev/null
+++ b/packages/entry/src/keyService.ts
@@ -0,0 +1,247 @@
+/**
+ * Idempotency keys on this host: the holder, its peers, the slot map in the store, and claims for requests.
+ */
+import { Deadline, digest, every, sleep } from '@fuchsiahitch/base';
+import type { KeyValueStore } from '@fuchsiahitch/platform';
+import { calls, type PeerServer } from '@fuchsiahitch/protocol';
+import {
+  holderId,
+  KeyClient,
+  KeyHolder,
+  planSlotMap,
+  slotMapSchema,
+  slotOf,
+  splitHolder,
+  type Accepted,
+  type Claim,
+  type ClaimReply,
+  type CopyRecord,
+  type FenceReply,
+  type FenceSlot,
+  type Finish,
+  type HolderPeers,
+  type KeyRoutes,
+  type SlotMap,
+  type SyncSlot,
+} from '@fuchsiahitch/requests';
+import type { HostContext } from './hostContext.js';
+import type { MembershipService } from './membershipService.js';
+import type { PeerDirectory } from './peerDirectory.js';
+
+const PLAN_PERIOD_MS = 1000;
+/** The first live host plans; the next ones only if it did not for this long each. */
+const PLAN_STAGGER_MS = 2000;
+const COPY_TIMEOUT_MS = 1000;
+const SYNC_TIMEOUT_MS = 5000;
+const STORE_TIMEOUT_MS = 2000;
+const REFRESH_PAUSE_MS = 150;
+const FINISH_TIMEOUT_MS = 2000;
+const HANDOVER_POLL_MS = 100;
+
+export class KeyService implements HolderPeers, KeyRoutes {
+  readonly client: KeyClient;
+  readonly holder: KeyHolder;
+  private readonly _context: HostContext;
+  private readonly _membership: MembershipService;
+  private readonly _peers: PeerDirectory;
+  private readonly _store: KeyValueStore;
+  private readonly _domainsDigest: string;
+  private _wantedSinceMs: number | undefined;
+
+  constructor(
+    context: HostContext,
+    membership: MembershipService,
+    peers: PeerDirectory,
+    store: KeyValueStore,
+  ) {
+    this._context = context;
+    this._membership = membership;
+    this._peers = peers;
+    this._store = store;
+    this._domainsDigest = digest([...context.domains].sort().join('\n'));
+    const self = holderId(context.hostId, context.incarnation);
+    this.holder = new KeyHolder({ self, domains: this._domainsDigest, clock: context.clock, peers: this });
+    this.client = new KeyClient(context.domains, this._domainsDigest, this);
+  }
+
+  register(server: PeerServer): void {
+    server.handle(calls.claimKey, claim => this._claimed(claim));
+    server.handle(calls.finishKey, finish => this._finished(finish));
+    server.handle(calls.copyRecord, message => this.holder.copyRecord(message));
+    server.handle(calls.syncSlot, message => this.holder.syncSlot(message));
+    server.handle(calls.fenceSlot, message => this.holder.fenceSlot(message));
+    server.handle(calls.slotMapPull, () => {
+      const map = this.holder.map();
+      return map ? { map } : {};
+    });
+  }
+
+  start(): void {
+    every(this._context.clock, PLAN_PERIOD_MS, this._context.stopped, () => this._plan());
+  }
+
+  revision(): number {
+    return this.holder.map()?.revision ?? 0;
+  }
+
+  async pullFrom(address: string): Promise<void> {
+    const reply = await this._peers.call(address, calls.slotMapPull, {}, STORE_TIMEOUT_MS);
+    if (reply.ok && reply.value.map) this.holder.learnMap(reply.value.map);
+  }
+
+  /** Waits until what this host remembers of keys stands elsewhere, or the deadline. */
+  async handOver(deadline: Deadline): Promise<boolean> {
+    while (!deadline.isOver()) {
+      if (this.holder.hasHandedOver()) return true;
+      // The last hosts of a domain that leave together have nobody to hand over to.
+      if (this._membership.view.liveIds().length === 0) return false;
+      await sleep(this._context.clock, HANDOVER_POLL_MS);
+    }
+    return false;
+  }
+
+  // HolderPeers: how holders reach each other.
+
+  async copyRecord(holder: string, message: CopyRecord): Promise<Accepted | undefined> {
+    const reply = await this._peers.call(this._addressOf(holder), calls.copyRecord, message, COPY_TIMEOUT_MS);
+    return reply.ok ? reply.value : undefined;
+  }
+
+  async syncSlot(holder: string, message: SyncSlot): Promise<Accepted | undefined> {
+    const reply = await this._peers.call(this._addressOf(holder), calls.syncSlot, message, SYNC_TIMEOUT_MS);
+    return reply.ok ? reply.value : undefined;
+  }
+
+  async fenceSlot(holder: string, message: FenceSlot): Promise<FenceReply | undefined> {
+    const reply = await this._peers.call(this._addressOf(holder), calls.fenceSlot, message, SYNC_TIMEOUT_MS);
+    return reply.ok ? reply.value : undefined;
+  }
+
+  isProvenGone(holder: string): boolean {
+    if (this.holder.map()?.gone.includes(holder)) return true;
+    const { hostId, incarnation } = splitHolder(holder);
+    const known = hostId === this._context.hostId ? this._context.incarnation : this._incarnationOf(hostId);
+    return known > incarnation;
+  }
+
+  // KeyRoutes: how requests reach the owner.
+
+  async claim(domain: string, claim: Claim, deadline: Deadline): Promise<ClaimReply | undefined> {
+    if (domain === this._context.domain) return this._claimHere(claim, deadline.leftMs());
+    const relays = this._membership.hostsOf(domain);
+    const relay = relays[this._context.random.below(Math.max(1, relays.length))];
+    const reply = await this._peers.call(relay?.peerAddress ?? '', calls.claimKey, claim, deadline.leftMs());
+    return reply.ok ? reply.value : undefined;
+  }
+
+  async finish(domain: string, finish: Finish): Promise<boolean> {
+    if (domain === this._context.domain) return this._finishHere(finish);
+    const relays = this._membership.hostsOf(domain);
+    const relay = relays[this._context.random.below(Math.max(1, relays.length))];
+    const reply = await this._peers.call(
+      relay?.peerAddress ?? '',
+      calls.finishKey,
+      finish,
+      FINISH_TIMEOUT_MS,
+    );
+    return reply.ok && reply.value.accepted;
+  }
+
+  async refresh(deadline: Deadline): Promise<void> {
+    await sleep(this._context.clock, Math.min(REFRESH_PAUSE_MS, deadline.leftMs()));
+  }
+
+  private async _claimed(claim: Claim): Promise<ClaimReply> {
+    const answer = await this.holder.claim(claim);
+    if (answer.kind !== 'wrong-owner' || claim.relayed) return answer;
+    const passedOn = await this._claimHere({ ...claim, relayed: true }, claim.waitMs + COPY_TIMEOUT_MS);
+    // No reply from the owner proves nothing, so the one who asks must not take this for a refusal.
+    return passedOn ?? { kind: 'unknown', reason: 'key-unsettled' };
+  }
+
+  private async _claimHere(claim: Claim, timeoutMs: number): Promise<ClaimReply | undefined> {
+    const owner = this._ownerOf(claim.key);
+    if (owner === undefined) return { kind: 'unknown', reason: 'key-unsettled' };
+    if (splitHolder(owner).hostId === this._context.hostId) return this.holder.claim(claim);
+    const address = this._addressOf(owner);
+    const reply = await this._peers.call(address, calls.claimKey, { ...claim, relayed: true }, timeoutMs);
+    return reply.ok ? reply.value : undefined;
+  }
+
+  private async _finished(finish: Finish): Promise<Accepted> {
+    const taken = await this.holder.finish(finish);
+    if (taken.accepted || finish.relayed) return taken;
+    return { accepted: await this._finishHere(finish) };
+  }
+
+  private async _finishHere(finish: Finish): Promise<boolean> {
+    const owner = this._ownerOf(finish.key);
+    if (owner === undefined) return false;
+    if (splitHolder(owner).hostId === this._context.hostId)
+      return (await this.holder.finish(finish)).accepted;
+    const message = { ...finish, relayed: true };
+    const reply = await this._peers.call(this._addressOf(owner), calls.finishKey, message, FINISH_TIMEOUT_MS);
+    return reply.ok && reply.value.accepted;
+  }
+
+  private _ownerOf(key: string): string | undefined {
+    return this.holder.map()?.slots[slotOf(key)]?.owner;
+  }
+
+  private _addressOf(holder: string): string {
+    return this._membership.addressOf(splitHolder(holder).hostId);
+  }
+
+  private _incarnationOf(hostId: string): number {
+    return this._membership.view.find(hostId)?.incarnation ?? 0;
+  }
+
+  /** Writes a new map when hosts came or went. Several may try: the store lets one through. */
+  private async _plan(): Promise<void> {
+    const { clock, hostId, domain } = this._context;
+    if (!this._planFor(this.holder.map())) {
+      this._wantedSinceMs = undefined;
+      return;
+    }
+    this._wantedSinceMs ??= clock.nowMs();
+    const rank = this._membership.view.liveIds().indexOf(hostId);
+    if (rank < 0 || clock.nowMs() - this._wantedSinceMs < rank * PLAN_STAGGER_MS) return;
+    const key = `slots/${domain}`;
+    const stored = await this._store.get(key, Deadline.after(clock, STORE_TIMEOUT_MS));
+    if (!stored.ok) return;
+    if (stored.value) this.holder.learnMap(slotMapSchema.parse(JSON.parse(stored.value.value)));
+    const plan = this._planFor(this.holder.map());
+    if (!plan) return;
+    const write = { kind: 'put', key, value: JSON.stringify(plan) } as const;
+    const compare = { key, version: stored.value?.version ?? 0 };
+    const written = await this._store.transact([compare], [write], Deadline.after(clock, STORE_TIMEOUT_MS));
+    // After a lost answer the next round reads the map back, whether it was written or not.
+    if (written.ok && written.value.succeeded) this._spread(plan);
+  }
+
+  private _spread(map: SlotMap): void {
+    this.holder.learnMap(map);
+    this._context.log.info('slot map written', { revision: map.revision });
+  }
+
+  private _planFor(current: SlotMap | undefined): SlotMap | undefined {
+    const { domain } = this._context;
+    const live = this._membership.view
+      .liveIds()
+      .map(id => this._holderOf(id))
+      .filter(holder => holder !== undefined);
+    return planSlotMap(current, {
+      domain,
+      domains: this._domainsDigest,
+      live,
+      settled: this.holder.settledSlots(),
+    });
+  }
+
+  /** The present process of a host; undefined until its incarnation is known. */
+  private _holderOf(hostId: string): string | undefined {
+    if (hostId === this._context.hostId) return holderId(hostId, this._context.incarnation);
+    const incarnation = this._incarnationOf(hostId);
+    return incarnation === 0 ? undefined : holderId(hostId, incarnation);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/listeners.ts
@@ -0,0 +1,83 @@
+/**
+ * The HTTP listeners: Nest on fastify's adapter, one application for each kind of client, so that each has its
+ * own address and limits.
+ */
+import 'reflect-metadata';
+import { Module, type DynamicModule, type Provider, type Type } from '@nestjs/common';
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
+import { splitAddress } from '@fuchsiahitch/base';
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+const MAX_HEADER_BYTES = 16 * 1024;
+/** A client that sends its headers or body slower than this is cut: it would hold a socket for ever. */
+const REQUEST_TIMEOUT_MS = 30_000;
+const KEEP_ALIVE_MS = 30_000;
+
+@Module({})
+class ListenerModule {}
+
+/** What one listener serves. */
+export interface ListenerOptions {
+  readonly address: string;
+  readonly controller: Type;
+  readonly providers: readonly Provider[];
+  /** If given, calls need this bearer token; probes and metrics don't. */
+  readonly token?: string;
+}
+
+const OPEN_PATHS = new Set(['/healthz', '/readyz', '/metrics']);
+
+export class Listener {
+  private readonly _app: NestFastifyApplication;
+  readonly address: string;
+
+  private constructor(app: NestFastifyApplication, address: string) {
+    this._app = app;
+    this.address = address;
+  }
+
+  static async start(options: ListenerOptions): Promise<Listener> {
+    const adapter = new FastifyAdapter({
+      bodyLimit: MAX_BODY_BYTES,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      http: { maxHeaderSize: MAX_HEADER_BYTES },
+      forceCloseConnections: 'idle',
+    });
+    const module: DynamicModule = {
+      module: ListenerModule,
+      controllers: [options.controller],
+      providers: [...options.providers],
+    };
+    // Nest declares its options as a class and documents them as plain objects.
+    // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+    const app = await NestFactory.create<NestFastifyApplication>(module, adapter, {
+      logger: false,
+      bodyParser: false,
+    });
+    const fastify = adapter.getInstance();
+    fastify.removeAllContentTypeParsers();
+    // Bodies stay bytes: a call to a service is passed on as it came, everything else is checked by a schema.
+    fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+    if (options.token !== undefined) requireToken(adapter, options.token);
+    const { ip, port } = splitAddress(options.address);
+    await app.listen(port, ip);
+    const bound = app.getHttpServer().address();
+    const boundPort = typeof bound === 'object' && bound ? bound.port : port;
+    return new Listener(app, `${ip}:${boundPort}`);
+  }
+
+  /** Ends the listener; answers that are being sent go out first. */
+  async close(): Promise<void> {
+    await this._app.close();
+  }
+}
+
+function requireToken(adapter: FastifyAdapter, token: string): void {
+  adapter.getInstance().addHook('onRequest', async (request, reply) => {
+    const [path = ''] = request.url.split('?');
+    if (OPEN_PATHS.has(path) || request.headers.authorization === `Bearer ${token}`) return;
+    await reply.status(401).send({ error: 'an operator token is needed' });
+  });
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,24 @@
+/**
+ * The entry daemon.
+ */
+import { PROGRAM_VERSION, readSettings, stopWith, SystemClock, SystemRandom } from '@fuchsiahitch/base';
+import { EntryHost } from './entryHost.js';
+import { entrySettings } from './entrySettings.js';
+
+const PROGRAM = 'fuchsiahitch-entry';
+
+const settings = readSettings(PROGRAM, entrySettings, process.argv.slice(2), process.env);
+if (!settings.ok) stopWith(PROGRAM, PROGRAM_VERSION, settings.error);
+
+const host = await EntryHost.start(settings.value, new SystemClock(), new SystemRandom());
+
+let isEnding = false;
+async function end(): Promise<void> {
+  if (isEnding) return;
+  isEnding = true;
+  await host.shutDown();
+  process.exit(0);
+}
+
+process.on('SIGTERM', () => void end());
+process.on('SIGINT', () => void end());
--- /dev/null
+++ b/packages/entry/src/ordersService.ts
@@ -0,0 +1,283 @@
+/**
+ * Weight orders to the endpoints of this failure domain, by the one host that holds the domain's lease.
+ */
+import { Deadline, err, every, ok, rendezvous, type Result } from '@fuchsiahitch/base';
+import {
+  LeaseGuard,
+  SwapPlanner,
+  weightTargetSchema,
+  type WeightOrder,
+  type WeightTarget,
+} from '@fuchsiahitch/orders';
+import type { EngineClient, KeyValueStore, WatchEvent } from '@fuchsiahitch/platform';
+import type { EndpointEntry } from '@fuchsiahitch/membership';
+import type { EndpointService } from './endpointService.js';
+import type { HostContext } from './hostContext.js';
+import type { MembershipService } from './membershipService.js';
+import type { RulesService } from './rulesService.js';
+
+const ELECT_PERIOD_MS = 1000;
+const LEASE_MS = 10_000;
+const LEASE_MARGIN_MS = 3000;
+const RENEW_PERIOD_MS = 3000;
+const PLAN_PERIOD_MS = 100;
+const READ_BACK_PERIOD_MS = 250;
+const READ_TARGETS_PERIOD_MS = 5000;
+const STORE_TIMEOUT_MS = 2000;
+/** An order that takes longer than the lease's margin must not arrive after it. */
+const ORDER_TIMEOUT_MS = 2000;
+const WEIGHTS_PREFIX = 'weights/';
+const MAX_TRIES = 5;
+const SWAP_OPTIONS = { maxSwappingShare: 0.34, loadsPerSecond: 20, swapTimeoutMs: 4000, maxTries: 4 };
+
+/** Why a new target was not written. */
+export type TargetError = 'store-unavailable' | 'unknown';
+
+interface HeldLease {
+  readonly leaseId: string;
+  readonly token: number;
+  renewedMs: number;
+}
+
+export class OrdersService {
+  private readonly _context: HostContext;
+  private readonly _store: KeyValueStore;
+  private readonly _membership: MembershipService;
+  private readonly _endpoints: EndpointService;
+  private readonly _engines: EngineClient;
+  private readonly _rules: RulesService;
+  private readonly _guard: LeaseGuard;
+  private readonly _planners = new Map<string, SwapPlanner>();
+  private _held: HeldLease | undefined;
+  private _watch: AbortController | undefined;
+  private _lastReadMs = -Infinity;
+  private _lastReadBackMs = -Infinity;
+
+  constructor(
+    context: HostContext,
+    parts: {
+      readonly store: KeyValueStore;
+      readonly membership: MembershipService;
+      readonly endpoints: EndpointService;
+      readonly engines: EngineClient;
+      readonly rules: RulesService;
+    },
+  ) {
+    this._context = context;
+    this._store = parts.store;
+    this._membership = parts.membership;
+    this._endpoints = parts.endpoints;
+    this._engines = parts.engines;
+    this._rules = parts.rules;
+    this._guard = new LeaseGuard(context.clock, { leaseMs: LEASE_MS, marginMs: LEASE_MARGIN_MS });
+  }
+
+  start(): void {
+    const { clock, stopped } = this._context;
+    every(clock, ELECT_PERIOD_MS, stopped, () => this._elect());
+    every(clock, PLAN_PERIOD_MS, stopped, () => this._order());
+    stopped.addEventListener('abort', () => this._watch?.abort());
+  }
+
+  /** Hands the orders on when this host leaves. */
+  stop(): void {
+    this._resign();
+  }
+
+  /** True while this host gives the orders of its domain. */
+  isLeader(): boolean {
+    return this._guard.token() !== undefined;
+  }
+
+  /** What each pool of the domain is told to run, for operators; empty on hosts that don't lead. */
+  status(): readonly {
+    readonly target: WeightTarget;
+    readonly isDone: boolean;
+    readonly aside: readonly string[];
+  }[] {
+    const lines = [];
+    for (const [pool, planner] of this._planners) {
+      const target = planner.target();
+      if (!target) continue;
+      const isDone = planner.isDone(this._swappable(pool));
+      lines.push({ target, isDone, aside: planner.setAside() });
+    }
+    return lines;
+  }
+
+  /** Endpoints that run whatever order comes last: listed for the operator, since nothing fences them. */
+  unfenced(): readonly string[] {
+    const engines = this._endpoints.ownDomain().filter(entry => entry.kind === 'engine');
+    return engines.filter(entry => !entry.checksFencing).map(entry => entry.id);
+  }
+
+  /** Makes a version the target of a pool. Idempotent: the target that stands already is not written again. */
+  async setTarget(pool: string, version: number): Promise<Result<WeightTarget, TargetError>> {
+    const key = WEIGHTS_PREFIX + pool;
+    let mayBeWritten = false;
+    for (let i = 0; i < MAX_TRIES; i++) {
+      const stored = await this._store.get(key, this._deadline());
+      if (!stored.ok) return err(mayBeWritten ? 'unknown' : 'store-unavailable');
+      const last = stored.value ? weightTargetSchema.parse(JSON.parse(stored.value.value)) : undefined;
+      if (last && last.version >= version) return ok(last);
+      const target = { pool, version, sequence: (last?.sequence ?? 0) + 1, share: 1 };
+      const write = { kind: 'put', key, value: JSON.stringify(target) } as const;
+      const compare = { key, version: stored.value?.version ?? 0 };
+      const written = await this._store.transact([compare], [write], this._deadline());
+      if (written.ok && written.value.succeeded) return ok(target);
+      if (!written.ok) mayBeWritten ||= written.error === 'unknown';
+    }
+    return err('unknown');
+  }
+
+  private async _elect(): Promise<void> {
+    const { domain, hostId } = this._context;
+    const [first] = rendezvous(`orders/${domain}`, this._membership.view.liveIds());
+    if (first !== hostId) {
+      this._resign();
+      return;
+    }
+    if (this._held) await this._renew(this._held);
+    else await this._acquire();
+    if (this.isLeader()) await this._learnTargets();
+  }
+
+  private async _acquire(): Promise<void> {
+    const sentMs = this._context.clock.nowMs();
+    const lease = await this._store.grantLease(LEASE_MS, this._deadline());
+    if (!lease.ok) return;
+    const key = `orders/${this._context.domain}`;
+    const write = { kind: 'put', key, value: this._context.hostId, leaseId: lease.value } as const;
+    const created = await this._store.transact([{ key, version: 0 }], [write], this._deadline());
+    if (!created.ok || !created.value.succeeded) return;
+    this._held = { leaseId: lease.value, token: created.value.version, renewedMs: sentMs };
+    this._guard.renewed(created.value.version, sentMs);
+    this._context.log.info('orders are given by this host', { token: created.value.version });
+  }
+
+  private async _renew(held: HeldLease): Promise<void> {
+    const sentMs = this._context.clock.nowMs();
+    if (sentMs - held.renewedMs < RENEW_PERIOD_MS) return;
+    const kept = await this._store.keepLease(held.leaseId, this._deadline());
+    if (!kept.ok) return;
+    if (kept.value) {
+      held.renewedMs = sentMs;
+      this._guard.renewed(held.token, sentMs);
+    } else {
+      this._resign();
+    }
+  }
+
+  /** Gives the lease back at once: a successor would otherwise wait until it ends by itself. */
+  private _resign(): void {
+    if (!this._held) return;
+    const { token } = this._held;
+    this._held = undefined;
+    const key = `orders/${this._context.domain}`;
+    void this._store.transact([{ key, version: token }], [{ kind: 'delete', key }], this._deadline());
+    this._guard.lost();
+    this._watch?.abort();
+    this._watch = undefined;
+  }
+
+  private async _learnTargets(): Promise<void> {
+    this._startWatch();
+    const nowMs = this._context.clock.nowMs();
+    if (nowMs - this._lastReadMs < READ_TARGETS_PERIOD_MS) return;
+    const listed = await this._store.list(WEIGHTS_PREFIX, this._deadline());
+    if (!listed.ok) return;
+    this._lastReadMs = nowMs;
+    for (const { value } of listed.value) this._learn(value);
+  }
+
+  private _startWatch(): void {
+    if (this._watch) return;
+    const watch = new AbortController();
+    this._watch = watch;
+    const sawEvents = (events: readonly WatchEvent[]): void => {
+      for (const { value } of events) if (value !== undefined) this._learn(value);
+    };
+    void this._store.watch(WEIGHTS_PREFIX, sawEvents, watch.signal).then(() => {
+      if (this._watch === watch) this._watch = undefined;
+      this._lastReadMs = -Infinity;
+    });
+  }
+
+  private _learn(text: string): void {
+    const target = weightTargetSchema.parse(JSON.parse(text));
+    const planner = this._planners.get(target.pool) ?? new SwapPlanner(this._context.clock, SWAP_OPTIONS);
+    this._planners.set(target.pool, planner);
+    if (planner.setTarget(target))
+      this._context.log.info('weight target', { pool: target.pool, version: target.version });
+  }
+
+  private async _order(): Promise<void> {
+    const token = this._guard.token();
+    if (token === undefined) return;
+    const pools = [...this._planners].filter(([pool, planner]) => !planner.isDone(this._swappable(pool)));
+    if (pools.length === 0) return;
+    await this._readBack(pools.map(([pool]) => pool));
+    for (const [pool, planner] of pools) {
+      for (const order of planner.next(this._swappable(pool), token)) void this._give(planner, order);
+    }
+  }
+
+  private async _give(planner: SwapPlanner, order: WeightOrder): Promise<void> {
+    const endpoint = this._endpoints.ownDomain().find(entry => entry.id === order.endpointId);
+    // Asked again right before it is sent: this process may have been paused since it was planned.
+    if (!endpoint || this._guard.token() !== order.token) {
+      planner.ended(order.endpointId, 'failed');
+      return;
+    }
+    const deadline = Deadline.after(this._context.clock, ORDER_TIMEOUT_MS);
+    const result = await this._engines.order(endpoint.url, order.version, order.token, deadline);
+    this._context.metrics.orders.inc({ end: result });
+    if (result === 'fenced') this._resign();
+    planner.ended(order.endpointId, result);
+  }
+
+  /** Asks the endpoints what they run. While swaps are under way only, at a quarter of a second. */
+  private async _readBack(pools: readonly string[]): Promise<void> {
+    const nowMs = this._context.clock.nowMs();
+    if (nowMs - this._lastReadBackMs < READ_BACK_PERIOD_MS) return;
+    this._lastReadBackMs = nowMs;
+    const entries = this._endpoints
+      .ownDomain()
+      .filter(entry => entry.kind === 'engine' && pools.includes(entry.pool));
+    await Promise.all(entries.map(entry => this._readOne(entry)));
+  }
+
+  private async _readOne(entry: EndpointEntry): Promise<void> {
+    const report = await this._engines.report(
+      entry.url,
+      Deadline.after(this._context.clock, ORDER_TIMEOUT_MS),
+    );
+    if (!report) return;
+    this._planners.get(entry.pool)?.readBack(entry.id, report);
+    this._endpoints.reported(entry.id, report);
+  }
+
+  /** The endpoints of a pool in the order in which they are swapped, cut to the share that a rule stages. */
+  private _swappable(pool: string): readonly { readonly id: string; readonly isUsable: boolean }[] {
+    const { domain } = this._context;
+    const facts = {
+      kind: 'sample',
+      caller: '',
+      house: '',
+      pool,
+      domain,
+      priority: 'low',
+      version: '',
+    } as const;
+    const staged = this._rules.book().decide(facts).action.stagedShare ?? 1;
+    const entries = this._endpoints
+      .ownDomain()
+      .filter(entry => entry.kind === 'engine' && entry.pool === pool && entry.state === 'live')
+      .map(entry => ({ id: entry.id, isUsable: !this._membership.leaving.isLeaving(entry.id) }));
+    return entries.slice(0, Math.ceil(entries.length * staged));
+  }
+
+  private _deadline(): Deadline {
+    return Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/requestService.ts
@@ -0,0 +1,457 @@
+/**
+ * Customer-facing requests: decided once by the rules, run at most once where they must not be repeated, and
+ * answered whole or with a stated outcome.
+ */
+import { Deadline, digest, sleep } from '@fuchsiahitch/base';
+import type {
+  EngineClient,
+  GenerationChunk,
+  GenerationEnd,
+  ServiceClient,
+  ServiceEnd,
+} from '@fuchsiahitch/platform';
+import {
+  backoffMs,
+  RequestRun,
+  RetryBudget,
+  type KeptAnswer,
+  type RequestOutcome,
+  type WaitClass,
+} from '@fuchsiahitch/requests';
+import type { Decision, RequestFacts, RequestKind } from '@fuchsiahitch/rules';
+import { reserveOf, type Dispatcher, type Turn } from './dispatcher.js';
+import type { CallableEndpoint, EndpointService } from './endpointService.js';
+import type { HostContext } from './hostContext.js';
+import type { KeyService } from './keyService.js';
+import type { RulesService } from './rulesService.js';
+
+/** A request as it arrives from a caller. */
+export interface CallerRequest {
+  readonly kind: RequestKind;
+  readonly pool: string;
+  readonly caller: string;
+  readonly house: string;
+  readonly priority: 'high' | 'normal' | 'low';
+  readonly timeoutMs: number;
+  readonly key: string | undefined;
+  readonly trace: string | undefined;
+  /** Aborted when the caller goes away. */
+  readonly left: AbortSignal;
+  readonly work: CallerWork;
+}
+
+/** What is to be run. */
+export type CallerWork =
+  | {
+      readonly kind: 'completion';
+      readonly prompt: string;
+      readonly maxTokens: number;
+      readonly onChunk: (chunk: GenerationChunk) => Promise<void> | void;
+    }
+  | {
+      readonly kind: 'service';
+      readonly method: string;
+      readonly path: string;
+      readonly headers: Readonly<Record<string, string>>;
+      readonly body: Buffer | undefined;
+    };
+
+/** The answer of a request, beside its outcome. */
+export interface CallerAnswer {
+  readonly outcome: RequestOutcome;
+  readonly revision: number;
+  readonly ruleId: string | undefined;
+  /** A whole answer, of a service or kept for a resend. */
+  readonly answer: KeptAnswer | undefined;
+  readonly ruleText: string | undefined;
+}
+
+const RETRY_SHARE = 0.1;
+const RETRY_BURST = 20;
+const DEFAULT_RETRIES = 2;
+const BACKOFF_BASE_MS = 25;
+const BACKOFF_MAX_MS = 500;
+const PREFIX_LENGTH = 64;
+const FINISH_TIMEOUT_MS = 5000;
+const SERVER_ERROR = 500;
+const REPEATABLE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+/** How one attempt ended, as far as the request's state machine is concerned. */
+type AttemptEnd = 'ended' | 'again' | 'again-after-pause';
+
+export class RequestService {
+  private readonly _context: HostContext;
+  private readonly _rules: RulesService;
+  private readonly _keys: KeyService;
+  private readonly _endpoints: EndpointService;
+  private readonly _dispatcher: Dispatcher;
+  private readonly _engines: EngineClient;
+  private readonly _services: ServiceClient;
+  private readonly _retries = new RetryBudget(RETRY_SHARE, RETRY_BURST);
+  private _inFlight = 0;
+  private _isRefusing = false;
+
+  constructor(
+    context: HostContext,
+    parts: {
+      readonly rules: RulesService;
+      readonly keys: KeyService;
+      readonly endpoints: EndpointService;
+      readonly dispatcher: Dispatcher;
+      readonly engines: EngineClient;
+      readonly services: ServiceClient;
+    },
+  ) {
+    this._context = context;
+    this._rules = parts.rules;
+    this._keys = parts.keys;
+    this._endpoints = parts.endpoints;
+    this._dispatcher = parts.dispatcher;
+    this._engines = parts.engines;
+    this._services = parts.services;
+  }
+
+  inFlight(): number {
+    return this._inFlight;
+  }
+
+  /** From now on new requests are refused as not run: the last moments of a shutdown. */
+  refuseNew(): void {
+    this._isRefusing = true;
+  }
+
+  async run(request: CallerRequest): Promise<CallerAnswer> {
+    const startMs = this._context.clock.nowMs();
+    const hop = this._context.tracing.begin('caller', request.trace);
+    this._inFlight += 1;
+    try {
+      const answer = await this._decideAndRun({ ...request, trace: hop.traceparent });
+      this._context.metrics.requests.inc({ kind: request.kind, outcome: answer.outcome.kind });
+      const seconds = (this._context.clock.nowMs() - startMs) / 1000;
+      this._context.metrics.latency.observe({ kind: request.kind }, seconds);
+      hop.end({ outcome: answer.outcome.kind, revision: answer.revision });
+      return answer;
+    } finally {
+      this._inFlight -= 1;
+    }
+  }
+
+  private async _decideAndRun(request: CallerRequest): Promise<CallerAnswer> {
+    const decision = this._rules.book().decide(this._factsOf(request));
+    const { action, revision, ruleId } = decision;
+    const pool = action.pool ?? request.pool;
+    const run = new RequestRun(this._dispatcher.retryAfterMs(pool));
+    const base = { revision, ruleId, answer: undefined, ruleText: undefined };
+    if (action.refuse !== undefined) {
+      return { ...base, outcome: run.refuse('refused-by-rule'), ruleText: action.refuse };
+    }
+    if (this._isRefusing) return { ...base, outcome: run.refuse('shutting-down') };
+    const work = new RunningRequest(
+      request,
+      decision,
+      run,
+      Deadline.after(this._context.clock, request.timeoutMs),
+    );
+    if (request.key === undefined) return { ...base, ...(await this._runAttempts(work, pool)) };
+    return { ...base, ...(await this._runKeyed(work, pool, request.key)) };
+  }
+
+  /** Runs a request that must not be repeated, with leave from the key's owner. */
+  private async _runKeyed(work: RunningRequest, pool: string, key: string): Promise<RunResult> {
+    const { run, deadline, request } = work;
+    const attemptId = this._context.random.id();
+    const hop = this._context.tracing.begin('peer', request.trace);
+    const claim = await this._keys.client.claim(key, fingerprintOf(request), attemptId, deadline);
+    hop.end({ claim: claim.kind });
+    switch (claim.kind) {
+      case 'granted': {
+        const result = await this._runAttempts(work, pool);
+        const isReleased = result.outcome.kind === 'not-run';
+        const answer = result.answer ? { answer: result.answer } : {};
+        const finish = { key, attemptId, end: isReleased ? 'released' : 'finished', ...answer } as const;
+        const told = this._keys.client.finish(finish, Deadline.after(this._context.clock, FINISH_TIMEOUT_MS));
+        // A caller told `not run` may come again at once, so its key must be free by then.
+        if (isReleased) await told;
+        return result;
+      }
+      case 'answered':
+        return { outcome: run.endWithKept(claim.answer.status), answer: claim.answer };
+      case 'unknown':
+        return { outcome: run.endUnknown(claim.reason), answer: undefined };
+      case 'unreachable':
+      case 'wrong-owner':
+        return { outcome: run.endUnknown('key-owner-unreachable'), answer: undefined };
+      case 'conflict':
+        return { outcome: run.refuse('bad-request'), answer: undefined };
+      case 'refused':
+        return { outcome: run.refuse('key-refused'), answer: undefined };
+    }
+  }
+
+  private async _runAttempts(work: RunningRequest, pool: string): Promise<RunResult> {
+    this._retries.requestBegan();
+    const { run, request, deadline } = work;
+    const leave = (): void => work.giveUp('caller-left');
+    request.left.addEventListener('abort', leave);
+    const cancelTimer = this._context.clock.after(deadline.leftMs(), () => work.giveUp('deadline'));
+    try {
+      while (!run.outcome()) await this._oneAttempt(work, pool);
+    } finally {
+      cancelTimer();
+      request.left.removeEventListener('abort', leave);
+    }
+    return { outcome: run.outcome() ?? run.refuse('too-late'), answer: work.answer };
+  }
+
+  private async _oneAttempt(work: RunningRequest, pool: string): Promise<void> {
+    let attempt: number | undefined;
+    const begin = (): boolean => {
+      attempt = work.run.send();
+      return attempt !== undefined;
+    };
+    const turn = await this._dispatcher.turn(this._turnRequest(work, pool), begin, work.signal);
+    if (turn.kind !== 'turn' || attempt === undefined) {
+      this._noTurn(work, turn);
+      return;
+    }
+    const hop = this._context.tracing.begin('endpoint', work.request.trace);
+    const end = await this._send(work, turn.endpoint, attempt, hop.traceparent);
+    hop.end({ endpoint: turn.endpoint.id, attempt, end });
+    if (end === 'ended') return;
+    work.attempts += 1;
+    work.tried.add(turn.endpoint.id);
+    // With every endpoint tried, an earlier one is better than none.
+    if (this._endpoints.pool(pool).every(endpoint => work.tried.has(endpoint.id))) work.tried.clear();
+    await this._mayTryAgain(work, pool, end);
+  }
+
+  private _noTurn(work: RunningRequest, turn: Turn): void {
+    switch (turn.kind) {
+      case 'queue-full':
+      case 'no-endpoint':
+        work.run.refuse(turn.kind);
+        return;
+      case 'too-late':
+        work.giveUp('deadline');
+        return;
+      case 'left':
+      case 'turn':
+        work.giveUp('caller-left');
+    }
+  }
+
+  /** One layer retries, within the rule's number, the budget and the deadline. */
+  private async _mayTryAgain(work: RunningRequest, pool: string, end: AttemptEnd): Promise<void> {
+    const allowed = work.decision.action.retries ?? DEFAULT_RETRIES;
+    const isAllowed = work.attempts <= allowed && this._retries.take();
+    if (!isAllowed) {
+      work.run.refuse('endpoint-refused');
+      return;
+    }
+    this._context.metrics.retries.inc({ pool });
+    if (end === 'again') return;
+    const pauseMs = backoffMs(BACKOFF_BASE_MS, BACKOFF_MAX_MS, work.attempts, n =>
+      this._context.random.below(n),
+    );
+    await sleep(this._context.clock, Math.min(pauseMs, work.deadline.leftMs()), work.signal);
+  }
+
+  private async _send(
+    work: RunningRequest,
+    endpoint: CallableEndpoint,
+    attempt: number,
+    trace: string | undefined,
+  ): Promise<AttemptEnd> {
+    const { work: what } = work.request;
+    const end =
+      what.kind === 'completion'
+        ? await this._generate(work, what, endpoint, attempt, trace)
+        : await this._callService(work, what, endpoint, attempt, trace);
+    this._context.metrics.attempts.inc({ pool: endpoint.pool, end });
+    return end;
+  }
+
+  private async _generate(
+    work: RunningRequest,
+    what: Extract<CallerWork, { kind: 'completion' }>,
+    endpoint: CallableEndpoint,
+    attempt: number,
+    trace: string | undefined,
+  ): Promise<AttemptEnd> {
+    const { run } = work;
+    const generation = {
+      url: endpoint.url,
+      requestId: this._context.random.id(),
+      prompt: what.prompt,
+      maxTokens: what.maxTokens,
+      priority: 'high' as const,
+      resumeText: work.text,
+      resumeTokens: work.tokens,
+      trace,
+    };
+    const onChunk = async (chunk: GenerationChunk): Promise<void> => {
+      if (run.phase() === 'sent') run.answerBegan(attempt);
+      if (run.phase() !== 'answering') return;
+      work.text += chunk.text;
+      work.tokens += chunk.tokens;
+      await what.onChunk(chunk);
+    };
+    const end = await this._engines.generate(generation, onChunk, work.signal);
+    this._freed(endpoint, end);
+    switch (end.kind) {
+      case 'done':
+        if (run.phase() === 'sent') run.answerBegan(attempt);
+        run.answered(attempt, 200, false);
+        this._context.metrics.tokens.inc({ kind: 'customer' }, end.tokens);
+        return 'ended';
+      case 'not-run':
+        if (end.isLeaving) this._endpoints.saysLeaving(endpoint.id);
+        run.provenNotRun(attempt);
+        return 'again';
+      case 'failed':
+        if (end.status >= SERVER_ERROR) return this._broken(work, attempt, true);
+        if (run.phase() === 'sent') run.answerBegan(attempt);
+        run.answered(attempt, end.status, true);
+        return 'ended';
+      case 'broken':
+        // A generation has no lasting effect: it goes on elsewhere from the tokens that were passed on.
+        return this._broken(work, attempt, true);
+      case 'cancelled':
+        return 'ended';
+    }
+  }
+
+  private async _callService(
+    work: RunningRequest,
+    what: Extract<CallerWork, { kind: 'service' }>,
+    endpoint: CallableEndpoint,
+    attempt: number,
+    trace: string | undefined,
+  ): Promise<AttemptEnd> {
+    const { run } = work;
+    const headers = { ...what.headers, ...(trace === undefined ? {} : { traceparent: trace }) };
+    const call = { url: endpoint.url, method: what.method, path: what.path, headers, body: what.body };
+    const end = await this._services.call(call, () => run.answerBegan(attempt), work.signal);
+    this._freed(endpoint, end);
+    switch (end.kind) {
+      case 'answered':
+        this._serviceAnswered(work, endpoint, attempt, end);
+        return 'ended';
+      case 'not-run':
+        if (end.isLeaving) this._endpoints.saysLeaving(endpoint.id);
+        run.provenNotRun(attempt);
+        return 'again';
+      case 'broken':
+        return this._broken(work, attempt, REPEATABLE_METHODS.has(what.method));
+      case 'cancelled':
+        return 'ended';
+    }
+  }
+
+  private _serviceAnswered(
+    work: RunningRequest,
+    endpoint: CallableEndpoint,
+    attempt: number,
+    end: Extract<ServiceEnd, { kind: 'answered' }>,
+  ): void {
+    if (end.isLeaving) this._endpoints.saysLeaving(endpoint.id);
+    if (!work.run.answered(attempt, end.status, end.status >= SERVER_ERROR)) return;
+    work.answer = { status: end.status, contentType: end.contentType, body: end.body.toString('utf8') };
+  }
+
+  private _broken(work: RunningRequest, attempt: number, isRepeatable: boolean): AttemptEnd {
+    if (isRepeatable && work.run.brokenRepeatable(attempt)) return 'again-after-pause';
+    work.run.broken(attempt);
+    return 'ended';
+  }
+
+  private _freed(endpoint: CallableEndpoint, end: GenerationEnd | ServiceEnd): void {
+    if (end.kind === 'cancelled') this._dispatcher.cancelled(endpoint, false);
+    else this._dispatcher.ended(endpoint, false, isFault(end));
+    if (end.kind === 'not-run' && !end.isUnreachable) endpoint.limit.refused();
+  }
+
+  private _turnRequest(work: RunningRequest, pool: string): Parameters<Dispatcher['turn']>[0] {
+    const { action } = work.decision;
+    const what = work.request.work;
+    return {
+      pool,
+      ownDomain: this._context.domain,
+      domains: action.domains ?? [],
+      isRollout: false,
+      reserve: reserveOf(action.reserve),
+      prefix: what.kind === 'completion' ? what.prompt.slice(0, PREFIX_LENGTH) : '',
+      version: action.pinVersion ?? '',
+      tried: work.tried,
+      waitClass: waitClassOf(action.priority ?? work.request.priority),
+      deadline: work.deadline,
+    };
+  }
+
+  private _factsOf(request: CallerRequest): RequestFacts {
+    const { kind, caller, house, pool, priority } = request;
+    return { kind, caller, house, pool, priority, domain: this._context.domain, version: '' };
+  }
+}
+
+interface RunResult {
+  readonly outcome: RequestOutcome;
+  readonly answer: KeptAnswer | undefined;
+}
+
+/** A request with all that changes while it runs. */
+class RunningRequest {
+  readonly request: CallerRequest;
+  readonly decision: Decision;
+  readonly run: RequestRun;
+  readonly deadline: Deadline;
+  readonly tried = new Set<string>();
+  attempts = 0;
+  text = '';
+  tokens = 0;
+  answer: KeptAnswer | undefined;
+  private readonly _stop = new AbortController();
+
+  constructor(request: CallerRequest, decision: Decision, run: RequestRun, deadline: Deadline) {
+    this.request = request;
+    this.decision = decision;
+    this.run = run;
+    this.deadline = deadline;
+  }
+
+  get signal(): AbortSignal {
+    return this._stop.signal;
+  }
+
+  /** Ends the request in its state machine first, then stops whatever is under way for it. */
+  giveUp(cause: 'deadline' | 'caller-left'): void {
+    this.run.giveUp(cause);
+    this._stop.abort();
+  }
+}
+
+function waitClassOf(priority: 'high' | 'normal' | 'low'): WaitClass {
+  if (priority === 'high') return 'customer-high';
+  return priority === 'normal' ? 'customer' : 'customer-low';
+}
+
+/** True for an end that speaks against the endpoint: a refusal for lack of room does not. */
+function isFault(end: GenerationEnd | ServiceEnd): boolean {
+  if (end.kind === 'answered' || end.kind === 'failed') return end.status >= SERVER_ERROR;
+  return end.kind === 'broken' || (end.kind === 'not-run' && end.isUnreachable);
+}
+
+/** Tells whether two arrivals of a key are the same request. */
+function fingerprintOf(request: CallerRequest): string {
+  const { work } = request;
+  const text =
+    work.kind === 'completion'
+      ? `${request.pool}\n${work.maxTokens}\n${work.prompt}`
+      : `${request.pool}\n${work.method}\n${work.path}\n${work.body?.toString('base64') ?? ''}`;
+  return digest(text);
+}
+
+/** The reason of an outcome, for the caller's header. */
+export function reasonOf(outcome: RequestOutcome): string {
+  return outcome.kind === 'not-run' || outcome.kind === 'unknown' ? outcome.reason : '';
+}
--- /dev/null
+++ b/packages/entry/src/rolloutService.ts
@@ -0,0 +1,353 @@
+/**
+ * The worker: takes slots of open steps, has them generated and scored, and brings the samples to the owner.
+ */
+import { Deadline, every, sleep } from '@fuchsiahitch/base';
+import type {
+  EngineClient,
+  GenerationChunk,
+  GenerationEnd,
+  Scorer,
+  ScoreResult,
+} from '@fuchsiahitch/platform';
+import { calls, type PeerServer } from '@fuchsiahitch/protocol';
+import type { RequestFacts } from '@fuchsiahitch/rules';
+import {
+  FairSchedule,
+  SpanRecorder,
+  type Assignment,
+  type Sample,
+  type StepOffer,
+} from '@fuchsiahitch/steps';
+import { reserveOf, type Dispatcher } from './dispatcher.js';
+import type { CallableEndpoint, EndpointService } from './endpointService.js';
+import type { HostContext } from './hostContext.js';
+import type { PeerDirectory } from './peerDirectory.js';
+import type { RulesService } from './rulesService.js';
+import { SampleShelf } from './sampleShelf.js';
+
+const PULL_PERIOD_MS = 50;
+const PULL_TIMEOUT_MS = 2000;
+const REPORT_TIMEOUT_MS = 5000;
+const REPORT_TRIES = 5;
+const REPORT_PAUSE_MS = 500;
+/** Slots taken in one call: enough to be cheap, few enough that others get theirs. */
+const MAX_PULL = 8;
+const MAX_BREAKS = 8;
+const BREAK_PAUSE_MS = 200;
+const SCORE_TIMEOUT_MS = 5000;
+const SCORE_TRIES = 4;
+const PREFIX_LENGTH = 64;
+const EXPIRE_PERIOD_MS = 60_000;
+const LOWEST_SHARE = 0.01;
+
+/** Why a slot's generation gave no sample. */
+type SampleFailure = 'engine' | 'prompt' | 'unprovable' | 'unscored' | 'too-late';
+
+export class RolloutService {
+  readonly shelf: SampleShelf;
+  private readonly _context: HostContext;
+  private readonly _peers: PeerDirectory;
+  private readonly _rules: RulesService;
+  private readonly _endpoints: EndpointService;
+  private readonly _dispatcher: Dispatcher;
+  private readonly _engines: EngineClient;
+  private readonly _scorer: Scorer | undefined;
+  private readonly _offers = new Map<string, StepOffer>();
+  private readonly _schedule = new FairSchedule();
+  private _running = 0;
+  private _isDraining = false;
+
+  constructor(
+    context: HostContext,
+    parts: {
+      readonly peers: PeerDirectory;
+      readonly rules: RulesService;
+      readonly endpoints: EndpointService;
+      readonly dispatcher: Dispatcher;
+      readonly engines: EngineClient;
+      readonly scorer: Scorer | undefined;
+    },
+  ) {
+    this._context = context;
+    this._peers = parts.peers;
+    this._rules = parts.rules;
+    this._endpoints = parts.endpoints;
+    this._dispatcher = parts.dispatcher;
+    this._engines = parts.engines;
+    this._scorer = parts.scorer;
+    this.shelf = new SampleShelf(context.clock);
+  }
+
+  register(server: PeerServer): void {
+    server.handle(calls.heldSamples, ({ key, after }) => this.shelf.page(key, after));
+  }
+
+  start(): void {
+    const { clock, stopped } = this._context;
+    every(clock, PULL_PERIOD_MS, stopped, () => this._pullWork());
+    every(clock, EXPIRE_PERIOD_MS, stopped, () => this.shelf.expire());
+  }
+
+  running(): number {
+    return this._running;
+  }
+
+  offers(): readonly StepOffer[] {
+    return [...this._offers.values()];
+  }
+
+  /** An owner says that a step has work, or is over. */
+  offered(offer: StepOffer): void {
+    const known = this._offers.get(offer.key);
+    if (known && known.epoch > offer.epoch) return;
+    if (offer.isOver) {
+      this._offers.delete(offer.key);
+      this.shelf.forget(offer.key);
+    } else {
+      this._offers.set(offer.key, offer);
+    }
+  }
+
+  /** Takes no new work; what runs goes on. */
+  drain(): void {
+    this._isDraining = true;
+  }
+
+  private async _pullWork(): Promise<void> {
+    if (this._isDraining) return;
+    const open = this.offers().filter(offer => offer.hasWork);
+    const servable = open.filter(offer => this._roomFor(offer) > 0);
+    const offer = this._schedule.next(servable);
+    if (!offer) return;
+    const count = Math.min(MAX_PULL, this._roomFor(offer));
+    const request = { key: offer.key, worker: this._context.hostId, count };
+    const reply = await this._peers.call(offer.ownerAddress, calls.workPull, request, PULL_TIMEOUT_MS);
+    if (!reply.ok || !reply.value.known || reply.value.assignments.length === 0) {
+      this._offers.set(offer.key, { ...offer, hasWork: false });
+      return;
+    }
+    for (const assignment of reply.value.assignments) void this._runSlot(offer, assignment);
+  }
+
+  /** Places for rollouts that are free now and not already given to slots that wait. */
+  private _roomFor(offer: StepOffer): number {
+    const { pool, reserve, maxInFlight } = this._placeOf(offer);
+    const room = this._dispatcher.rolloutRoom(pool, reserve) - this._dispatcher.queueSize(pool);
+    return Math.min(room, maxInFlight - this._running);
+  }
+
+  private _placeOf(offer: StepOffer): {
+    readonly pool: string;
+    readonly reserve: number;
+    readonly share: number;
+    readonly maxInFlight: number;
+    readonly domains: readonly string[];
+    readonly version: string;
+  } {
+    const { action } = this._rules.book().decide(this._factsOf(offer));
+    const isRefused = action.refuse !== undefined;
+    return {
+      pool: action.pool ?? offer.pool,
+      reserve: reserveOf(action.reserve),
+      share: action.share ?? offer.share,
+      maxInFlight: isRefused ? 0 : (action.maxInFlight ?? Number.MAX_SAFE_INTEGER),
+      domains: action.domains ?? [],
+      version: action.pinVersion ?? '',
+    };
+  }
+
+  private _factsOf(offer: StepOffer): RequestFacts {
+    const trainer = offer.key.slice(0, offer.key.lastIndexOf('/'));
+    const { house, pool } = offer;
+    return {
+      kind: 'sample',
+      caller: trainer,
+      house,
+      pool,
+      priority: 'low',
+      domain: this._context.domain,
+      version: '',
+    };
+  }
+
+  private async _runSlot(offer: StepOffer, assignment: Assignment): Promise<void> {
+    this._running += 1;
+    try {
+      const bornMs = this._context.clock.nowMs();
+      const made = await this._makeSample(offer, assignment);
+      if (typeof made === 'string') {
+        this._context.metrics.samples.inc({ end: made });
+        await this._reportFailure(offer, assignment, made === 'prompt');
+        return;
+      }
+      this.shelf.keep(offer.key, made, bornMs);
+      this._context.metrics.samples.inc({ end: 'made' });
+      await this._reportDone(offer.key, assignment.sampleId);
+    } finally {
+      this._running -= 1;
+    }
+  }
+
+  private async _makeSample(
+    offer: StepOffer,
+    assignment: Assignment,
+  ): Promise<Omit<Sample, 'ageMs'> | SampleFailure> {
+    const generated = await this._generate(offer, assignment);
+    if (typeof generated === 'string') return generated;
+    const { share } = this._placeOf(offer);
+    this._schedule.charge(offer.house, Math.max(LOWEST_SHARE, share), generated.recorder.tokens());
+    this._context.metrics.tokens.inc({ kind: 'rollout' }, generated.recorder.tokens());
+    const spans = generated.recorder.finish(generated.tokens);
+    if (!spans.ok) return 'unprovable';
+    const score = await this._score(assignment, generated.text);
+    if (score === undefined) return 'unscored';
+    const { slot, sampleId } = assignment;
+    return { sampleId, slot, text: generated.text, spans: spans.value, score };
+  }
+
+  /** Generates a sample, going on elsewhere from the tokens already made when a stream breaks or yields. */
+  private async _generate(offer: StepOffer, assignment: Assignment): Promise<Generated | SampleFailure> {
+    const recorder = new SpanRecorder();
+    const deadline = Deadline.after(this._context.clock, Math.max(0, offer.deadlineInMs));
+    let text = '';
+    let breaks = 0;
+    const onChunk = (chunk: GenerationChunk): void => {
+      recorder.add(chunk.version, chunk.tokens);
+      text += chunk.text;
+    };
+    while (!deadline.isOver() && breaks <= MAX_BREAKS) {
+      const end = await this._oneStream(offer, assignment, {
+        text,
+        tokens: recorder.tokens(),
+        onChunk,
+        deadline,
+      });
+      if (end === undefined) return 'too-late';
+      if (end.kind === 'done') return { recorder, text, tokens: end.tokens };
+      if (end.kind === 'failed' && end.status < 500) return 'prompt';
+      if (end.kind !== 'cancelled') breaks += 1;
+      await sleep(this._context.clock, BREAK_PAUSE_MS);
+    }
+    return 'engine';
+  }
+
+  private async _oneStream(
+    offer: StepOffer,
+    assignment: Assignment,
+    soFar: {
+      readonly text: string;
+      readonly tokens: number;
+      readonly onChunk: (chunk: GenerationChunk) => void;
+      readonly deadline: Deadline;
+    },
+  ): Promise<GenerationEnd | undefined> {
+    const place = this._placeOf(offer);
+    const stop = new AbortController();
+    const turn = await this._dispatcher.turn(
+      {
+        pool: place.pool,
+        ownDomain: this._context.domain,
+        domains: place.domains,
+        isRollout: true,
+        reserve: place.reserve,
+        prefix: assignment.prompt.slice(0, PREFIX_LENGTH),
+        version: place.version,
+        tried: new Set(),
+        waitClass: 'rollout',
+        deadline: soFar.deadline,
+      },
+      () => true,
+      stop.signal,
+    );
+    if (turn.kind !== 'turn') return undefined;
+    const { endpoint } = turn;
+    const removeYielder = this._dispatcher.addYielder(endpoint.id, () => stop.abort());
+    const hop = this._context.tracing.begin('endpoint', undefined);
+    const end = await this._engines.generate(
+      {
+        url: endpoint.url,
+        requestId: assignment.sampleId,
+        prompt: assignment.prompt,
+        maxTokens: offer.maxTokens,
+        priority: 'low',
+        resumeText: soFar.text,
+        resumeTokens: soFar.tokens,
+        trace: hop.traceparent,
+      },
+      soFar.onChunk,
+      stop.signal,
+    );
+    removeYielder();
+    hop.end({ endpoint: endpoint.id, sample: assignment.sampleId, end: end.kind });
+    this._freed(endpoint, end);
+    return end;
+  }
+
+  private _freed(endpoint: CallableEndpoint, end: GenerationEnd): void {
+    if (end.kind === 'cancelled') {
+      this._dispatcher.cancelled(endpoint, true);
+      return;
+    }
+    if (end.kind === 'not-run' && end.isLeaving) this._endpoints.saysLeaving(endpoint.id);
+    if (end.kind === 'not-run' && !end.isUnreachable) endpoint.limit.refused();
+    const isFault =
+      end.kind === 'broken' ||
+      (end.kind === 'not-run' && end.isUnreachable) ||
+      (end.kind === 'failed' && end.status >= 500);
+    this._dispatcher.ended(endpoint, true, isFault);
+  }
+
+  /**
+   * The score of a sample, asked for by its identifier. A lost answer is looked up before it is asked for
+   * again, so that no sample is scored twice; one that cannot be told is made anew under another identifier.
+   */
+  private async _score(assignment: Assignment, text: string): Promise<number | undefined> {
+    if (!this._scorer) return 0;
+    const { clock, tracing } = this._context;
+    const hop = tracing.begin('scoring', undefined);
+    let mayBeScored = false;
+    for (let i = 0; i < SCORE_TRIES; i++) {
+      const deadline = Deadline.after(clock, SCORE_TIMEOUT_MS);
+      const sample = { sampleId: assignment.sampleId, prompt: assignment.prompt, text };
+      const result: ScoreResult = mayBeScored
+        ? await this._scorer.find(sample.sampleId, deadline)
+        : await this._scorer.score(sample, deadline);
+      if (result.kind === 'scored') {
+        hop.end({ sample: assignment.sampleId });
+        return result.score;
+      }
+      mayBeScored = result.kind === 'unknown';
+      await sleep(clock, BREAK_PAUSE_MS);
+    }
+    hop.end({ sample: assignment.sampleId, end: 'unknown' });
+    return undefined;
+  }
+
+  private async _reportDone(key: string, sampleId: string): Promise<void> {
+    for (let i = 0; i < REPORT_TRIES; i++) {
+      const offer = this._offers.get(key);
+      const sample = this.shelf.aged(key, sampleId);
+      if (!offer || !sample) return;
+      const message = { key, worker: this._context.hostId, sample };
+      const reply = await this._peers.call(offer.ownerAddress, calls.sampleDone, message, REPORT_TIMEOUT_MS);
+      if (reply.ok && reply.value.verdict !== 'unknown-step') return;
+      await sleep(this._context.clock, REPORT_PAUSE_MS);
+    }
+  }
+
+  private async _reportFailure(offer: StepOffer, assignment: Assignment, isOwnFault: boolean): Promise<void> {
+    const message = { key: offer.key, sampleId: assignment.sampleId, isOwnFault };
+    for (let i = 0; i < REPORT_TRIES; i++) {
+      const address = this._offers.get(offer.key)?.ownerAddress ?? offer.ownerAddress;
+      const reply = await this._peers.call(address, calls.sampleFailed, message, REPORT_TIMEOUT_MS);
+      if (reply.ok) return;
+      await sleep(this._context.clock, REPORT_PAUSE_MS);
+    }
+  }
+}
+
+interface Generated {
+  readonly recorder: SpanRecorder;
+  readonly text: string;
+  readonly tokens: number;
+}
--- /dev/null
+++ b/packages/entry/src/stepService.ts
@@ -0,0 +1,409 @@
+/**
+ * Steps: finds the owner of a step for a trainer's call, and is the owner of some.
+ */
+import { every, rendezvous } from '@fuchsiahitch/base';
+import { calls, type CallDefinition, type PeerServer } from '@fuchsiahitch/protocol';
+import { holderId, homeDomain, splitHolder } from '@fuchsiahitch/requests';
+import {
+  stepKey,
+  StepOwner,
+  takeOver,
+  type OpenReply,
+  type Sample,
+  type StepOffer,
+  type StepSpec,
+  type StepStore,
+  type StoredStep,
+  type TakeReply,
+  type TakeRequest,
+} from '@fuchsiahitch/steps';
+import type { HostContext } from './hostContext.js';
+import type { MembershipService } from './membershipService.js';
+import type { PeerDirectory } from './peerDirectory.js';
+import type { RolloutService } from './rolloutService.js';
+
+const CALL_TIMEOUT_MS = 10_000;
+const OFFER_TIMEOUT_MS = 2000;
+const OFFER_PERIOD_MS = 1000;
+/** Offers are repeated this often even if nothing changed: a host that joined must hear of them. */
+const OFFER_REPEAT = 5;
+const MAX_HOPS = 2;
+const RETRY_AFTER_MS = 500;
+const HELD_TIMEOUT_MS = 5000;
+const DEFAULT_HEDGE_SHARE = 0.05;
+const DEFAULT_SHARE = 0.5;
+/** A closed step is kept to answer late calls without the store. */
+const KEEP_CLOSED_MS = 60_000;
+
+const NO_PROGRESS = { open: 0, assigned: 0, ready: 0, sealed: 0, delivered: 0, failed: 0 };
+const OWNER_MOVING: TakeReply = {
+  kind: 'wait',
+  reason: 'owner-moving',
+  retryAfterMs: RETRY_AFTER_MS,
+  progress: NO_PROGRESS,
+};
+const STORE_OUT: TakeReply = { ...OWNER_MOVING, reason: 'store-unavailable' };
+
+interface OwnedStep {
+  readonly owner: StepOwner;
+  lastOffer: string;
+  closedMs: number | undefined;
+}
+
+/** Where a call about a step belongs. */
+type Place =
+  | { readonly kind: 'here'; readonly step: OwnedStep }
+  | { readonly kind: 'there'; readonly address: string }
+  | { readonly kind: 'none' }
+  | { readonly kind: 'moving' }
+  | { readonly kind: 'store-out' };
+
+export class StepService {
+  private readonly _context: HostContext;
+  private readonly _membership: MembershipService;
+  private readonly _peers: PeerDirectory;
+  private readonly _store: StepStore;
+  private readonly _rollouts: RolloutService;
+  private readonly _owned = new Map<string, OwnedStep>();
+  private readonly _taking = new Map<string, Promise<Place>>();
+  private _round = 0;
+
+  constructor(
+    context: HostContext,
+    membership: MembershipService,
+    peers: PeerDirectory,
+    store: StepStore,
+    rollouts: RolloutService,
+  ) {
+    this._context = context;
+    this._membership = membership;
+    this._peers = peers;
+    this._store = store;
+    this._rollouts = rollouts;
+  }
+
+  register(server: PeerServer): void {
+    server.handle(calls.stepOpen, ({ hops, request }) => this.open(request, hops));
+    server.handle(calls.stepTake, ({ hops, request }) => this.take(request, hops));
+    server.handle(calls.stepAbandon, ({ hops, request }) => this.abandon(request.key, hops));
+    server.handle(calls.stepProgress, ({ hops, request }) => this.progress(request.key, hops));
+    server.handle(calls.stepOffer, offer => this._offered(offer));
+    server.handle(calls.workPull, ({ key, worker, count }) => {
+      const step = this._owned.get(key);
+      return { known: step !== undefined, assignments: step?.owner.assign(worker, count) ?? [] };
+    });
+    server.handle(calls.sampleDone, ({ key, worker, sample }) => ({
+      verdict: this._sampleDone(key, worker, sample),
+    }));
+    server.handle(calls.sampleFailed, ({ key, sampleId, isOwnFault }) => {
+      this._owned.get(key)?.owner.ledger.sampleFailed(sampleId, isOwnFault);
+      return {};
+    });
+  }
+
+  start(): void {
+    every(this._context.clock, OFFER_PERIOD_MS, this._context.stopped, () => this._tick());
+  }
+
+  ownedCount(): number {
+    return this._owned.size;
+  }
+
+  /** Steps that this host owns, for operators. */
+  owned(): readonly StepOwner[] {
+    return [...this._owned.values()].map(step => step.owner);
+  }
+
+  async open(spec: StepSpec, hops = 0): Promise<OpenReply> {
+    const key = stepKey(spec.trainer, spec.step);
+    const place = await this._find(key);
+    switch (place.kind) {
+      case 'here':
+        return openedReply(place.step.owner, spec);
+      case 'none':
+        return this._create(key, spec);
+      case 'there':
+        return (await this._relay(place.address, calls.stepOpen, spec, hops)) ?? tryLater('owner-moving');
+      case 'moving':
+        return tryLater('owner-moving');
+      case 'store-out':
+        return tryLater('store-unavailable');
+    }
+  }
+
+  async take(request: TakeRequest, hops = 0): Promise<TakeReply> {
+    const place = await this._find(request.key);
+    switch (place.kind) {
+      case 'here':
+        return this._takeHere(place.step, request);
+      case 'none':
+        return { kind: 'unknown-step' };
+      case 'there':
+        return (await this._relay(place.address, calls.stepTake, request, hops)) ?? OWNER_MOVING;
+      case 'moving':
+        return OWNER_MOVING;
+      case 'store-out':
+        return STORE_OUT;
+    }
+  }
+
+  async abandon(key: string, hops = 0): Promise<{ readonly abandoned: boolean }> {
+    const place = await this._find(key);
+    if (place.kind === 'there') {
+      return (await this._relay(place.address, calls.stepAbandon, { key }, hops)) ?? { abandoned: false };
+    }
+    return { abandoned: place.kind === 'here' && (await place.step.owner.abandon()) };
+  }
+
+  async progress(key: string, hops = 0): Promise<StepProgress> {
+    const unknown = { known: false, progress: NO_PROGRESS, hedges: 0, duplicates: 0 };
+    const place = await this._find(key);
+    if (place.kind === 'there')
+      return (await this._relay(place.address, calls.stepProgress, { key }, hops)) ?? unknown;
+    if (place.kind !== 'here') return unknown;
+    const { ledger } = place.step.owner;
+    return {
+      known: true,
+      progress: ledger.counts(),
+      hedges: ledger.hedges(),
+      duplicates: ledger.duplicates(),
+    };
+  }
+
+  private async _takeHere(step: OwnedStep, request: TakeRequest): Promise<TakeReply> {
+    const hop = this._context.tracing.begin('delivery', undefined);
+    const reply = await step.owner.take(request);
+    hop.end({ step: request.key, end: reply.kind });
+    if (step.owner.isFenced()) this._owned.delete(request.key);
+    if (reply.kind === 'over' || reply.kind === 'abandoned') step.closedMs ??= this._context.clock.nowMs();
+    return reply;
+  }
+
+  private async _relay<T, A>(
+    address: string,
+    call: CallDefinition<{ readonly hops: number; readonly request: T }, A>,
+    request: T,
+    hops: number,
+  ): Promise<A | undefined> {
+    if (hops >= MAX_HOPS) return undefined;
+    const reply = await this._peers.call(address, call, { hops: hops + 1, request }, CALL_TIMEOUT_MS);
+    return reply.ok ? reply.value : undefined;
+  }
+
+  /** Where a step is owned; this host takes it over when it should and the owner is gone. */
+  private async _find(key: string): Promise<Place> {
+    const owned = this._owned.get(key);
+    if (owned && !owned.owner.isFenced()) return { kind: 'here', step: owned };
+    const trainer = key.slice(0, key.lastIndexOf('/'));
+    const home = homeDomain(trainer, this._context.domains);
+    if (home !== this._context.domain) return this._elsewhere(home);
+    const offer = this._rollouts.offers().find(one => one.key === key);
+    const known = offer && this._liveAddress(offer.owner);
+    if (known) return { kind: 'there', address: known };
+    const [wanted = ''] = rendezvous(key, this._membership.view.liveIds());
+    if (wanted !== this._context.hostId)
+      return { kind: 'there', address: this._membership.addressOf(wanted) };
+    const taking = this._taking.get(key) ?? this._takeUp(key).finally(() => this._taking.delete(key));
+    this._taking.set(key, taking);
+    return taking;
+  }
+
+  private _elsewhere(domain: string): Place {
+    const hosts = this._membership.hostsOf(domain);
+    const host = hosts[this._context.random.below(Math.max(1, hosts.length))];
+    return host ? { kind: 'there', address: host.peerAddress } : { kind: 'moving' };
+  }
+
+  /** The address of a holder while its process seems to run; empty otherwise. */
+  private _liveAddress(holder: string): string {
+    const { hostId, incarnation } = splitHolder(holder);
+    const member = this._membership.view.find(hostId);
+    const isSame = member?.incarnation === incarnation && member.state !== 'dead';
+    return isSame ? member.address : '';
+  }
+
+  private async _takeUp(key: string): Promise<Place> {
+    const loaded = await this._store.load(key);
+    if (!loaded.ok) return { kind: 'store-out' };
+    if (!loaded.value) return { kind: 'none' };
+    const { head } = loaded.value;
+    if (head.state !== 'open') return { kind: 'here', step: this._add(key, loaded.value) };
+    const address = this._liveAddress(head.owner);
+    if (address !== '') return { kind: 'there', address };
+    const taken = await takeOver(this._store, key, loaded.value, this._self());
+    if (!taken.ok) return { kind: taken.error === 'fenced' ? 'moving' : 'store-out' };
+    this._context.log.info('step taken over', { step: key, epoch: taken.value.head.epoch });
+    const step = this._add(key, taken.value);
+    await this._adoptAll(step.owner);
+    return { kind: 'here', step };
+  }
+
+  private async _create(key: string, spec: StepSpec): Promise<OpenReply> {
+    const head = { owner: this._self(), epoch: 1, state: 'open', failedGroups: 0 } as const;
+    const created = await this._store.create(key, head, spec);
+    if (!created.ok) {
+      if (created.error === 'too-large') return { kind: 'differs', key };
+      return tryLater(created.error === 'fenced' ? 'owner-moving' : 'store-unavailable');
+    }
+    const step = this._add(key, { head, headVersion: created.value, spec, chunks: [] });
+    this._offer(step);
+    return { kind: 'opened', key, samples: sampleCount(spec) };
+  }
+
+  private _add(key: string, stored: StoredStep): OwnedStep {
+    const { clock, random } = this._context;
+    const options = { key, clock, random, store: this._store, hedgeShare: DEFAULT_HEDGE_SHARE };
+    const isClosed = stored.head.state !== 'open';
+    const owner = new StepOwner(stored, options);
+    const step: OwnedStep = { owner, lastOffer: '', closedMs: isClosed ? clock.nowMs() : undefined };
+    this._owned.set(key, step);
+    return step;
+  }
+
+  /** Asks all workers in reach for the samples that they keep of a step. */
+  private async _adoptAll(owner: StepOwner): Promise<void> {
+    const others = this._context.domains.filter(domain => domain !== this._context.domain);
+    const remote = others.flatMap(domain => this._membership.hostsOf(domain).map(host => host.peerAddress));
+    const local = this._membership.livePeers().map(peer => peer.address);
+    this._adoptOwn(owner);
+    await Promise.all([...local, ...remote].map(address => this._adoptFrom(owner, address)));
+  }
+
+  private _adoptOwn(owner: StepOwner): void {
+    const askedMs = this._context.clock.nowMs();
+    let after = '';
+    for (;;) {
+      const page = this._rollouts.shelf.page(owner.key, after);
+      for (const sample of page.samples) owner.ledger.adopt(sample, askedMs);
+      if (!page.hasMore) return;
+      after = page.samples.at(-1)?.sampleId ?? '';
+    }
+  }
+
+  private async _adoptFrom(owner: StepOwner, address: string): Promise<void> {
+    let after = '';
+    for (;;) {
+      const askedMs = this._context.clock.nowMs();
+      const request = { key: owner.key, after };
+      const reply = await this._peers.call(address, calls.heldSamples, request, HELD_TIMEOUT_MS);
+      if (!reply.ok) return;
+      for (const sample of reply.value.samples) owner.ledger.adopt(sample, askedMs);
+      if (!reply.value.hasMore) return;
+      after = reply.value.samples.at(-1)?.sampleId ?? '';
+    }
+  }
+
+  private _sampleDone(key: string, worker: string, sample: Sample): SampleVerdictReply {
+    const step = this._owned.get(key);
+    if (!step) return 'unknown-step';
+    const verdict = step.owner.sampleDone(sample);
+    // An attempt that a former owner gave out: its age can only be trusted when it is asked for.
+    if (verdict === 'unknown-attempt') void this._adoptFrom(step.owner, this._workerAddress(worker));
+    return verdict;
+  }
+
+  private _workerAddress(worker: string): string {
+    const local = this._membership.addressOf(worker);
+    if (local !== '') return local;
+    const hosts = this._context.domains.flatMap(domain => this._membership.hostsOf(domain));
+    return hosts.find(host => host.id === worker)?.peerAddress ?? '';
+  }
+
+  private _tick(): void {
+    this._round += 1;
+    const nowMs = this._context.clock.nowMs();
+    for (const [key, step] of this._owned) {
+      step.owner.tick();
+      this._dropDeadWorkers(step.owner);
+      this._offer(step);
+      if (step.closedMs !== undefined && nowMs - step.closedMs > KEEP_CLOSED_MS) this._owned.delete(key);
+    }
+  }
+
+  private _dropDeadWorkers(owner: StepOwner): void {
+    for (const member of this._membership.view.members()) {
+      if (member.state === 'dead') owner.ledger.workerGone(member.hostId);
+    }
+  }
+
+  /** Tells all hosts of the domain, and one of each other domain, when an offer changed or is due again. */
+  private _offer(step: OwnedStep): void {
+    const { owner } = step;
+    const hasWork = !owner.isOver() && owner.ledger.hasWork();
+    const state = `${hasWork}/${owner.isOver()}`;
+    const isDue = this._round % OFFER_REPEAT === 0 && step.closedMs === undefined;
+    if (state === step.lastOffer && !isDue) return;
+    step.lastOffer = state;
+    const offer: StepOffer = {
+      key: owner.key,
+      house: owner.spec.house,
+      pool: owner.spec.pool,
+      owner: this._self(),
+      ownerAddress: this._membership.addressOf(this._context.hostId),
+      epoch: owner.epoch,
+      share: DEFAULT_SHARE,
+      hasWork,
+      isOver: owner.isOver(),
+      maxTokens: owner.spec.maxTokens,
+      deadlineInMs: Math.max(0, owner.deadlineInMs()),
+      passOn: false,
+    };
+    this._rollouts.offered(offer);
+    for (const peer of this._membership.livePeers()) this._sendOffer(peer.address, offer);
+    for (const domain of this._context.domains) {
+      if (domain === this._context.domain) continue;
+      const hosts = this._membership.hostsOf(domain);
+      const host = hosts[this._context.random.below(Math.max(1, hosts.length))];
+      if (host) this._sendOffer(host.peerAddress, { ...offer, passOn: true });
+    }
+  }
+
+  private _offered(offer: StepOffer): Record<string, never> {
+    this._rollouts.offered(offer);
+    const owned = this._owned.get(offer.key);
+    if (owned && offer.epoch > owned.owner.epoch) this._giveUp(owned.owner);
+    if (!offer.passOn) return {};
+    for (const peer of this._membership.livePeers())
+      this._sendOffer(peer.address, { ...offer, passOn: false });
+    return {};
+  }
+
+  /** A host that was paused past its ownership hears of its successor. */
+  private _giveUp(owner: StepOwner): void {
+    owner.fence();
+    this._owned.delete(owner.key);
+    this._context.log.warn('step is owned elsewhere', { step: owner.key });
+  }
+
+  private _sendOffer(address: string, offer: StepOffer): void {
+    void this._peers.call(address, calls.stepOffer, offer, OFFER_TIMEOUT_MS);
+  }
+
+  private _self(): string {
+    return holderId(this._context.hostId, this._context.incarnation);
+  }
+}
+
+type SampleVerdictReply = ReturnType<StepOwner['sampleDone']> | 'unknown-step';
+
+interface StepProgress {
+  readonly known: boolean;
+  readonly progress: typeof NO_PROGRESS;
+  readonly hedges: number;
+  readonly duplicates: number;
+}
+
+function sampleCount(spec: StepSpec): number {
+  return spec.groups.reduce((sum, group) => sum + group.samples, 0);
+}
+
+function openedReply(owner: StepOwner, spec: StepSpec): OpenReply {
+  const { key } = owner;
+  if (JSON.stringify(owner.spec) !== JSON.stringify(spec)) return { kind: 'differs', key };
+  if (owner.isOver()) return { kind: 'over', key };
+  return { kind: 'already-open', key, samples: sampleCount(spec) };
+}
+
+function tryLater(reason: string): OpenReply {
+  return { kind: 'try-later', reason, retryAfterMs: RETRY_AFTER_MS };
+}
--- /dev/null
+++ b/packages/measure/src/main.ts
@@ -0,0 +1,28 @@
+/**
+ * `npm run measure`: all measurements, or those named. Benchmarks are no tests: they compare within one run.
+ */
+import { isWithin, printFigure, type Figure, type Measurement } from './figure.js';
+import { ruleDecisions } from './ruleDecisions.js';
+
+const MEASUREMENTS: readonly Measurement[] = [ruleDecisions];
+
+const names = process.argv.slice(2);
+if (names.includes('--list') || names.includes('--help')) {
+  for (const { name, about } of MEASUREMENTS) process.stdout.write(`${name.padEnd(12)} ${about}\n`);
+  process.exit(0);
+}
+const unknown = names.filter(name => !MEASUREMENTS.some(measurement => measurement.name === name));
+if (unknown.length > 0) {
+  process.stderr.write(`no measurement '${unknown.join("', '")}': see --list\n`);
+  process.exit(2);
+}
+const missed: Figure[] = [];
+const print = (figure: Figure): void => {
+  printFigure(figure);
+  if (!isWithin(figure)) missed.push(figure);
+};
+for (const measurement of MEASUREMENTS) {
+  if (names.length === 0 || names.includes(measurement.name)) await measurement.run(print);
+}
+for (const figure of missed) process.stderr.write(`missed: ${figure.figure} ${figure.bound ?? ''}\n`);
+process.exit(missed.length > 0 ? 1 : 0);
--- /dev/null
+++ b/packages/measure/src/ruleDecisions.ts
@@ -0,0 +1,57 @@
+/**
+ * How long a decision takes, at 10, 100 and 1,000 rules.
+ */
+import { SeededRandom, SystemClock } from '@fuchsiahitch/base';
+import { RuleBook, type RequestFacts, type Rule } from '@fuchsiahitch/rules';
+import type { Measurement } from './figure.js';
+
+const RULE_COUNTS = [10, 100, 1000];
+const DECISIONS = 200_000;
+const WARM_UP = 20_000;
+const NAMES = 200;
+const SEED = 7;
+const MICROSECONDS = 1000;
+
+export const ruleDecisions: Measurement = {
+  name: 'rules',
+  about: 'microseconds a rule decision at 10, 100 and 1,000 rules',
+  async run(print) {
+    for (const count of RULE_COUNTS) {
+      const bound = count === 1000 ? { bound: '<= 5' } : {};
+      print({ figure: `rule decision, ${count} rules`, value: timeOne(count), unit: 'us', ...bound });
+      await Promise.resolve();
+    }
+  },
+};
+
+function timeOne(count: number): number {
+  const random = new SeededRandom(SEED);
+  const name = (): string => `n${random.below(NAMES)}`;
+  const rules = Array.from({ length: count }, (_, i): Rule => ({
+    id: `rule-${i}`,
+    team: 'team',
+    when: { caller: [name(), name()], house: [name()], pool: [name(), name(), name()] },
+    then: { retries: 1 },
+  }));
+  const book = new RuleBook({ revision: 1, rules, editIds: [] }, new SystemClock(), () => 0);
+  const facts = Array.from({ length: 1024 }, (): RequestFacts => ({
+    kind: 'completion',
+    caller: name(),
+    house: name(),
+    pool: name(),
+    domain: 'd',
+    priority: 'normal',
+    version: '',
+  }));
+  let decided = 0;
+  const decide = (n: number): void => {
+    for (let i = 0; i < n; i++) {
+      const one = facts[i % facts.length];
+      if (one && book.decide(one).ruleId !== undefined) decided += 1;
+    }
+  };
+  decide(WARM_UP);
+  const startMs = performance.now();
+  decide(DECISIONS);
+  return decided < 0 ? 0 : ((performance.now() - startMs) / DECISIONS) * MICROSECONDS;
+}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,6 @@
+/** Views of hosts and endpoints, shared by gossip. */
+export * from './callBudget.js';
+export * from './hostView.js';
+export * from './leavingEvidence.js';
+export * from './memberDocument.js';
+export * from './watchRoles.js';
--- /dev/null
+++ b/packages/orders/src/index.ts
@@ -0,0 +1,4 @@
+/** Decisions about weight orders to endpoints. */
+export * from './leaseGuard.js';
+export * from './model.js';
+export * from './swapPlanner.js';
--- /dev/null
+++ b/packages/platform/src/httpEngineClient.ts
@@ -0,0 +1,151 @@
+/**
+ * Engines that speak the completions interface with server-sent events.
+ */
+import type { Deadline } from '@fuchsiahitch/base';
+import { createParser } from 'eventsource-parser';
+import { request, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import type {
+  EngineClient,
+  EngineReport,
+  GenerationChunk,
+  GenerationEnd,
+  GenerationRequest,
+  OrderAnswer,
+} from './engine.js';
+import { headerOf, isUnwritten, LEAVING_HEADER, NOT_RUN_HEADER, retryAfterMsOf } from './httpTools.js';
+
+const OK_STATUS = 200;
+const CONFLICT = 409;
+const SERVER_ERROR = 500;
+const DONE = '[DONE]';
+
+const eventSchema = z.object({
+  choices: z
+    .array(z.object({ text: z.string().default(''), finish_reason: z.string().nullish() }))
+    .default([]),
+  weight_version: z.number().int().optional(),
+  tokens: z.number().int().default(1),
+  usage: z.object({ completion_tokens: z.number().int() }).optional(),
+});
+
+const reportSchema = z.object({
+  in_flight: z.number(),
+  queued: z.number(),
+  weight_version: z.number().int(),
+  start_id: z.string(),
+  leaving: z.boolean(),
+});
+
+export class HttpEngineClient implements EngineClient {
+  private readonly _agent: Dispatcher;
+
+  constructor(agent: Dispatcher) {
+    this._agent = agent;
+  }
+
+  async generate(
+    generation: GenerationRequest,
+    onChunk: (chunk: GenerationChunk) => Promise<void> | void,
+    signal: AbortSignal,
+  ): Promise<GenerationEnd> {
+    let response: Dispatcher.ResponseData;
+    try {
+      response = await this._send(generation, signal);
+    } catch (thrown) {
+      if (isUnwritten(thrown))
+        return { kind: 'not-run', isUnreachable: true, isLeaving: false, retryAfterMs: 0 };
+      return signal.aborted ? { kind: 'cancelled' } : { kind: 'broken' };
+    }
+    if (response.statusCode !== OK_STATUS) return refusalOf(response);
+    try {
+      return await readStream(response.body, onChunk);
+    } catch {
+      return signal.aborted ? { kind: 'cancelled' } : { kind: 'broken' };
+    }
+  }
+
+  async report(url: string, deadline: Deadline): Promise<EngineReport | undefined> {
+    try {
+      const signal = AbortSignal.timeout(Math.ceil(deadline.leftMs()));
+      const response = await request(`${url}/load`, { dispatcher: this._agent, signal });
+      const parsed = reportSchema.safeParse(await response.body.json());
+      if (!parsed.success) return undefined;
+      const { in_flight, queued, weight_version, start_id, leaving } = parsed.data;
+      return { inFlight: in_flight, queued, version: weight_version, startId: start_id, isLeaving: leaving };
+    } catch {
+      return undefined;
+    }
+  }
+
+  async order(url: string, version: number, token: number, deadline: Deadline): Promise<OrderAnswer> {
+    try {
+      const response = await request(`${url}/orders`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ version, token }),
+        dispatcher: this._agent,
+        signal: AbortSignal.timeout(Math.ceil(deadline.leftMs())),
+      });
+      await response.body.dump();
+      if (response.statusCode < SERVER_ERROR && response.statusCode !== CONFLICT) return 'accepted';
+      return response.statusCode === CONFLICT ? 'fenced' : 'failed';
+    } catch (thrown) {
+      return isUnwritten(thrown) ? 'failed' : 'unknown';
+    }
+  }
+
+  private async _send(generation: GenerationRequest, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+    const { prompt, maxTokens, priority, requestId, resumeText, resumeTokens, trace } = generation;
+    const body = {
+      prompt,
+      max_tokens: maxTokens,
+      stream: true,
+      priority,
+      request_id: requestId,
+      ...(resumeTokens > 0 ? { resume_text: resumeText, resume_tokens: resumeTokens } : {}),
+    };
+    return request(`${generation.url}/v1/completions`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json', ...(trace === undefined ? {} : { traceparent: trace }) },
+      body: JSON.stringify(body),
+      dispatcher: this._agent,
+      signal,
+    });
+  }
+}
+
+async function refusalOf(response: Dispatcher.ResponseData): Promise<GenerationEnd> {
+  const isProven = headerOf(response.headers, NOT_RUN_HEADER) !== '';
+  const isLeaving = headerOf(response.headers, LEAVING_HEADER) !== '';
+  const retryAfterMs = retryAfterMsOf(response.headers);
+  await response.body.dump();
+  if (isProven) return { kind: 'not-run', isUnreachable: false, isLeaving, retryAfterMs };
+  return { kind: 'failed', status: response.statusCode };
+}
+
+/** Reads the whole stream. A stream that ends without its last event is broken, however much it brought. */
+async function readStream(
+  body: AsyncIterable<Buffer>,
+  onChunk: (chunk: GenerationChunk) => Promise<void> | void,
+): Promise<GenerationEnd> {
+  const waiting: string[] = [];
+  const parser = createParser({ onEvent: event => waiting.push(event.data) });
+  const decoder = new TextDecoder();
+  let tokens = 0;
+  let finishReason = '';
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes, { stream: true }));
+    for (const data of waiting.splice(0)) {
+      if (data === DONE) return { kind: 'done', tokens, finishReason };
+      const event = eventSchema.parse(JSON.parse(data));
+      const [choice] = event.choices;
+      if (event.usage) tokens = event.usage.completion_tokens;
+      if (choice?.finish_reason) finishReason = choice.finish_reason;
+      if (choice && choice.text !== '') {
+        await onChunk({ text: choice.text, tokens: event.tokens, version: event.weight_version });
+      }
+    }
+  }
+  return { kind: 'broken' };
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,9 @@
+/** Adapters to the platform, the endpoints and the scorers. */
+export * from './engine.js';
+export * from './etcdStore.js';
+export * from './httpEngineClient.js';
+export * from './httpTools.js';
+export * from './keyValueStore.js';
+export * from './memberList.js';
+export * from './scorer.js';
+export * from './serviceClient.js';
--- /dev/null
+++ b/packages/platform/src/memberList.ts
@@ -0,0 +1,35 @@
+/**
+ * The platform's membership list: which hosts and endpoints a failure domain has. It lags.
+ */
+import type { Deadline } from '@fuchsiahitch/base';
+import { request, type Dispatcher } from 'undici';
+
+export interface MemberList {
+  /** The document of one failure domain as the list gives it, unchecked; undefined when out of reach. */
+  read(domain: string, deadline: Deadline): Promise<unknown>;
+}
+
+const OK_STATUS = 200;
+
+export class HttpMemberList implements MemberList {
+  private readonly _url: string;
+  private readonly _agent: Dispatcher;
+
+  constructor(url: string, agent: Dispatcher) {
+    this._url = url;
+    this._agent = agent;
+  }
+
+  async read(domain: string, deadline: Deadline): Promise<unknown> {
+    try {
+      const response = await request(`${this._url}/v1/members/${domain}`, {
+        dispatcher: this._agent,
+        signal: AbortSignal.timeout(Math.ceil(deadline.leftMs())),
+      });
+      const text = await response.body.text();
+      return response.statusCode === OK_STATUS ? (JSON.parse(text) as unknown) : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/scorer.ts
@@ -0,0 +1,73 @@
+/**
+ * The services that score samples. A score is known by the sample's identifier, so that a lost answer is
+ * looked up and the sample is not scored twice.
+ */
+import type { Deadline } from '@fuchsiahitch/base';
+import { request, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import { isUnwritten } from './httpTools.js';
+
+export interface ScoreRequest {
+  readonly sampleId: string;
+  readonly prompt: string;
+  readonly text: string;
+}
+
+/** `not-scored`: certainly no score exists. `unknown`: one may exist. */
+export type ScoreResult =
+  | { readonly kind: 'scored'; readonly score: number }
+  | { readonly kind: 'not-scored' }
+  | { readonly kind: 'unknown' };
+
+export interface Scorer {
+  score(sample: ScoreRequest, deadline: Deadline): Promise<ScoreResult>;
+  /** Looks up the score of a sample whose answer was lost. */
+  find(sampleId: string, deadline: Deadline): Promise<ScoreResult>;
+}
+
+const OK_STATUS = 200;
+const NOT_FOUND = 404;
+const scoreSchema = z.object({ score: z.number() });
+
+export class HttpScorer implements Scorer {
+  private readonly _url: string;
+  private readonly _agent: Dispatcher;
+
+  constructor(url: string, agent: Dispatcher) {
+    this._url = url;
+    this._agent = agent;
+  }
+
+  async score(sample: ScoreRequest, deadline: Deadline): Promise<ScoreResult> {
+    const body = JSON.stringify({ sample_id: sample.sampleId, prompt: sample.prompt, text: sample.text });
+    return this._ask('POST', '/score', body, deadline);
+  }
+
+  async find(sampleId: string, deadline: Deadline): Promise<ScoreResult> {
+    return this._ask('GET', `/score/${encodeURIComponent(sampleId)}`, null, deadline);
+  }
+
+  private async _ask(
+    method: 'GET' | 'POST',
+    path: string,
+    body: string | null,
+    deadline: Deadline,
+  ): Promise<ScoreResult> {
+    try {
+      const response = await request(`${this._url}${path}`, {
+        method,
+        body,
+        headers: { 'content-type': 'application/json' },
+        dispatcher: this._agent,
+        signal: AbortSignal.timeout(Math.ceil(deadline.leftMs())),
+      });
+      const text = await response.body.text();
+      if (response.statusCode === NOT_FOUND) return { kind: 'not-scored' };
+      if (response.statusCode !== OK_STATUS) return { kind: 'unknown' };
+      const parsed = scoreSchema.safeParse(JSON.parse(text));
+      return parsed.success ? { kind: 'scored', score: parsed.data.score } : { kind: 'unknown' };
+    } catch (thrown) {
+      return isUnwritten(thrown) && method === 'POST' ? { kind: 'not-scored' } : { kind: 'unknown' };
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/serviceClient.ts
@@ -0,0 +1,75 @@
+/**
+ * Plain services beside the engines. Some of their calls may not be repeated.
+ */
+import { request, type Dispatcher } from 'undici';
+import { headerOf, isUnwritten, LEAVING_HEADER, NOT_RUN_HEADER, retryAfterMsOf } from './httpTools.js';
+
+export interface ServiceRequest {
+  readonly url: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer | undefined;
+}
+
+/** A whole answer, or how little is known. `not-run` is proved; `broken` proves nothing. */
+export type ServiceEnd =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: Buffer;
+      readonly isLeaving: boolean;
+    }
+  | {
+      readonly kind: 'not-run';
+      /** No connection was made. */
+      readonly isUnreachable: boolean;
+      readonly isLeaving: boolean;
+      readonly retryAfterMs: number;
+    }
+  | { readonly kind: 'broken' }
+  | { readonly kind: 'cancelled' };
+
+export interface ServiceClient {
+  /** `onHead` is called when the answer begins. */
+  call(service: ServiceRequest, onHead: () => void, signal: AbortSignal): Promise<ServiceEnd>;
+}
+
+export class HttpServiceClient implements ServiceClient {
+  private readonly _agent: Dispatcher;
+
+  constructor(agent: Dispatcher) {
+    this._agent = agent;
+  }
+
+  async call(service: ServiceRequest, onHead: () => void, signal: AbortSignal): Promise<ServiceEnd> {
+    try {
+      const response = await request(`${service.url}${service.path}`, {
+        method: service.method,
+        headers: service.headers,
+        body: service.body ?? null,
+        dispatcher: this._agent,
+        signal,
+      });
+      const isLeaving = headerOf(response.headers, LEAVING_HEADER) !== '';
+      if (headerOf(response.headers, NOT_RUN_HEADER) !== '') {
+        await response.body.dump();
+        return {
+          kind: 'not-run',
+          isUnreachable: false,
+          isLeaving,
+          retryAfterMs: retryAfterMsOf(response.headers),
+        };
+      }
+      onHead();
+      const body = Buffer.from(await response.body.arrayBuffer());
+      const contentType = headerOf(response.headers, 'content-type');
+      return { kind: 'answered', status: response.statusCode, contentType, body, isLeaving };
+    } catch (thrown) {
+      if (isUnwritten(thrown))
+        return { kind: 'not-run', isUnreachable: true, isLeaving: false, retryAfterMs: 0 };
+      return signal.aborted ? { kind: 'cancelled' } : { kind: 'broken' };
+    }
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/calls.ts
@@ -0,0 +1,131 @@
+/**
+ * Every call between entry hosts.
+ */
+import { leavingNoticeSchema, memberDocumentSchema, memberUpdateSchema } from '@fuchsiahitch/membership';
+import {
+  acceptedSchema,
+  claimReplySchema,
+  claimSchema,
+  copyRecordSchema,
+  fenceReplySchema,
+  fenceSlotSchema,
+  finishReplySchema,
+  finishSchema,
+  slotMapSchema,
+  syncSlotSchema,
+} from '@fuchsiahitch/requests';
+import { documentSchema, editSchema } from '@fuchsiahitch/rules';
+import {
+  abandonReplySchema,
+  abandonRequestSchema,
+  emptySchema,
+  heldSamplesReplySchema,
+  heldSamplesSchema,
+  openReplySchema,
+  openRequestSchema,
+  progressReplySchema,
+  sampleDoneReplySchema,
+  sampleDoneSchema,
+  sampleFailedSchema,
+  stepOfferSchema,
+  takeReplySchema,
+  takeRequestSchema,
+  workPullReplySchema,
+  workPullSchema,
+} from '@fuchsiahitch/steps';
+import { z } from 'zod';
+import { defineCall } from './channel.js';
+
+const count = z.number().int().min(0);
+
+/** What one host tells another about the fleet. Revisions show who has to fetch something. */
+export const pingSchema = z
+  .strictObject({
+    updates: z.array(memberUpdateSchema).max(64).readonly(),
+    rulesRevision: count,
+    slotMapRevision: count,
+    /** Revision of each failure domain's member document. */
+    members: z.record(z.string(), count).readonly(),
+    leaving: z.array(leavingNoticeSchema).max(256).readonly(),
+  })
+  .readonly();
+export type Ping = z.infer<typeof pingSchema>;
+
+const numberedEditSchema = z.strictObject({ revision: count, edit: editSchema }).readonly();
+
+/** What a host that is behind in rules gets. */
+export const rulesPullReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('none') }),
+  z.strictObject({ kind: z.literal('edits'), edits: z.array(numberedEditSchema).readonly() }),
+  z.strictObject({ kind: z.literal('document'), document: documentSchema }),
+]);
+
+export const hostStatusSchema = z
+  .strictObject({
+    hostId: z.string(),
+    domain: z.string(),
+    incarnation: z.number(),
+    programVersion: z.string(),
+    rulesRevision: count,
+    slotMapRevision: count,
+    slotsOwned: count,
+    slotsSettled: count,
+    keyRecords: count,
+    stepsOwned: count,
+    inFlight: count,
+    isStoreReachable: z.boolean(),
+    isReady: z.boolean(),
+  })
+  .readonly();
+export type HostStatus = z.infer<typeof hostStatusSchema>;
+
+/** Wraps a trainer's call on its way to the step's owner. `hops` ends loops between hosts that disagree. */
+const relayed = <T extends z.ZodType>(
+  request: T,
+): z.ZodType<{ readonly hops: number; readonly request: z.infer<T> }> =>
+  z.strictObject({ hops: count, request }).readonly() as unknown as z.ZodType<{
+    readonly hops: number;
+    readonly request: z.infer<T>;
+  }>;
+
+export const calls = {
+  ping: defineCall('ping', pingSchema, pingSchema),
+  pingFor: defineCall(
+    'pingFor',
+    z.strictObject({ hostId: z.string(), address: z.string() }).readonly(),
+    z.strictObject({ isAlive: z.boolean() }).readonly(),
+  ),
+  join: defineCall(
+    'join',
+    z.strictObject({ self: memberUpdateSchema }).readonly(),
+    z.strictObject({ updates: z.array(memberUpdateSchema).readonly() }).readonly(),
+  ),
+  hostStatus: defineCall('hostStatus', emptySchema, hostStatusSchema),
+  rulesPull: defineCall('rulesPull', z.strictObject({ after: count }).readonly(), rulesPullReplySchema),
+  rulesPush: defineCall('rulesPush', numberedEditSchema, z.strictObject({ revision: count }).readonly()),
+  slotMapPull: defineCall(
+    'slotMapPull',
+    emptySchema,
+    z.strictObject({ map: slotMapSchema.optional() }).readonly(),
+  ),
+  membersPull: defineCall(
+    'membersPull',
+    z.strictObject({ domains: z.array(z.string()).max(64).readonly() }).readonly(),
+    z.strictObject({ documents: z.array(memberDocumentSchema).readonly() }).readonly(),
+  ),
+  leavingPush: defineCall('leavingPush', leavingNoticeSchema, emptySchema),
+  claimKey: defineCall('claimKey', claimSchema, claimReplySchema),
+  finishKey: defineCall('finishKey', finishSchema, finishReplySchema),
+  copyRecord: defineCall('copyRecord', copyRecordSchema, acceptedSchema),
+  syncSlot: defineCall('syncSlot', syncSlotSchema, acceptedSchema),
+  fenceSlot: defineCall('fenceSlot', fenceSlotSchema, fenceReplySchema),
+  stepOpen: defineCall('stepOpen', relayed(openRequestSchema), openReplySchema),
+  stepTake: defineCall('stepTake', relayed(takeRequestSchema), takeReplySchema),
+  stepAbandon: defineCall('stepAbandon', relayed(abandonRequestSchema), abandonReplySchema),
+  stepProgress: defineCall('stepProgress', relayed(abandonRequestSchema), progressReplySchema),
+  stepOffer: defineCall('stepOffer', stepOfferSchema, emptySchema),
+  workPull: defineCall('workPull', workPullSchema, workPullReplySchema),
+  sampleDone: defineCall('sampleDone', sampleDoneSchema, sampleDoneReplySchema),
+  sampleFailed: defineCall('sampleFailed', sampleFailedSchema, emptySchema),
+  heldSamples: defineCall('heldSamples', heldSamplesSchema, heldSamplesReplySchema),
+} as const;
--- /dev/null
+++ b/packages/protocol/src/envelope.ts
@@ -0,0 +1,41 @@
+/**
+ * Checks what arrives on a connection before any field is used.
+ */
+import { z } from 'zod';
+
+const MAX_NAME = 64;
+const MAX_TRACE = 128;
+
+const callId = z.number().int().min(0);
+
+export const envelopeSchema = z.discriminatedUnion('t', [
+  z.strictObject({
+    t: z.literal('call'),
+    id: callId,
+    name: z.string().max(MAX_NAME),
+    body: z.unknown(),
+    trace: z.string().max(MAX_TRACE).optional(),
+  }),
+  z.strictObject({ t: z.literal('reply'), id: callId, body: z.unknown() }),
+  z.strictObject({ t: z.literal('refusal'), id: callId, text: z.string() }),
+]);
+
+const identityFields = {
+  hostId: z.string().min(1).max(MAX_NAME),
+  incarnation: z.string().min(1).max(MAX_NAME),
+  domain: z.string().min(1).max(MAX_NAME),
+  programVersion: z.string().min(1).max(MAX_NAME),
+};
+
+/** The first frame, from the server: a number used once. */
+export const challengeSchema = z.strictObject({ nonce: z.string().length(32) });
+
+/** The second, from the client: who it is, its own number, and the proof over both. */
+export const helloSchema = z.strictObject({
+  ...identityFields,
+  nonce: z.string().length(32),
+  proof: z.string().length(64),
+});
+
+/** The third, from the server: who it is, and its proof over the client's number. */
+export const welcomeSchema = z.strictObject({ ...identityFields, proof: z.string().length(64) });
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,6 @@
+/** The inner protocol between entry hosts. */
+export * from './calls.js';
+export * from './channel.js';
+export * from './frameCodec.js';
+export * from './peerLink.js';
+export * from './peerServer.js';
--- /dev/null
+++ b/packages/protocol/src/peerServer.ts
@@ -0,0 +1,182 @@
+/**
+ * The listening side of the inner protocol.
+ */
+import net from 'node:net';
+import { messageOf, splitAddress, type Clock } from '@fuchsiahitch/base';
+import type { CallDefinition, Envelope, PeerIdentity } from './channel.js';
+import { challengeSchema, envelopeSchema, helloSchema } from './envelope.js';
+import { encodeFrame, FrameReader, MAX_FRAME_BYTES, MAX_HELLO_BYTES } from './frameCodec.js';
+import { isSameProof, newNonce, proofOf } from './proof.js';
+
+const HANDSHAKE_TIMEOUT_MS = 3000;
+/** Replies waiting for a peer that does not read: beyond this its connection ends. */
+const MAX_UNREAD_BYTES = 4 * MAX_FRAME_BYTES;
+
+/** What a handler is told beside the request. */
+export interface CallContext {
+  readonly peer: PeerIdentity;
+  readonly trace: string | undefined;
+}
+
+type Handler = (body: unknown, context: CallContext) => Promise<unknown>;
+
+/** Counts what the inner protocol refuses. */
+export interface ProtocolCounters {
+  refused(reason: string): void;
+  sent(sizeBytes: number): void;
+  received(sizeBytes: number): void;
+}
+
+export interface PeerServerOptions {
+  readonly address: string;
+  readonly fleetKey: string;
+  readonly identity: PeerIdentity;
+  readonly clock: Clock;
+  readonly counters: ProtocolCounters;
+}
+
+/** Accepts peers that prove the fleet key and answers their calls. */
+export class PeerServer {
+  private readonly _options: PeerServerOptions;
+  private readonly _handlers = new Map<string, Handler>();
+  private readonly _server: net.Server;
+  private readonly _sockets = new Set<net.Socket>();
+
+  constructor(options: PeerServerOptions) {
+    this._options = options;
+    this._server = net.createServer(socket => this._accept(socket));
+  }
+
+  /** Sets the handler of a call. A request that does not fit the schema is refused before it runs. */
+  handle<Q, A>(
+    call: CallDefinition<Q, A>,
+    handler: (request: Q, context: CallContext) => Promise<A> | A,
+  ): void {
+    this._handlers.set(call.name, async (body, context) => {
+      const parsed = call.request.safeParse(body);
+      if (!parsed.success)
+        throw new Error(`bad request of '${call.name}': ${parsed.error.issues[0]?.message ?? ''}`);
+      return handler(parsed.data, context);
+    });
+  }
+
+  /** Starts to listen; resolves with the address, which tells the port when 0 was asked. */
+  async listen(): Promise<string> {
+    const { ip, port } = splitAddress(this._options.address);
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject);
+      this._server.listen(port, ip, resolve);
+    });
+    const bound = this._server.address();
+    return typeof bound === 'object' && bound ? `${ip}:${bound.port}` : this._options.address;
+  }
+
+  async close(): Promise<void> {
+    for (const socket of this._sockets) socket.destroy();
+    await new Promise<void>(resolve => {
+      this._server.close(() => resolve());
+    });
+  }
+
+  private _accept(socket: net.Socket): void {
+    this._sockets.add(socket);
+    socket.setNoDelay(true);
+    const nonce = newNonce();
+    const reader = new FrameReader(MAX_HELLO_BYTES);
+    const connection = new ServerConnection(socket, nonce, reader, this._options, this._handlers);
+    const cancel = this._options.clock.after(HANDSHAKE_TIMEOUT_MS, () => connection.endUnproved());
+    socket.on('data', chunk => connection.read(chunk));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      cancel();
+      this._sockets.delete(socket);
+    });
+    socket.write(encodeFrame(challengeSchema.parse({ nonce })));
+  }
+}
+
+/** One accepted connection: first the proof, then calls. */
+class ServerConnection {
+  private readonly _socket: net.Socket;
+  private readonly _nonce: string;
+  private readonly _reader: FrameReader;
+  private readonly _options: PeerServerOptions;
+  private readonly _handlers: ReadonlyMap<string, Handler>;
+  private _peer: PeerIdentity | undefined;
+
+  constructor(
+    socket: net.Socket,
+    nonce: string,
+    reader: FrameReader,
+    options: PeerServerOptions,
+    handlers: ReadonlyMap<string, Handler>,
+  ) {
+    this._socket = socket;
+    this._nonce = nonce;
+    this._reader = reader;
+    this._options = options;
+    this._handlers = handlers;
+  }
+
+  endUnproved(): void {
+    if (!this._peer) this._end('handshake-timeout');
+  }
+
+  read(chunk: Buffer): void {
+    this._options.counters.received(chunk.length);
+    this._reader.push(chunk);
+    for (;;) {
+      if (this._socket.destroyed) return;
+      const frame = this._reader.next();
+      if (!frame.ok) return this._end(frame.error.kind);
+      if (!frame.value) return;
+      if (this._peer) this._readCall(frame.value.value, this._peer);
+      else this._readHello(frame.value.value);
+    }
+  }
+
+  private _readHello(value: unknown): void {
+    const hello = helloSchema.safeParse(value);
+    if (!hello.success) return this._end('bad-hello');
+    const { nonce, proof, ...identity } = hello.data;
+    const expected = proofOf(this._options.fleetKey, 'client', this._nonce, identity);
+    if (!isSameProof(proof, expected)) return this._end('wrong-key');
+    this._peer = identity;
+    this._reader.setLimit(MAX_FRAME_BYTES);
+    const own = this._options.identity;
+    this._send({ ...own, proof: proofOf(this._options.fleetKey, 'server', nonce, own) });
+  }
+
+  private _readCall(value: unknown, peer: PeerIdentity): void {
+    const envelope = envelopeSchema.safeParse(value);
+    if (!envelope.success || envelope.data.t !== 'call') return this._end('bad-envelope');
+    const { id, name, body, trace } = envelope.data;
+    const handler = this._handlers.get(name);
+    if (!handler) return this._reply({ t: 'refusal', id, text: `no call '${name}' in this version` });
+    handler(body, { peer, trace }).then(
+      reply => this._reply({ t: 'reply', id, body: reply }),
+      (thrown: unknown) => {
+        this._options.counters.refused('call');
+        this._reply({ t: 'refusal', id, text: messageOf(thrown) });
+      },
+    );
+  }
+
+  private _reply(envelope: Envelope): void {
+    this._send(envelope);
+  }
+
+  private _send(value: unknown): void {
+    if (this._socket.destroyed) return;
+    // A peer that sends calls and never reads replies would make this host buffer without bound.
+    if (this._socket.writableLength > MAX_UNREAD_BYTES) return this._end('slow-reader');
+    const frame = encodeFrame(value);
+    this._options.counters.sent(frame.length);
+    this._socket.write(frame);
+  }
+
+  private _end(reason: string): void {
+    this._options.counters.refused(reason);
+    this._socket.destroy();
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/proof.ts
@@ -0,0 +1,35 @@
+/**
+ * Proof that a peer holds the fleet key, without sending the key.
+ */
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
+import type { PeerIdentity } from './channel.js';
+
+const NONCE_BYTES = 16;
+
+export function newNonce(): string {
+  return randomBytes(NONCE_BYTES).toString('hex');
+}
+
+/** The proof binds the role, the other side's number and all that the sender says of itself. */
+export function proofOf(
+  fleetKey: string,
+  role: 'client' | 'server',
+  nonce: string,
+  identity: PeerIdentity,
+): string {
+  const parts = [
+    role,
+    nonce,
+    identity.hostId,
+    identity.incarnation,
+    identity.domain,
+    identity.programVersion,
+  ];
+  return createHmac('sha256', fleetKey).update(parts.join('\n')).digest('hex');
+}
+
+export function isSameProof(left: string, right: string): boolean {
+  const a = Buffer.from(left);
+  const b = Buffer.from(right);
+  return a.length === b.length && timingSafeEqual(a, b);
+}
--- /dev/null
+++ b/packages/requests/src/concurrencyLimit.ts
@@ -0,0 +1,56 @@
+/**
+ * How many requests one host may have in flight at one endpoint.
+ *
+ * Hosts don't ask each other for each request. Each starts with an even share of the endpoint's slots, adds
+ * one a round when the endpoint reports no queue, and takes a fifth off when it reports one or refuses:
+ * additive increase and multiplicative decrease, under which the shares of hosts converge.
+ */
+const DECREASE = 0.8;
+const QUEUE_TOLERATED = 1;
+
+export class ConcurrencyLimit {
+  private readonly _slots: number;
+  private _limit: number;
+  private _usedSinceReport = 0;
+
+  /** `slots` of the endpoint, shared at the start by `hosts`. */
+  constructor(slots: number, hosts: number) {
+    this._slots = slots;
+    this._limit = Math.max(1, Math.ceil(slots / Math.max(1, hosts)));
+  }
+
+  /** Whole requests allowed now. */
+  value(): number {
+    return Math.max(1, Math.floor(this._limit));
+  }
+
+  /** How many the customers' reserve leaves to rollouts: rounded down, so that the reserve is never eaten. */
+  rolloutValue(reserve: number): number {
+    return Math.floor(this.value() * (1 - reserve));
+  }
+
+  /** Notes the highest own use: a limit that is not reached need not grow. */
+  used(inFlight: number): void {
+    this._usedSinceReport = Math.max(this._usedSinceReport, inFlight);
+  }
+
+  /** Takes in a load report. */
+  reported(queued: number, inFlight: number): void {
+    if (queued > QUEUE_TOLERATED) this._decrease();
+    else if (inFlight < this._slots && this._usedSinceReport >= this.value()) this._increase();
+    this._usedSinceReport = 0;
+  }
+
+  /** The endpoint refused for lack of room. */
+  refused(): void {
+    this._decrease();
+  }
+
+  private _increase(): void {
+    this._limit = Math.min(this._slots, this._limit + 1);
+  }
+
+  private _decrease(): void {
+    this._limit = Math.max(1, this._limit * DECREASE);
+  }
+}
--- /dev/null
+++ b/packages/requests/src/endpointStats.ts
@@ -0,0 +1,119 @@
+/**
+ * What one host knows of one endpoint: its own requests in flight, the endpoint's lagging report, and how
+ * its recent answers went.
+ */
+import type { Clock } from '@fuchsiahitch/base';
+
+/** A load report of an endpoint. It lags; `startId` changes when the endpoint restarts. */
+export interface LoadReport {
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly version: string;
+  readonly startId: string;
+  readonly isLeaving: boolean;
+}
+
+const FAILURE_WEIGHT = 0.2;
+const OPEN_THRESHOLD = 0.5;
+const MIN_ANSWERS = 5;
+const FIRST_OPEN_MS = 1000;
+const MAX_OPEN_MS = 30_000;
+/** A report older than this says nothing any more. */
+const REPORT_VALID_MS = 10_000;
+
+type BreakerState =
+  | { readonly kind: 'closed' }
+  | { readonly kind: 'open'; readonly untilMs: number; readonly lengthMs: number }
+  | { readonly kind: 'probing'; readonly lengthMs: number };
+
+export class EndpointStats {
+  private readonly _clock: Clock;
+  private _inFlight = 0;
+  private _rolloutInFlight = 0;
+  private _report: LoadReport | undefined;
+  private _reportedMs = -Infinity;
+  private _ownAtReport = 0;
+  private _failureShare = 0;
+  private _answers = 0;
+  private _breaker: BreakerState = { kind: 'closed' };
+
+  constructor(clock: Clock) {
+    this._clock = clock;
+  }
+
+  inFlight(): number {
+    return this._inFlight;
+  }
+
+  rolloutInFlight(): number {
+    return this._rolloutInFlight;
+  }
+
+  report(): LoadReport | undefined {
+    return this._report;
+  }
+
+  began(isRollout: boolean): void {
+    this._inFlight += 1;
+    if (isRollout) this._rolloutInFlight += 1;
+    if (this._breaker.kind === 'open') this._breaker = { kind: 'probing', lengthMs: this._breaker.lengthMs };
+  }
+
+  /**
+   * An attempt ended. An endpoint that answers errors at once looks idle and would draw all the traffic,
+   * which one would notice as an error rate near its share of answers; its failures open the breaker.
+   */
+  ended(isRollout: boolean, isFailure: boolean): void {
+    this._inFlight -= 1;
+    if (isRollout) this._rolloutInFlight -= 1;
+    this._answers += 1;
+    this._failureShare += FAILURE_WEIGHT * ((isFailure ? 1 : 0) - this._failureShare);
+    if (this._breaker.kind === 'probing') this._probeEnded(isFailure, this._breaker.lengthMs);
+    else if (this._answers >= MIN_ANSWERS && this._failureShare > OPEN_THRESHOLD) this._open(FIRST_OPEN_MS);
+  }
+
+  /** The present attempt of a request was cancelled: it says nothing about the endpoint. */
+  cancelled(isRollout: boolean): void {
+    this._inFlight -= 1;
+    if (isRollout) this._rolloutInFlight -= 1;
+  }
+
+  reported(report: LoadReport): void {
+    if (this._report && this._report.startId !== report.startId) this._restarted();
+    this._report = report;
+    this._reportedMs = this._clock.nowMs();
+    this._ownAtReport = this._inFlight;
+  }
+
+  /**
+   * The load that this host reckons with: what the others had at the last report, and its own present
+   * count. Own counts don't lag, so that hosts that read the same report do not all pick one endpoint.
+   */
+  estimatedLoad(): number {
+    const isFresh = this._clock.nowMs() - this._reportedMs < REPORT_VALID_MS;
+    if (!this._report || !isFresh) return this._inFlight;
+    const others = Math.max(0, this._report.inFlight + this._report.queued - this._ownAtReport);
+    return others + this._inFlight;
+  }
+
+  /** False while the breaker is open, or while its one probe is on the way. */
+  isUsable(): boolean {
+    if (this._breaker.kind === 'closed') return true;
+    return this._breaker.kind === 'open' && this._clock.nowMs() >= this._breaker.untilMs;
+  }
+
+  private _probeEnded(isFailure: boolean, lengthMs: number): void {
+    if (isFailure) this._open(Math.min(MAX_OPEN_MS, lengthMs * 2));
+    else this._restarted();
+  }
+
+  private _open(lengthMs: number): void {
+    this._breaker = { kind: 'open', untilMs: this._clock.nowMs() + lengthMs, lengthMs };
+  }
+
+  private _restarted(): void {
+    this._breaker = { kind: 'closed' };
+    this._failureShare = 0;
+    this._answers = 0;
+  }
+}
--- /dev/null
+++ b/packages/requests/src/index.ts
@@ -0,0 +1,13 @@
+/** Decisions about requests: outcomes, keys, routing, limits, retries. */
+export * from './concurrencyLimit.js';
+export * from './endpointPicker.js';
+export * from './endpointStats.js';
+export * from './keyClient.js';
+export * from './keyHolder.js';
+export * from './keyMessages.js';
+export * from './keySlot.js';
+export * from './outcome.js';
+export * from './requestQueue.js';
+export * from './requestRun.js';
+export * from './retryBudget.js';
+export * from './slotMap.js';
--- /dev/null
+++ b/packages/requests/src/keyHolder.ts
@@ -0,0 +1,316 @@
+/**
+ * Owner and copy of idempotency keys in a failure domain: a non-repeatable request runs at most once.
+ *
+ * A request may run only after its record stands at the owner and at the copy of one epoch. Whoever takes
+ * over a slot first makes one of the two promise to take no more part in that epoch, and gets its records;
+ * since every grant needs both, nothing granted is missed and nothing more is granted
+ * (docs/design/keys.md, with the ways that were not taken).
+ */
+import { sleep, type Clock } from '@fuchsiahitch/base';
+import type {
+  Accepted,
+  Claim,
+  ClaimReply,
+  CopyRecord,
+  FenceReply,
+  FenceSlot,
+  Finish,
+  KeyRecord,
+  SyncSlot,
+} from './keyMessages.js';
+import { KEY_WINDOW_MS, KeySlot, MAX_KEPT_ANSWER_BYTES, type HeldRecord } from './keySlot.js';
+import { slotOf, SLOTS_A_DOMAIN, type Generation, type SlotEntry, type SlotMap } from './slotMap.js';
+
+/** How holders reach each other. An undefined reply means that none came: nothing is proved. */
+export interface HolderPeers {
+  copyRecord(holder: string, message: CopyRecord): Promise<Accepted | undefined>;
+  syncSlot(holder: string, message: SyncSlot): Promise<Accepted | undefined>;
+  fenceSlot(holder: string, message: FenceSlot): Promise<FenceReply | undefined>;
+  /** True when that very process is known to have ended: its host runs a later one, or was removed. */
+  isProvenGone(holder: string): boolean;
+}
+
+export interface KeyHolderOptions {
+  readonly self: string;
+  /** Digest of this host's list of failure domains. */
+  readonly domains: string;
+  readonly clock: Clock;
+  readonly peers: HolderPeers;
+}
+
+const SETTLE_RETRY_MS = 200;
+
+type Waiter = () => void;
+
+/** The slots that one host holds. */
+export class KeyHolder {
+  private readonly _options: KeyHolderOptions;
+  private readonly _slots: readonly KeySlot[];
+  private readonly _waiters = new Map<HeldRecord, Waiter[]>();
+  private readonly _settled = new Set<number>();
+  private _map: SlotMap | undefined;
+  /** The epoch that each slot is being settled for. */
+  private readonly _settling = new Map<number, number>();
+  private readonly _handedOver = new Set<number>();
+
+  constructor(options: KeyHolderOptions) {
+    this._options = options;
+    this._slots = Array.from({ length: SLOTS_A_DOMAIN }, () => new KeySlot(options.clock));
+  }
+
+  /** Slots that this host owns, with their copy up to date. */
+  settledSlots(): ReadonlySet<number> {
+    return this._settled;
+  }
+
+  map(): SlotMap | undefined {
+    return this._map;
+  }
+
+  recordCount(): number {
+    return this._slots.reduce((sum, slot) => sum + slot.size(), 0);
+  }
+
+  /** Learns a map. One that is not newer is ignored, whatever the store says: epochs never fall. */
+  learnMap(map: SlotMap): void {
+    if (this._map && map.revision <= this._map.revision) return;
+    this._map = map;
+    for (const [slot, entry] of map.slots.entries()) this._learnEntry(slot, entry);
+  }
+
+  /** Answers a claim as the owner of the key's slot. */
+  async claim(claim: Claim): Promise<ClaimReply> {
+    const slot = slotOf(claim.key);
+    const entry = this._ownedEntry(slot);
+    if (!entry) return { kind: 'wrong-owner' };
+    const isSameFleet = claim.domains === this._options.domains && this._map?.domains === claim.domains;
+    if (!isSameFleet) return { kind: 'unknown', reason: 'key-unsettled' };
+    const state = this._slot(slot);
+    const known = state.find(claim.key);
+    if (known) return this._claimKnown(known, claim);
+    // Before the slot is settled nobody can say whether an earlier arrival ran.
+    if (!this._mayGrant(slot, entry)) return { kind: 'unknown', reason: 'key-unsettled' };
+    if (state.lostForMs() > 0) return { kind: 'unknown', reason: 'key-records-lost' };
+    return this._grant(slot, entry, claim);
+  }
+
+  /** Takes in how a granted attempt ended. */
+  async finish(finish: Finish): Promise<Accepted> {
+    const slot = slotOf(finish.key);
+    const entry = this._ownedEntry(slot);
+    const record = this._slot(slot).find(finish.key);
+    if (!entry || record?.attemptId !== finish.attemptId) return { accepted: false };
+    const change = this._change(slot, record, finish);
+    this._wake(record);
+    // The copy's loss of this change is harmless: it would tell `unknown` where an answer was kept.
+    if (entry.copy !== '')
+      await this._options.peers.copyRecord(entry.copy, { slot, epoch: entry.epoch, record: change });
+    return { accepted: true };
+  }
+
+  /** As the copy: takes in one change, unless a later epoch was promised. */
+  copyRecord(message: CopyRecord): Accepted {
+    const state = this._slot(message.slot);
+    const isCurrent = message.epoch === state.promised && state.completeEpoch === message.epoch;
+    if (!isCurrent) return { accepted: false };
+    state.merge(message.record);
+    return { accepted: true };
+  }
+
+  /** As the copy: takes in a whole slot. */
+  syncSlot(message: SyncSlot): Accepted {
+    const state = this._slot(message.slot);
+    if (message.epoch < state.promised) return { accepted: false };
+    state.promised = message.epoch;
+    state.replace(message.records, message.lostForMs);
+    state.completeEpoch = message.epoch;
+    return { accepted: true };
+  }
+
+  /** As an earlier holder: promises the later epoch and hands over what it holds. */
+  fenceSlot(message: FenceSlot): FenceReply {
+    if (message.holder !== this._options.self) return { kind: 'gone' };
+    const state = this._slot(message.slot);
+    if (message.epoch < state.promised) return { kind: 'later-epoch' };
+    state.promised = message.epoch;
+    if (this._map?.slots[message.slot]?.epoch !== message.epoch) this._settled.delete(message.slot);
+    this._handedOver.add(message.slot);
+    return {
+      kind: 'holds',
+      completeEpoch: state.completeEpoch,
+      records: state.all(),
+      lostForMs: state.lostForMs(),
+    };
+  }
+
+  /** As a host that leaves: true once every slot it held stands elsewhere, so that nothing is lost with it. */
+  hasHandedOver(): boolean {
+    const slots = this._map?.slots ?? [];
+    return slots.every((entry, slot) => {
+      if (this._slot(slot).completeEpoch === 0) return true;
+      if (entry.owner === this._options.self || entry.copy === this._options.self) return false;
+      const last = entry.older[0];
+      const wasMine = last?.owner === this._options.self || last?.copy === this._options.self;
+      const isOwnerInformed = entry.owner === last?.owner || entry.owner === last?.copy;
+      return !wasMine || isOwnerInformed || this._handedOver.has(slot);
+    });
+  }
+
+  private _slot(slot: number): KeySlot {
+    const state = this._slots[slot];
+    if (!state) throw new Error(`broken invariant: no slot ${slot}`);
+    return state;
+  }
+
+  private _ownedEntry(slot: number): SlotEntry | undefined {
+    const entry = this._map?.slots[slot];
+    return entry?.owner === this._options.self ? entry : undefined;
+  }
+
+  private _mayGrant(slot: number, entry: SlotEntry): boolean {
+    return this._settled.has(slot) && this._slot(slot).promised === entry.epoch;
+  }
+
+  private async _claimKnown(known: HeldRecord, claim: Claim): Promise<ClaimReply> {
+    if (known.fingerprint !== claim.fingerprint) return { kind: 'conflict' };
+    if (known.state !== 'finished' && claim.waitMs > 0) await this._wait(known, claim.waitMs);
+    if (known.state !== 'finished') return { kind: 'unknown', reason: 'first-still-running' };
+    return known.answer
+      ? { kind: 'answered', answer: known.answer }
+      : { kind: 'unknown', reason: 'answer-not-kept' };
+  }
+
+  private async _grant(slot: number, entry: SlotEntry, claim: Claim): Promise<ClaimReply> {
+    const state = this._slot(slot);
+    const record = state.prepare(claim.key, claim.fingerprint, claim.attemptId);
+    if (entry.copy !== '') {
+      const message = { slot, epoch: entry.epoch, record: state.toRecord(record) };
+      const reply = await this._options.peers.copyRecord(entry.copy, message);
+      if (!reply?.accepted) {
+        // Nobody got a grant and nobody will for this attempt. If the copy has the record all the same,
+        // a successor tells `unknown`, which is safe.
+        state.remove(record);
+        this._wake(record);
+        if (reply) this._settled.delete(slot);
+        // Refused by the copy: a later epoch has begun, whose owner may know more of this key.
+        return reply ? { kind: 'unknown', reason: 'key-unsettled' } : { kind: 'refused' };
+      }
+    }
+    record.state = 'granted';
+    return { kind: 'granted' };
+  }
+
+  private _change(slot: number, record: HeldRecord, finish: Finish): KeyRecord {
+    const state = this._slot(slot);
+    if (finish.end === 'released') {
+      state.remove(record);
+      return { ...state.toRecord(record), state: 'released', change: state.nextChange() };
+    }
+    const isSmall = finish.answer !== undefined && finish.answer.body.length <= MAX_KEPT_ANSWER_BYTES;
+    state.finish(record, isSmall ? finish.answer : undefined);
+    return state.toRecord(record);
+  }
+
+  private async _wait(record: HeldRecord, waitMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const cancel = this._options.clock.after(waitMs, resolve);
+      const waiters = this._waiters.get(record) ?? [];
+      waiters.push(() => {
+        cancel();
+        resolve();
+      });
+      this._waiters.set(record, waiters);
+    });
+  }
+
+  private _wake(record: HeldRecord): void {
+    for (const waiter of this._waiters.get(record) ?? []) waiter();
+    this._waiters.delete(record);
+  }
+
+  private _learnEntry(slot: number, entry: SlotEntry): void {
+    const state = this._slot(slot);
+    if (entry.epoch < state.promised) return;
+    const isNewEpoch = entry.epoch > state.promised;
+    state.promised = entry.epoch;
+    if (isNewEpoch) {
+      this._settled.delete(slot);
+      this._handedOver.delete(slot);
+    }
+    const isSettling = this._settling.get(slot) === entry.epoch;
+    if (entry.owner !== this._options.self || this._settled.has(slot) || isSettling) return;
+    this._settling.set(slot, entry.epoch);
+    void this._settle(slot, entry);
+  }
+
+  /** Gathers the slot's records, brings the copy up to date, and begins to grant. */
+  private async _settle(slot: number, entry: SlotEntry): Promise<void> {
+    const state = this._slot(slot);
+    const isCurrent = (): boolean =>
+      this._map?.slots[slot]?.epoch === entry.epoch && state.promised === entry.epoch;
+    while (isCurrent()) {
+      const isWhole = state.completeEpoch === entry.epoch || (await this._gather(slot, entry));
+      if (!isCurrent()) return;
+      if (isWhole) {
+        state.completeEpoch = entry.epoch;
+        if (await this._syncCopy(slot, entry)) {
+          if (isCurrent()) this._settled.add(slot);
+          return;
+        }
+      }
+      await sleep(this._options.clock, SETTLE_RETRY_MS);
+    }
+  }
+
+  private async _syncCopy(slot: number, entry: SlotEntry): Promise<boolean> {
+    if (entry.copy === '') return true;
+    const state = this._slot(slot);
+    const message = { slot, epoch: entry.epoch, records: state.all(), lostForMs: state.lostForMs() };
+    const reply = await this._options.peers.syncSlot(entry.copy, message);
+    return reply?.accepted ?? false;
+  }
+
+  /** Walks the earlier generations, newest first, until one shows what was granted. False: ask again later. */
+  private async _gather(slot: number, entry: SlotEntry): Promise<boolean> {
+    for (const generation of entry.older) {
+      const found = await this._askGeneration(slot, entry.epoch, generation);
+      if (found === 'whole') return true;
+      if (found === 'silent') return false;
+      if (found === 'lost') {
+        this._slot(slot).markLost(KEY_WINDOW_MS);
+        return true;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * `whole`: its records are here now. `nothing`: one of its holders never got them and promised never to,
+   * so that this generation granted nothing. `lost`: both processes ended. `silent`: nothing is proved.
+   */
+  private async _askGeneration(
+    slot: number,
+    epoch: number,
+    generation: Generation,
+  ): Promise<'whole' | 'nothing' | 'lost' | 'silent'> {
+    const state = this._slot(slot);
+    const holders = generation.copy === '' ? [generation.owner] : [generation.owner, generation.copy];
+    if (holders.includes(this._options.self))
+      return state.completeEpoch === generation.epoch ? 'whole' : 'nothing';
+    let gone = 0;
+    for (const holder of holders) {
+      if (this._options.peers.isProvenGone(holder)) {
+        gone += 1;
+        continue;
+      }
+      const reply = await this._options.peers.fenceSlot(holder, { slot, epoch, holder });
+      if (reply?.kind === 'gone') gone += 1;
+      if (reply?.kind !== 'holds') continue;
+      if (reply.completeEpoch > generation.epoch) continue;
+      if (reply.completeEpoch < generation.epoch) return 'nothing';
+      state.replace(reply.records, reply.lostForMs);
+      return 'whole';
+    }
+    return gone === holders.length ? 'lost' : 'silent';
+  }
+}
--- /dev/null
+++ b/packages/requests/src/keySlot.ts
@@ -0,0 +1,133 @@
+/**
+ * The records of one slot at one host, as owner or as copy.
+ */
+import type { Clock } from '@fuchsiahitch/base';
+import type { KeptAnswer, KeyRecord } from './keyMessages.js';
+
+/** How long a key is remembered after its last change. A resend must come within it. */
+export const KEY_WINDOW_MS = 600_000;
+/** A kept answer is at most this large; a resend of a larger one is told `unknown`. */
+export const MAX_KEPT_ANSWER_BYTES = 16 * 1024;
+
+/** A record in memory. `settledWaiters` are resends that wait for the first run's end. */
+export interface HeldRecord {
+  readonly key: string;
+  readonly fingerprint: string;
+  readonly attemptId: string;
+  state: 'preparing' | 'granted' | 'finished';
+  answer: KeptAnswer | undefined;
+  change: number;
+  changedMs: number;
+}
+
+export class KeySlot {
+  private readonly _clock: Clock;
+  private readonly _records = new Map<string, HeldRecord>();
+  private _lastChange = 0;
+  private _lostUntilMs = 0;
+  /** The highest epoch that this host promised to respect. */
+  promised = 0;
+  /** The epoch for which the records here are all that were granted; 0 when never. */
+  completeEpoch = 0;
+
+  constructor(clock: Clock) {
+    this._clock = clock;
+  }
+
+  find(key: string): HeldRecord | undefined {
+    const record = this._records.get(key);
+    if (!record || this._clock.nowMs() - record.changedMs <= KEY_WINDOW_MS) return record;
+    this._records.delete(key);
+    return undefined;
+  }
+
+  /** Adds a record that waits for its copy. */
+  prepare(key: string, fingerprint: string, attemptId: string): HeldRecord {
+    const record: HeldRecord = {
+      key,
+      fingerprint,
+      attemptId,
+      state: 'preparing',
+      answer: undefined,
+      change: 0,
+      changedMs: 0,
+    };
+    this._touch(record);
+    this._records.set(key, record);
+    return record;
+  }
+
+  finish(record: HeldRecord, answer: KeptAnswer | undefined): void {
+    record.state = 'finished';
+    record.answer = answer;
+    this._touch(record);
+  }
+
+  /** Forgets a record, if it still is the one that stands for its key. */
+  remove(record: HeldRecord): void {
+    if (this._records.get(record.key) === record) this._records.delete(record.key);
+  }
+
+  /** A number for a change that erases a record. */
+  nextChange(): number {
+    this._lastChange += 1;
+    return this._lastChange;
+  }
+
+  /** Takes in a record of the owner or of an earlier holder; older changes lose. */
+  merge(record: KeyRecord): void {
+    this._lastChange = Math.max(this._lastChange, record.change);
+    const known = this._records.get(record.key);
+    if (known && known.change > record.change) return;
+    if (record.state === 'released') {
+      this._records.delete(record.key);
+      return;
+    }
+    const { key, fingerprint, attemptId, answer, change } = record;
+    // A record that was on its way to a copy may have been granted: from outside both look alike.
+    const state = record.state === 'finished' ? 'finished' : 'granted';
+    const changedMs = this._clock.nowMs() - record.ageMs;
+    this._records.set(key, { key, fingerprint, attemptId, state, answer, change, changedMs });
+  }
+
+  /** Replaces everything by what a fresh owner sent. */
+  replace(records: readonly KeyRecord[], lostForMs: number): void {
+    this._records.clear();
+    for (const record of records) this.merge(record);
+    this.markLost(lostForMs);
+  }
+
+  /** From now on, for this long, a key without a record may have run before. */
+  markLost(durationMs: number): void {
+    if (durationMs > 0) this._lostUntilMs = Math.max(this._lostUntilMs, this._clock.nowMs() + durationMs);
+  }
+
+  lostForMs(): number {
+    return Math.max(0, this._lostUntilMs - this._clock.nowMs());
+  }
+
+  /** All records that are still within the window. */
+  all(): readonly KeyRecord[] {
+    const records: KeyRecord[] = [];
+    for (const key of [...this._records.keys()]) {
+      const record = this.find(key);
+      if (record) records.push(this.toRecord(record));
+    }
+    return records;
+  }
+
+  size(): number {
+    return this._records.size;
+  }
+
+  toRecord(record: HeldRecord): KeyRecord {
+    const { key, fingerprint, attemptId, state, answer, change } = record;
+    const ageMs = this._clock.nowMs() - record.changedMs;
+    return { key, fingerprint, attemptId, state, change, ageMs, ...(answer ? { answer } : {}) };
+  }
+
+  private _touch(record: HeldRecord): void {
+    record.change = this.nextChange();
+    record.changedMs = this._clock.nowMs();
+  }
+}
--- /dev/null
+++ b/packages/requests/src/slotMap.ts
@@ -0,0 +1,209 @@
+/**
+ * Which host of a failure domain answers for which idempotency keys.
+ *
+ * The map is one small value in the platform's key-value service for each failure domain, changed by
+ * compare-and-swap when hosts come and go. Its epochs fence: a holder that learnt a later epoch of a slot
+ * takes no part in the earlier one (docs/design/keys.md).
+ */
+import { hash32, rendezvous } from '@fuchsiahitch/base';
+import { z } from 'zod';
+
+/** Slots of one failure domain. At 33 hosts each owns four and copies four. */
+export const SLOTS_A_DOMAIN = 128;
+/** Generations that were not confirmed as settled yet. Longer chains are not begun. */
+const MAX_OLDER = 16;
+/** Hosts whose loads differ by less than this share of the mean, or this number, are left alone. */
+const UNEVEN_SHARE = 0.25;
+const MIN_GAP = 2;
+
+/** One process of a host: `hostId#incarnation`. A restarted host is another holder. */
+export const holderIdSchema = z.string().regex(/^[^#]+#\d+$/, 'not a holder hostId#incarnation');
+
+/** Who held a slot in an epoch; an empty copy means that the owner stood alone. */
+export const generationSchema = z
+  .strictObject({
+    epoch: z.number().int(),
+    owner: holderIdSchema,
+    copy: z.union([holderIdSchema, z.literal('')]),
+  })
+  .readonly();
+export type Generation = z.infer<typeof generationSchema>;
+
+/** A slot's present generation and the earlier ones that may hold its records. */
+export const slotEntrySchema = z
+  .strictObject({
+    ...generationSchema.unwrap().shape,
+    older: z.array(generationSchema).max(MAX_OLDER).readonly(),
+  })
+  .readonly();
+export type SlotEntry = z.infer<typeof slotEntrySchema>;
+
+export const slotMapSchema = z
+  .strictObject({
+    domain: z.string(),
+    revision: z.number().int(),
+    /** Digest of the deployment's list of failure domains: hosts with another list serve no keys. */
+    domains: z.string(),
+    slots: z.array(slotEntrySchema).length(SLOTS_A_DOMAIN).readonly(),
+    /** Holders that an operator declared to have ended: nothing else proves it when a host never returns. */
+    gone: z.array(holderIdSchema).max(1000).readonly(),
+  })
+  .readonly();
+export type SlotMap = z.infer<typeof slotMapSchema>;
+
+export function holderId(hostId: string, incarnation: number): string {
+  return `${hostId}#${incarnation}`;
+}
+
+export function splitHolder(holder: string): { readonly hostId: string; readonly incarnation: number } {
+  const [hostId = '', incarnation = '0'] = holder.split('#');
+  return { hostId, incarnation: Number(incarnation) };
+}
+
+/** The slot of a key. */
+export function slotOf(key: string): number {
+  return hash32(key) % SLOTS_A_DOMAIN;
+}
+
+/**
+ * The failure domain that answers for a key: the one that the key names before a colon, or else one by
+ * hash. It never depends on who is alive, or two cut-off domains could both run the request.
+ */
+export function homeDomain(key: string, domains: readonly string[]): string {
+  const prefix = key.slice(0, Math.max(0, key.indexOf(':')));
+  if (domains.includes(prefix)) return prefix;
+  return rendezvous(key, domains)[0] ?? '';
+}
+
+/** What a plan may take for granted about hosts. */
+export interface PlanInput {
+  readonly domain: string;
+  readonly domains: string;
+  /** Holders that can take duties, sorted. */
+  readonly live: readonly string[];
+  /** Slots that this host owns and has settled: their earlier generations are no longer needed. */
+  readonly settled: ReadonlySet<number>;
+}
+
+/** The map that suits the live holders, or undefined when the present one does. */
+export function planSlotMap(current: SlotMap | undefined, input: PlanInput): SlotMap | undefined {
+  if (input.live.length === 0) return undefined;
+  const plan = new SlotPlan(current?.slots, input);
+  const slots = plan.run();
+  if (!plan.isChanged()) return undefined;
+  const revision = (current?.revision ?? 0) + 1;
+  return { domain: input.domain, domains: input.domains, revision, slots, gone: current?.gone ?? [] };
+}
+
+/** One run of the planner: keeps surviving holders where they are and spreads the rest evenly. */
+class SlotPlan {
+  private readonly _entries: readonly (SlotEntry | undefined)[];
+  private readonly _input: PlanInput;
+  private readonly _live: ReadonlySet<string>;
+  /** Slots that a holder owns or copies. */
+  private readonly _duties = new Map<string, number>();
+  private readonly _owned = new Map<string, number>();
+  private _changed = false;
+
+  constructor(entries: readonly SlotEntry[] | undefined, input: PlanInput) {
+    this._entries = entries ?? Array.from({ length: SLOTS_A_DOMAIN }, () => undefined);
+    this._input = input;
+    this._live = new Set(input.live);
+    for (const holder of input.live) this._duties.set(holder, 0);
+    for (const entry of this._entries) {
+      if (entry) this._take(entry.owner, entry.copy, 1);
+    }
+  }
+
+  isChanged(): boolean {
+    return this._changed;
+  }
+
+  run(): readonly SlotEntry[] {
+    return this._entries.map((entry, slot) => this._place(entry, slot));
+  }
+
+  private _place(entry: SlotEntry | undefined, slot: number): SlotEntry {
+    if (!entry) return this._first();
+    const hasOwner = this._live.has(entry.owner);
+    const hasCopy = this._live.has(entry.copy);
+    const wantsCopy = this._input.live.length > 1;
+    if (hasOwner && hasCopy) return this._rebalanced(entry, slot);
+    if (hasOwner && !wantsCopy && entry.copy === '') return entry;
+    const older = this._olderOf(entry, slot);
+    if (older.length > MAX_OLDER) return entry;
+    const owner = hasOwner ? entry.owner : hasCopy ? entry.copy : this._leastLoaded('');
+    const copy = hasOwner && hasCopy ? entry.copy : this._leastLoaded(owner);
+    return this._changedTo(entry, owner, copy, older);
+  }
+
+  /**
+   * Evens out what joined hosts left uneven: first copies move to them, then owner and copy change roles.
+   * Only a slot without unsettled generations moves, so that chains stay short.
+   */
+  private _rebalanced(entry: SlotEntry, slot: number): SlotEntry {
+    const older = this._olderOf(entry, slot);
+    if (older.length > 1) return entry;
+    return this._copyMoved(entry, older) ?? this._rolesChanged(entry, older) ?? entry;
+  }
+
+  private _copyMoved(entry: SlotEntry, older: readonly Generation[]): SlotEntry | undefined {
+    const lightest = this._leastLoaded(entry.owner);
+    if (lightest === '' || lightest === entry.copy) return undefined;
+    const gap = this._dutiesOf(entry.copy) - this._dutiesOf(lightest);
+    const mean = (2 * SLOTS_A_DOMAIN) / this._input.live.length;
+    if (gap <= Math.max(MIN_GAP, mean * UNEVEN_SHARE)) return undefined;
+    return this._changedTo(entry, entry.owner, lightest, older);
+  }
+
+  private _rolesChanged(entry: SlotEntry, older: readonly Generation[]): SlotEntry | undefined {
+    const gap = this._ownedBy(entry.owner) - this._ownedBy(entry.copy);
+    const mean = SLOTS_A_DOMAIN / this._input.live.length;
+    if (gap <= Math.max(MIN_GAP, mean * UNEVEN_SHARE)) return undefined;
+    return this._changedTo(entry, entry.copy, entry.owner, older);
+  }
+
+  private _changedTo(entry: SlotEntry, owner: string, copy: string, older: readonly Generation[]): SlotEntry {
+    if (owner === entry.owner && copy === entry.copy) return entry;
+    this._changed = true;
+    this._take(entry.owner, entry.copy, -1);
+    this._take(owner, copy, 1);
+    return { epoch: entry.epoch + 1, owner, copy, older };
+  }
+
+  private _first(): SlotEntry {
+    this._changed = true;
+    const owner = this._leastLoaded('');
+    const copy = this._leastLoaded(owner);
+    this._take(owner, copy, 1);
+    return { epoch: 1, owner, copy, older: [] };
+  }
+
+  private _olderOf(entry: SlotEntry, slot: number): readonly Generation[] {
+    const last: Generation = { epoch: entry.epoch, owner: entry.owner, copy: entry.copy };
+    return this._input.settled.has(slot) ? [last] : [last, ...entry.older];
+  }
+
+  private _leastLoaded(except: string): string {
+    let best = '';
+    for (const holder of this._input.live) {
+      if (holder === except) continue;
+      if (best === '' || this._dutiesOf(holder) < this._dutiesOf(best)) best = holder;
+    }
+    return best;
+  }
+
+  private _dutiesOf(holder: string): number {
+    return this._duties.get(holder) ?? 0;
+  }
+
+  private _ownedBy(holder: string): number {
+    return this._owned.get(holder) ?? 0;
+  }
+
+  private _take(owner: string, copy: string, change: number): void {
+    this._owned.set(owner, this._ownedBy(owner) + change);
+    this._duties.set(owner, this._dutiesOf(owner) + change);
+    if (copy !== '') this._duties.set(copy, this._dutiesOf(copy) + change);
+  }
+}
--- /dev/null
+++ b/packages/rules/src/index.ts
@@ -0,0 +1,11 @@
+/** Ordered rules: model, decision, edits, checks. */
+export * from './check.js';
+export * from './edit.js';
+export * from './model.js';
+export * from './planEdits.js';
+export * from './ruleBook.js';
+export * from './ruleFile.js';
+export * from './simulate.js';
+export * from './stateGate.js';
+export * from './ruleEditor.js';
+export * from './ruleHistory.js';
--- /dev/null
+++ b/packages/rules/src/simulate.ts
@@ -0,0 +1,33 @@
+/**
+ * Runs a proposed list of rules over recorded requests and shows what would change.
+ */
+import type { Clock } from '@fuchsiahitch/base';
+import type { RequestFacts, RuleDocument } from './model.js';
+import { RuleBook } from './ruleBook.js';
+import type { SignalReader } from './stateGate.js';
+
+/** One recorded kind of request whose decision would change. */
+export interface DecisionChange {
+  readonly facts: RequestFacts;
+  readonly before: string | undefined;
+  readonly after: string | undefined;
+}
+
+export function simulate(
+  facts: readonly RequestFacts[],
+  before: RuleDocument,
+  after: RuleDocument,
+  clock: Clock,
+  signals: SignalReader,
+): readonly DecisionChange[] {
+  const oldBook = new RuleBook(before, clock, signals);
+  const newBook = new RuleBook(after, clock, signals);
+  const changes: DecisionChange[] = [];
+  for (const request of facts) {
+    const old = oldBook.decide(request);
+    const next = newBook.decide(request);
+    if (JSON.stringify(old.action) === JSON.stringify(next.action)) continue;
+    changes.push({ facts: request, before: old.ruleId, after: next.ruleId });
+  }
+  return changes;
+}
--- /dev/null
+++ b/packages/standins/src/engineStandIn.ts
@@ -0,0 +1,224 @@
+/**
+ * A model engine: streams tokens with the weight version of each, reports load with a lag, takes orders.
+ */
+import type { FastifyReply, FastifyRequest } from 'fastify';
+import { hash32 } from '@fuchsiahitch/base';
+import { z } from 'zod';
+import { pause } from './faults.js';
+import { StandIn } from './standIn.js';
+
+const completionSchema = z.object({
+  prompt: z.string(),
+  max_tokens: z.number().int(),
+  priority: z.enum(['high', 'normal', 'low']).default('normal'),
+  resume_text: z.string().default(''),
+  resume_tokens: z.number().int().default(0),
+});
+const orderSchema = z.object({ version: z.number().int(), token: z.number() });
+
+export interface EngineOptions {
+  readonly id: string;
+  /** Generations that run at the same time; more wait, the high priority first. */
+  readonly slots: number;
+  readonly tokenMs: number;
+  readonly meanTokens: number;
+  readonly swapMs: number;
+  readonly reportLagMs: number;
+  readonly checksFencing: boolean;
+  /** Asked before each load; absent for none. */
+  readonly weightStoreUrl: string;
+}
+
+export const engineDefaults: EngineOptions = {
+  id: 'engine',
+  slots: 8,
+  tokenMs: 5,
+  meanTokens: 20,
+  swapMs: 300,
+  reportLagMs: 500,
+  checksFencing: true,
+  weightStoreUrl: '',
+};
+
+interface Report {
+  readonly in_flight: number;
+  readonly queued: number;
+}
+
+interface Waiting {
+  readonly isUrgent: boolean;
+  readonly go: () => void;
+}
+
+const VOCABULARY = ['sky', 'star', 'night', 'moon', 'quest', 'forge', 'tale', 'wind', 'river', 'stone'];
+const TAIL_EVERY = 10;
+const TAIL_FACTOR = 5;
+
+/** The length of a prompt's answer: the same each time, and for one prompt in ten five times as long. */
+export function answerLength(prompt: string, meanTokens: number, maxTokens: number): number {
+  const hash = hash32(prompt);
+  const isTail = hash % TAIL_EVERY === 0;
+  const length = 1 + (hash32(`${prompt}/length`) % (2 * meanTokens));
+  return Math.min(maxTokens, isTail ? TAIL_FACTOR * length : length);
+}
+
+/** Token number `index` of a prompt's answer. It depends on both only, so that tests see doubled or lost ones. */
+export function answerToken(prompt: string, index: number): string {
+  return `${VOCABULARY[hash32(`${prompt}/${index}`) % VOCABULARY.length] ?? ''}${index} `;
+}
+
+export class EngineStandIn extends StandIn {
+  readonly startId = String(Date.now() + Math.random());
+  private readonly _options: EngineOptions;
+  private readonly _waiting: Waiting[] = [];
+  private readonly _loads: Report[] = [];
+  private _running = 0;
+  private _version = 1;
+  private _highestToken = 0;
+  private _isLeaving = false;
+  private _isSwapping = false;
+  private _completions = 0;
+
+  constructor(options: Partial<EngineOptions> = {}) {
+    super();
+    this._options = { ...engineDefaults, ...options };
+    this.server.post('/v1/completions', (request, reply) => this._complete(request, reply));
+    this.server.get('/load', () => this._report());
+    this.server.post('/orders', (request, reply) => this._order(request, reply));
+    this.server.post('/leave', () => {
+      this.leave();
+      return {};
+    });
+    this.repeat(Math.max(10, this._options.reportLagMs), () => this._sample());
+  }
+
+  get version(): number {
+    return this._version;
+  }
+
+  /** Completions that were begun. */
+  get completions(): number {
+    return this._completions;
+  }
+
+  /** Begins to leave: what runs goes on, nothing new is taken. */
+  leave(): void {
+    this._isLeaving = true;
+  }
+
+  private async _complete(request: FastifyRequest, reply: FastifyReply): Promise<void> {
+    const completion = completionSchema.parse(request.body);
+    if (completion.prompt.includes('poison')) {
+      await reply.status(400).send({ error: 'this prompt cannot be generated' });
+      return;
+    }
+    if (this._isLeaving || this.faults.take('refuse')) {
+      const leaving = this._isLeaving ? { 'x-leaving': '1' } : {};
+      await reply
+        .status(503)
+        .headers({ 'x-not-run': '1', ...leaving })
+        .send({ error: 'not taken' });
+      return;
+    }
+    let isGone = false;
+    reply.raw.on('close', () => {
+      isGone = true;
+    });
+    await this._begin(completion.priority === 'high');
+    this._completions += 1;
+    try {
+      await this._stream(completion, reply, () => isGone);
+    } finally {
+      this._end();
+    }
+  }
+
+  private async _stream(
+    completion: z.infer<typeof completionSchema>,
+    reply: FastifyReply,
+    isGone: () => boolean,
+  ): Promise<void> {
+    const { raw } = reply;
+    reply.hijack();
+    raw.writeHead(200, { 'content-type': 'text/event-stream' });
+    const { prompt, max_tokens: maxTokens, resume_tokens: from } = completion;
+    const length = answerLength(prompt, this._options.meanTokens, maxTokens);
+    const { breakAfterTokens } = this.faults.now;
+    for (let i = from; i < length && !isGone(); i++) {
+      while (this._isSwapping && !isGone()) await pause(this._options.tokenMs);
+      await pause(this._options.tokenMs);
+      if (breakAfterTokens > 0 && i - from >= breakAfterTokens) {
+        raw.destroy();
+        return;
+      }
+      const event = { choices: [{ text: answerToken(prompt, i) }], tokens: 1, weight_version: this._version };
+      raw.write(`data: ${JSON.stringify(event)}\n\n`);
+    }
+    const last = {
+      choices: [{ text: '', finish_reason: 'stop' }],
+      tokens: 0,
+      usage: { completion_tokens: Math.max(length, from) },
+    };
+    raw.write(`data: ${JSON.stringify(last)}\n\ndata: [DONE]\n\n`);
+    raw.end();
+  }
+
+  private async _begin(isUrgent: boolean): Promise<void> {
+    if (this._running < this._options.slots) {
+      this._running += 1;
+      return;
+    }
+    await new Promise<void>(resolve => this._waiting.push({ isUrgent, go: resolve }));
+  }
+
+  private _end(): void {
+    const urgent = this._waiting.findIndex(waiting => waiting.isUrgent);
+    const [next] = this._waiting.splice(Math.max(0, urgent), 1);
+    if (next) next.go();
+    else this._running -= 1;
+  }
+
+  private _sample(): void {
+    this._loads.push({ in_flight: this._running, queued: this._waiting.length });
+    if (this._loads.length > 2) this._loads.shift();
+  }
+
+  private _report(): unknown {
+    const load = this._loads[0] ?? { in_flight: 0, queued: 0 };
+    return { ...load, weight_version: this._version, start_id: this.startId, leaving: this._isLeaving };
+  }
+
+  private async _order(request: FastifyRequest, reply: FastifyReply): Promise<void> {
+    const { version, token } = orderSchema.parse(request.body);
+    if (this._options.checksFencing && token < this._highestToken) {
+      await reply.status(409).send({ error: 'an order with a later fencing token came before' });
+      return;
+    }
+    this._highestToken = Math.max(this._highestToken, token);
+    if (this.faults.take('failSwaps')) {
+      await reply.status(500).send({ error: 'swap failed' });
+      return;
+    }
+    void this._swap(version);
+    await reply.status(202).send({});
+  }
+
+  private async _swap(version: number): Promise<void> {
+    if (this.faults.now.areSwapsIgnored || version === this._version) return;
+    if (!(await this._mayLoad())) return;
+    this._isSwapping = true;
+    await pause(this._options.swapMs);
+    this._version = version;
+    this._isSwapping = false;
+  }
+
+  /** The weight store refuses loads above its rate; the swap then fails without a word. */
+  private async _mayLoad(): Promise<boolean> {
+    if (this._options.weightStoreUrl === '') return true;
+    try {
+      return (await fetch(`${this._options.weightStoreUrl}/load`, { method: 'POST' })).ok;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/scorerStandIn.ts
@@ -0,0 +1,40 @@
+/**
+ * The service that scores samples, and counts how often it scored each.
+ */
+import { hash32 } from '@fuchsiahitch/base';
+import { z } from 'zod';
+import { StandIn } from './standIn.js';
+
+const scoreSchema = z.object({ sample_id: z.string(), prompt: z.string(), text: z.string() });
+const SCORE_STEPS = 1000;
+
+export class ScorerStandIn extends StandIn {
+  private readonly _scores = new Map<string, number>();
+  private readonly _runs = new Map<string, number>();
+
+  constructor() {
+    super();
+    this.server.post('/score', (request, reply) => {
+      const { sample_id: sampleId, text } = scoreSchema.parse(request.body);
+      const score = (hash32(text) % SCORE_STEPS) / SCORE_STEPS;
+      this._runs.set(sampleId, (this._runs.get(sampleId) ?? 0) + 1);
+      this._scores.set(sampleId, score);
+      if (this.faults.take('loseAnswers')) {
+        reply.raw.socket?.destroy();
+        return reply;
+      }
+      return reply.send({ score });
+    });
+    this.server.get('/score/:id', (request, reply) => {
+      const { id } = z.object({ id: z.string() }).parse(request.params);
+      const score = this._scores.get(id);
+      return score === undefined ? reply.status(404).send({}) : reply.send({ score });
+    });
+    this.server.get('/runs', () => Object.fromEntries(this._runs));
+  }
+
+  /** How often each sample was scored. */
+  get runs(): ReadonlyMap<string, number> {
+    return this._runs;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/serviceStandIn.ts
@@ -0,0 +1,53 @@
+/**
+ * A plain service that takes seat holds and counts the runs of each key: the witness of "at most once".
+ */
+import type { FastifyReply, FastifyRequest } from 'fastify';
+import { pause } from './faults.js';
+import { StandIn } from './standIn.js';
+
+export interface ServiceOptions {
+  readonly holdMs: number;
+  readonly id: string;
+}
+
+export class ServiceStandIn extends StandIn {
+  private readonly _runs = new Map<string, number>();
+  private readonly _options: ServiceOptions;
+  private _isLeaving = false;
+
+  constructor(options: Partial<ServiceOptions> = {}) {
+    super();
+    this._options = { holdMs: 5, id: 'service', ...options };
+    this.server.post('/holds', (request, reply) => this._hold(request, reply));
+    this.server.get('/listings', () => ({ listings: ['dark-sky-tour', 'quest-pack'] }));
+    this.server.get('/runs', () => Object.fromEntries(this._runs));
+    this.server.post('/leave', () => {
+      this._isLeaving = true;
+      return {};
+    });
+  }
+
+  /** How often each key ran. */
+  get runs(): ReadonlyMap<string, number> {
+    return this._runs;
+  }
+
+  private async _hold(request: FastifyRequest, reply: FastifyReply): Promise<void> {
+    if (this._isLeaving || this.faults.take('refuse')) {
+      const leaving = this._isLeaving ? { 'x-leaving': '1' } : {};
+      await reply
+        .status(503)
+        .headers({ 'x-not-run': '1', ...leaving })
+        .send({ error: 'not taken' });
+      return;
+    }
+    const key = String(request.headers['idempotency-key'] ?? 'none');
+    this._runs.set(key, (this._runs.get(key) ?? 0) + 1);
+    await pause(this._options.holdMs);
+    if (this.faults.take('loseAnswers')) {
+      reply.raw.socket?.destroy();
+      return;
+    }
+    await reply.send({ hold: key, by: this._options.id });
+  }
+}
--- /dev/null
+++ b/packages/steps/src/index.ts
@@ -0,0 +1,9 @@
+/** Decisions about training steps: ledger, provenance, staleness, schedule. */
+export * from './fairSchedule.js';
+export * from './model.js';
+export * from './provenance.js';
+export * from './staleness.js';
+export * from './stepLedger.js';
+export * from './stepMessages.js';
+export * from './stepOwner.js';
+export * from './stepStore.js';
--- /dev/null
+++ b/packages/steps/src/stepMessages.ts
@@ -0,0 +1,132 @@
+/**
+ * The trainer's calls, and messages about steps between hosts.
+ */
+import { z } from 'zod';
+import { sampleSchema, stepSpecSchema } from './model.js';
+
+const count = z.number().int().min(0);
+const key = z.string().min(1).max(130);
+
+/** Opens a step. Idempotent by trainer and step. */
+export const openRequestSchema = stepSpecSchema;
+
+/** Takes the next samples. */
+export const takeRequestSchema = z
+  .strictObject({
+    key,
+    /** Chunks that the trainer holds whole. */
+    cursor: count,
+    /** The generation of the last chunk that it holds; 0 for none. */
+    generation: count,
+    /** The weight version that the trainer is at now. */
+    trainerVersion: count,
+    maxSamples: z.number().int().min(1).max(4096),
+    /** Slots that the trainer holds, as ranges [from, to): given, no store is needed to hand over. */
+    held: z
+      .array(z.strictObject({ from: count, to: count }).readonly())
+      .readonly()
+      .optional(),
+  })
+  .readonly();
+export type TakeRequest = z.infer<typeof takeRequestSchema>;
+
+const progressSchema = z
+  .strictObject({
+    open: count,
+    assigned: count,
+    ready: count,
+    sealed: count,
+    delivered: count,
+    failed: count,
+  })
+  .readonly();
+
+/** Why there is nothing to hand over now. */
+export const waitReasons = ['generating', 'store-unavailable', 'owner-moving'] as const;
+
+export const takeReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('chunk'),
+    chunk: count,
+    generation: count,
+    samples: z.array(sampleSchema).readonly(),
+    progress: progressSchema,
+  }),
+  z.strictObject({
+    kind: z.literal('wait'),
+    reason: z.enum(waitReasons),
+    retryAfterMs: count,
+    progress: progressSchema,
+  }),
+  z.strictObject({
+    kind: z.literal('over'),
+    failedGroups: z.array(z.strictObject({ group: count, reason: z.string() }).readonly()).readonly(),
+    progress: progressSchema,
+  }),
+  z.strictObject({ kind: z.literal('unknown-step') }),
+  z.strictObject({ kind: z.literal('abandoned') }),
+]);
+export type TakeReply = Readonly<z.infer<typeof takeReplySchema>>;
+
+export const openReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('opened'), key, samples: count }),
+  z.strictObject({ kind: z.literal('already-open'), key, samples: count }),
+  z.strictObject({ kind: z.literal('over'), key }),
+  z.strictObject({ kind: z.literal('differs'), key }),
+  z.strictObject({ kind: z.literal('try-later'), reason: z.string(), retryAfterMs: count }),
+]);
+export type OpenReply = Readonly<z.infer<typeof openReplySchema>>;
+
+export const abandonRequestSchema = z.strictObject({ key }).readonly();
+export const abandonReplySchema = z.strictObject({ abandoned: z.boolean() }).readonly();
+export const progressReplySchema = z
+  .strictObject({ known: z.boolean(), progress: progressSchema, hedges: count, duplicates: count })
+  .readonly();
+
+/** Tells hosts that a step has work. */
+export const stepOfferSchema = z
+  .strictObject({
+    key,
+    house: z.string(),
+    pool: z.string(),
+    owner: z.string(),
+    ownerAddress: z.string(),
+    /** The owner's epoch: an offer of a former owner is ignored. */
+    epoch: count,
+    share: z.number().min(0).max(1),
+    hasWork: z.boolean(),
+    isOver: z.boolean(),
+    maxTokens: count,
+    deadlineInMs: z.number(),
+    /** Other hosts of the receiver's failure domain are told by the receiver. */
+    passOn: z.boolean(),
+  })
+  .readonly();
+export type StepOffer = z.infer<typeof stepOfferSchema>;
+
+export const workPullSchema = z.strictObject({ key, worker: z.string(), count }).readonly();
+export const workPullReplySchema = z
+  .strictObject({
+    known: z.boolean(),
+    assignments: z
+      .array(z.strictObject({ slot: count, sampleId: z.string(), prompt: z.string() }).readonly())
+      .readonly(),
+  })
+  .readonly();
+
+export const sampleDoneSchema = z.strictObject({ key, worker: z.string(), sample: sampleSchema }).readonly();
+export const sampleDoneReplySchema = z
+  .strictObject({ verdict: z.enum(['taken', 'duplicate', 'unknown-attempt', 'step-over', 'unknown-step']) })
+  .readonly();
+
+export const sampleFailedSchema = z
+  .strictObject({ key, sampleId: z.string(), isOwnFault: z.boolean() })
+  .readonly();
+
+/** Asks a worker for samples that it keeps of a step, some at a time. */
+export const heldSamplesSchema = z.strictObject({ key, after: z.string() }).readonly();
+export const heldSamplesReplySchema = z
+  .strictObject({ samples: z.array(sampleSchema).readonly(), hasMore: z.boolean() })
+  .readonly();
+
+export const emptySchema = z.strictObject({}).readonly();
