--- /dev/null
+++ b/packages/steps/src/stepOwner.ts
@@ -0,0 +1,240 @@
+/**
+ * The owner of one step: answers the trainer's takes so that each sample reaches it exactly once.
+ *
+ * Two serialising parties, by the trainer's means (docs/design/ledger.md). A trainer that sends the slots it
+ * holds is one itself, and no store is needed. For a trainer that merely asks again, each chunk's manifest is
+ * sealed in the store by a write that only the present owner can make, before any of it is handed over.
+ */
+import { err, ok, type Clock, type Random, type Result } from '@fuchsiahitch/base';
+import type { Sample, StepSpec } from './model.js';
+import { StepLedger, type Assignment, type ReadySample, type SampleVerdict } from './stepLedger.js';
+import type { TakeReply, TakeRequest } from './stepMessages.js';
+import type { Chunk, ManifestEntry, StepHead, StepStore, StepStoreError, StoredStep } from './stepStore.js';
+
+export interface StepOwnerOptions {
+  readonly key: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly store: StepStore;
+  readonly hedgeShare: number;
+}
+
+/** How long a trainer waits before it asks again when nothing is ready. */
+const RETRY_AFTER_MS = 200;
+const STORE_RETRY_AFTER_MS = 1000;
+
+type WaitReason = Extract<TakeReply, { readonly kind: 'wait' }>['reason'];
+
+export class StepOwner {
+  readonly ledger: StepLedger;
+  private readonly _options: StepOwnerOptions;
+  private readonly _openedMs: number;
+  private _head: StepHead;
+  private readonly _headVersion: number;
+  private readonly _chunks = new Map<number, Chunk>();
+  private _isFenced = false;
+  private _isClosing = false;
+  private _busy: Promise<unknown> = Promise.resolve();
+
+  constructor(stored: StoredStep, options: StepOwnerOptions) {
+    this._options = options;
+    this._head = stored.head;
+    this._headVersion = stored.headVersion;
+    this._openedMs = options.clock.nowMs();
+    this.ledger = new StepLedger(stored.spec, options.clock, options.random, options.hedgeShare);
+    for (const chunk of stored.chunks) this._recall(chunk);
+  }
+
+  get key(): string {
+    return this._options.key;
+  }
+
+  get spec(): StepSpec {
+    return this.ledger.spec;
+  }
+
+  get epoch(): number {
+    return this._head.epoch;
+  }
+
+  /** Another host owns the step now. */
+  fence(): void {
+    this._isFenced = true;
+  }
+
+  /** True once another host was found to own the step: this object must be dropped. */
+  isFenced(): boolean {
+    return this._isFenced;
+  }
+
+  isOver(): boolean {
+    return this._head.state !== 'open' || this.ledger.isOver();
+  }
+
+  deadlineInMs(): number {
+    return this.spec.deadlineMs - (this._options.clock.nowMs() - this._openedMs);
+  }
+
+  assign(worker: string, count: number): readonly Assignment[] {
+    return this.isOver() || this._isFenced ? [] : this.ledger.assign(worker, count);
+  }
+
+  sampleDone(sample: Sample): SampleVerdict {
+    return this._head.state === 'open' ? this.ledger.sampleDone(sample) : 'step-over';
+  }
+
+  /** Ends what is late. Called from time to time. */
+  tick(): void {
+    if (this.deadlineInMs() <= 0) this.ledger.endAtDeadline();
+  }
+
+  /** Answers a take. Takes of one step are answered one after the other. */
+  async take(request: TakeRequest): Promise<TakeReply> {
+    const answer = this._busy.then(() => this._take(request));
+    this._busy = answer.catch(() => undefined);
+    return answer;
+  }
+
+  /** The trainer gives the step up. */
+  async abandon(): Promise<boolean> {
+    return this._close('abandoned');
+  }
+
+  private async _take(request: TakeRequest): Promise<TakeReply> {
+    if (this._isFenced) return this._wait('owner-moving', RETRY_AFTER_MS);
+    if (this._head.state === 'abandoned') return { kind: 'abandoned' };
+    this._noteReceipts(request);
+    this.tick();
+    const reply = request.held ? this._takeHeld(request) : await this._takeSealed(request);
+    if (reply.kind === 'over') await this._close('closed');
+    return reply;
+  }
+
+  /** What the call says about what the trainer holds. */
+  private _noteReceipts(request: TakeRequest): void {
+    for (const range of request.held ?? []) {
+      this.ledger.markDelivered(
+        Array.from({ length: Math.max(0, range.to - range.from) }, (_, i) => range.from + i),
+      );
+    }
+    if (request.held) return;
+    for (const chunk of this._chunks.values()) {
+      if (chunk.chunk < request.cursor) this._received(chunk, request);
+    }
+  }
+
+  private _received(chunk: Chunk, request: TakeRequest): void {
+    const isLast = chunk.chunk === request.cursor - 1;
+    const named = isLast ? chunk.generations.find(one => one.generation === request.generation) : undefined;
+    const manifest = named ?? chunk.generations.at(-1);
+    this.ledger.markDelivered((manifest?.entries ?? []).map(entry => entry.slot));
+    if (!isLast) this._chunks.delete(chunk.chunk);
+  }
+
+  /** The trainer is the serialising party: whatever it does not hold may be handed over. */
+  private _takeHeld(request: TakeRequest): TakeReply {
+    const ready = this.ledger.readyGroups(request.trainerVersion, request.maxSamples);
+    if (ready.length === 0) return this._nothing();
+    return this._handOver(request.cursor, 1, ready);
+  }
+
+  private async _takeSealed(request: TakeRequest): Promise<TakeReply> {
+    const sealed = this._chunks.get(request.cursor);
+    const ready = sealed ? this._stillGood(sealed, request) : undefined;
+    if (sealed && ready) return this._handOver(sealed.chunk, sealed.generations.length, ready);
+    if (sealed) this._reopenStale(sealed, request.trainerVersion);
+    const groups = this.ledger.readyGroups(request.trainerVersion, request.maxSamples);
+    if (groups.length === 0) return this._nothing();
+    return this._seal(request, groups, sealed);
+  }
+
+  private async _seal(
+    request: TakeRequest,
+    groups: readonly ReadySample[],
+    last: Chunk | undefined,
+  ): Promise<TakeReply> {
+    const entries: readonly ManifestEntry[] = groups.map(({ sample: { slot, sampleId } }) => ({
+      slot,
+      sampleId,
+    }));
+    const generation = (last?.generations.length ?? 0) + 1;
+    const chunk: Chunk = {
+      chunk: request.cursor,
+      generations: [...(last?.generations ?? []), { generation, entries }],
+    };
+    const written = await this._options.store.writeChunk(this.key, this._headVersion, chunk);
+    if (!written.ok) return this._storeFailed(written.error);
+    this._chunks.set(chunk.chunk, chunk);
+    // The write may have taken long: what went stale meanwhile is not handed over.
+    const ready = this._stillGood(chunk, request);
+    return ready ? this._handOver(chunk.chunk, generation, ready) : this._wait('generating', RETRY_AFTER_MS);
+  }
+
+  /** The samples of the chunk's last generation, if all are here and fresh for the trainer as it is now. */
+  private _stillGood(chunk: Chunk, request: TakeRequest): readonly ReadySample[] | undefined {
+    const ready: ReadySample[] = [];
+    for (const { sampleId } of chunk.generations.at(-1)?.entries ?? []) {
+      const found = this.ledger.find(sampleId);
+      if (!found || !this.ledger.isDeliverable(sampleId, request.trainerVersion)) return undefined;
+      ready.push(found);
+    }
+    return ready;
+  }
+
+  /** Sealed samples that are lost or too old are generated again; the rest waits for its group. */
+  private _reopenStale(chunk: Chunk, trainerVersion: number): void {
+    for (const { slot, sampleId } of chunk.generations.at(-1)?.entries ?? []) {
+      if (!this.ledger.isDeliverable(sampleId, trainerVersion)) this.ledger.reopen(slot);
+    }
+  }
+
+  private _handOver(chunk: number, generation: number, ready: readonly ReadySample[]): TakeReply {
+    const nowMs = this._options.clock.nowMs();
+    const samples = ready.map(({ sample, bornMs }) => ({ ...sample, ageMs: nowMs - bornMs }));
+    return { kind: 'chunk', chunk, generation, samples, progress: this.ledger.counts() };
+  }
+
+  private _nothing(): TakeReply {
+    if (!this.ledger.isOver()) return this._wait('generating', RETRY_AFTER_MS);
+    return { kind: 'over', failedGroups: this.ledger.failedGroups(), progress: this.ledger.counts() };
+  }
+
+  private _storeFailed(error: StepStoreError): TakeReply {
+    if (error !== 'fenced') return this._wait('store-unavailable', STORE_RETRY_AFTER_MS);
+    this._isFenced = true;
+    return this._wait('owner-moving', RETRY_AFTER_MS);
+  }
+
+  private _wait(reason: WaitReason, retryAfterMs: number): TakeReply {
+    return { kind: 'wait', reason, retryAfterMs, progress: this.ledger.counts() };
+  }
+
+  private async _close(state: 'closed' | 'abandoned'): Promise<boolean> {
+    if (this._isClosing) return true;
+    this._isClosing = true;
+    const head: StepHead = { ...this._head, state, failedGroups: this.ledger.failedGroups().length };
+    const closed = await this._options.store.close(this.key, this._headVersion, head);
+    if (closed.ok) this._head = head;
+    else this._isClosing = false;
+    return closed.ok;
+  }
+
+  private _recall(chunk: Chunk): void {
+    this._chunks.set(chunk.chunk, chunk);
+    for (const manifest of chunk.generations) {
+      for (const { slot, sampleId } of manifest.entries) this.ledger.markSealed(slot, sampleId);
+    }
+  }
+}
+
+/** Takes over a step from an owner that is gone, by a compare-and-swap that fences it. */
+export async function takeOver(
+  store: StepStore,
+  key: string,
+  stored: StoredStep,
+  owner: string,
+): Promise<Result<StoredStep, StepStoreError>> {
+  const head: StepHead = { ...stored.head, owner, epoch: stored.head.epoch + 1 };
+  const replaced = await store.replaceHead(key, stored.headVersion, head);
+  return replaced.ok ? ok({ ...stored, head, headVersion: replaced.value }) : err(replaced.error);
+}
