Keys: at most once under random faults; a false 'not run' found and removed

Silence proves nothing, so the reply 'refused' is gone: such a caller is told 'unknown' and asks again with its key.

The services of a host are now built over ports (peers, store, list, engines, services, scorer), so that the same code can be driven on a virtual clock.

Conclusion: the epochs carry at most once; every answer that rests on silence must be 'unknown'.

--- a/packages/entry/src/fleetStatus.ts
+++ b/packages/entry/src/fleetStatus.ts
@@ -2,7 +2,7 @@
  * The state of this host and of every host in reach, for operators.
  */
 import { PROGRAM_VERSION } from '@fuchsiahitch/base';
-import { calls, type HostStatus, type PeerServer } from '@fuchsiahitch/protocol';
+import { calls, type HostStatus } from '@fuchsiahitch/protocol';
 import { splitHolder } from '@fuchsiahitch/requests';
 import type { BudgetedStore } from './budgetedStore.js';
 import type { EndpointService } from './endpointService.js';
@@ -10,7 +10,7 @@
 import type { KeyService } from './keyService.js';
 import type { MembershipService } from './membershipService.js';
 import type { OrdersService } from './ordersService.js';
-import type { PeerDirectory } from './peerDirectory.js';
+import type { CallRegistry, PeerCaller } from './hostPorts.js';
 import type { RequestService } from './requestService.js';
 import type { RolloutService } from './rolloutService.js';
 import type { RulesService } from './rulesService.js';
@@ -20,7 +20,7 @@
 
 /** The services that the status is read from. */
 export interface StatusSources {
-  readonly peers: PeerDirectory;
+  readonly peers: PeerCaller;
   readonly membership: MembershipService;
   readonly rules: RulesService;
   readonly keys: KeyService;
@@ -49,7 +49,7 @@
     this._sources = sources;
   }
 
-  register(server: PeerServer): void {
+  register(server: CallRegistry): void {
     server.handle(calls.hostStatus, () => this.own());
   }
 
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,3 +1,10 @@
 /** The entry host, for the programs that run it in one process with others. */
 export * from './entryHost.js';
+export * from './entryServices.js';
+export * from './hostContext.js';
+export * from './hostPorts.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './requestService.js';
+export * from './tracing.js';
 export * from './entrySettings.js';
--- a/packages/entry/src/keyService.ts
+++ b/packages/entry/src/keyService.ts
@@ -3,7 +3,7 @@
  */
 import { Deadline, digest, every, sleep } from '@fuchsiahitch/base';
 import type { KeyValueStore } from '@fuchsiahitch/platform';
-import { calls, type PeerServer } from '@fuchsiahitch/protocol';
+import { calls } from '@fuchsiahitch/protocol';
 import {
   holderId,
   KeyClient,
@@ -26,7 +26,7 @@
 } from '@fuchsiahitch/requests';
 import type { HostContext } from './hostContext.js';
 import type { MembershipService } from './membershipService.js';
-import type { PeerDirectory } from './peerDirectory.js';
+import type { CallRegistry, PeerCaller } from './hostPorts.js';
 
 const PLAN_PERIOD_MS = 1000;
 /** The first live host plans; the next ones only if it did not for this long each. */
@@ -43,17 +43,12 @@
   readonly holder: KeyHolder;
   private readonly _context: HostContext;
   private readonly _membership: MembershipService;
-  private readonly _peers: PeerDirectory;
+  private readonly _peers: PeerCaller;
   private readonly _store: KeyValueStore;
   private readonly _domainsDigest: string;
   private _wantedSinceMs: number | undefined;
 
-  constructor(
-    context: HostContext,
-    membership: MembershipService,
-    peers: PeerDirectory,
-    store: KeyValueStore,
-  ) {
+  constructor(context: HostContext, membership: MembershipService, peers: PeerCaller, store: KeyValueStore) {
     this._context = context;
     this._membership = membership;
     this._peers = peers;
@@ -64,7 +59,7 @@
     this.client = new KeyClient(context.domains, this._domainsDigest, this);
   }
 
-  register(server: PeerServer): void {
+  register(server: CallRegistry): void {
     server.handle(calls.claimKey, claim => this._claimed(claim));
     server.handle(calls.finishKey, finish => this._finished(finish));
     server.handle(calls.copyRecord, message => this.holder.copyRecord(message));
--- a/packages/entry/src/membershipService.ts
+++ b/packages/entry/src/membershipService.ts
@@ -13,9 +13,9 @@
   type MemberDocument,
 } from '@fuchsiahitch/membership';
 import type { MemberList } from '@fuchsiahitch/platform';
-import { calls, type PeerServer, type Ping } from '@fuchsiahitch/protocol';
+import { calls, type Ping } from '@fuchsiahitch/protocol';
 import type { HostContext } from './hostContext.js';
-import type { PeerDirectory } from './peerDirectory.js';
+import type { CallRegistry, PeerCaller } from './hostPorts.js';
 
 const PING_PERIOD_MS = 1000;
 const PING_TIMEOUT_MS = 800;
@@ -39,14 +39,14 @@
   readonly view: HostView;
   readonly leaving: LeavingEvidence;
   private readonly _context: HostContext;
-  private readonly _peers: PeerDirectory;
+  private readonly _peers: PeerCaller;
   private readonly _list: MemberList;
   private readonly _documents = new Map<string, MemberDocument>();
   private readonly _listeners: (() => void)[] = [];
   private _topics: PingTopics | undefined;
   private _listRound = 0;
 
-  constructor(context: HostContext, peers: PeerDirectory, list: MemberList, peersAddress: string) {
+  constructor(context: HostContext, peers: PeerCaller, list: MemberList, peersAddress: string) {
     const { hostId, incarnation, clock, random } = context;
     this.view = new HostView({ hostId, incarnation, address: peersAddress }, clock, random);
     this.leaving = new LeavingEvidence(clock);
@@ -60,7 +60,7 @@
     this._listeners.push(listener);
   }
 
-  register(server: PeerServer): void {
+  register(server: CallRegistry): void {
     server.handle(calls.ping, ping => this._pinged(ping));
     server.handle(calls.pingFor, async ({ hostId, address }) => ({
       isAlive: await this._ping(hostId, address),
--- a/packages/entry/src/peerDirectory.ts
+++ b/packages/entry/src/peerDirectory.ts
@@ -4,8 +4,9 @@
 import { Deadline, err, PROGRAM_VERSION, type Result } from '@fuchsiahitch/base';
 import { PeerLink, type CallDefinition, type CallError, type PeerIdentity } from '@fuchsiahitch/protocol';
 import type { HostContext } from './hostContext.js';
+import type { PeerCaller } from './hostPorts.js';
 
-export class PeerDirectory {
+export class PeerDirectory implements PeerCaller {
   private readonly _context: HostContext;
   private readonly _links = new Map<string, PeerLink>();
 
--- a/packages/entry/src/requestService.ts
+++ b/packages/entry/src/requestService.ts
@@ -183,8 +183,6 @@
         return { outcome: run.endUnknown('key-owner-unreachable'), answer: undefined };
       case 'conflict':
         return { outcome: run.refuse('bad-request'), answer: undefined };
-      case 'refused':
-        return { outcome: run.refuse('key-refused'), answer: undefined };
     }
   }
 
--- a/packages/entry/src/rolloutService.ts
+++ b/packages/entry/src/rolloutService.ts
@@ -9,7 +9,7 @@
   Scorer,
   ScoreResult,
 } from '@fuchsiahitch/platform';
-import { calls, type PeerServer } from '@fuchsiahitch/protocol';
+import { calls } from '@fuchsiahitch/protocol';
 import type { RequestFacts } from '@fuchsiahitch/rules';
 import {
   FairSchedule,
@@ -21,7 +21,7 @@
 import { reserveOf, type Dispatcher } from './dispatcher.js';
 import type { CallableEndpoint, EndpointService } from './endpointService.js';
 import type { HostContext } from './hostContext.js';
-import type { PeerDirectory } from './peerDirectory.js';
+import type { CallRegistry, PeerCaller } from './hostPorts.js';
 import type { RulesService } from './rulesService.js';
 import { SampleShelf } from './sampleShelf.js';
 
@@ -46,7 +46,7 @@
 export class RolloutService {
   readonly shelf: SampleShelf;
   private readonly _context: HostContext;
-  private readonly _peers: PeerDirectory;
+  private readonly _peers: PeerCaller;
   private readonly _rules: RulesService;
   private readonly _endpoints: EndpointService;
   private readonly _dispatcher: Dispatcher;
@@ -60,7 +60,7 @@
   constructor(
     context: HostContext,
     parts: {
-      readonly peers: PeerDirectory;
+      readonly peers: PeerCaller;
       readonly rules: RulesService;
       readonly endpoints: EndpointService;
       readonly dispatcher: Dispatcher;
@@ -78,7 +78,7 @@
     this.shelf = new SampleShelf(context.clock);
   }
 
-  register(server: PeerServer): void {
+  register(server: CallRegistry): void {
     server.handle(calls.heldSamples, ({ key, after }) => this.shelf.page(key, after));
   }
 
--- a/packages/entry/src/rulesService.ts
+++ b/packages/entry/src/rulesService.ts
@@ -5,7 +5,7 @@
 import { every, sleep, type Result } from '@fuchsiahitch/base';
 import { isWatcher } from '@fuchsiahitch/membership';
 import type { KeyValueStore, WatchEvent } from '@fuchsiahitch/platform';
-import { calls, type PeerServer } from '@fuchsiahitch/protocol';
+import { calls } from '@fuchsiahitch/protocol';
 import {
   RuleBook,
   RuleEditor,
@@ -21,7 +21,7 @@
 } from '@fuchsiahitch/rules';
 import type { HostContext } from './hostContext.js';
 import type { MembershipService } from './membershipService.js';
-import type { PeerDirectory } from './peerDirectory.js';
+import type { CallRegistry, PeerCaller } from './hostPorts.js';
 import { readEdit, RULES_PREFIX } from './storedRules.js';
 
 /** A watch can fall silent without ending, so watchers also read the store this often. */
@@ -34,7 +34,7 @@
   private readonly _store: KeyValueStore;
   private readonly _rules: RuleStore;
   private readonly _membership: MembershipService;
-  private readonly _peers: PeerDirectory;
+  private readonly _peers: PeerCaller;
   private readonly _signals: SignalReader;
   private readonly _history = new RuleHistory();
   private readonly _editor: RuleEditor;
@@ -47,7 +47,7 @@
     store: KeyValueStore,
     rules: RuleStore,
     membership: MembershipService,
-    peers: PeerDirectory,
+    peers: PeerCaller,
     signals: SignalReader,
   ) {
     this._context = context;
@@ -60,7 +60,7 @@
     this._book = new RuleBook(this._history.document(), context.clock, signals);
   }
 
-  register(server: PeerServer): void {
+  register(server: CallRegistry): void {
     server.handle(calls.rulesPull, ({ after }) => {
       const edits = this._history.editsAfter(after);
       if (after >= this.revision()) return { kind: 'none' as const };
--- a/packages/entry/src/stepService.ts
+++ b/packages/entry/src/stepService.ts
@@ -2,7 +2,7 @@
  * Steps: finds the owner of a step for a trainer's call, and is the owner of some.
  */
 import { every, rendezvous } from '@fuchsiahitch/base';
-import { calls, type CallDefinition, type PeerServer } from '@fuchsiahitch/protocol';
+import { calls, type CallDefinition } from '@fuchsiahitch/protocol';
 import { holderId, homeDomain, splitHolder } from '@fuchsiahitch/requests';
 import {
   stepKey,
@@ -19,7 +19,7 @@
 } from '@fuchsiahitch/steps';
 import type { HostContext } from './hostContext.js';
 import type { MembershipService } from './membershipService.js';
-import type { PeerDirectory } from './peerDirectory.js';
+import type { CallRegistry, PeerCaller } from './hostPorts.js';
 import type { RolloutService } from './rolloutService.js';
 
 const CALL_TIMEOUT_MS = 10_000;
@@ -61,7 +61,7 @@
 export class StepService {
   private readonly _context: HostContext;
   private readonly _membership: MembershipService;
-  private readonly _peers: PeerDirectory;
+  private readonly _peers: PeerCaller;
   private readonly _store: StepStore;
   private readonly _rollouts: RolloutService;
   private readonly _owned = new Map<string, OwnedStep>();
@@ -71,7 +71,7 @@
   constructor(
     context: HostContext,
     membership: MembershipService,
-    peers: PeerDirectory,
+    peers: PeerCaller,
     store: StepStore,
     rollouts: RolloutService,
   ) {
@@ -82,7 +82,7 @@
     this._rollouts = rollouts;
   }
 
-  register(server: PeerServer): void {
+  register(server: CallRegistry): void {
     server.handle(calls.stepOpen, ({ hops, request }) => this.open(request, hops));
     server.handle(calls.stepTake, ({ hops, request }) => this.take(request, hops));
     server.handle(calls.stepAbandon, ({ hops, request }) => this.abandon(request.key, hops));
--- a/packages/requests/src/keyHolder.ts
+++ b/packages/requests/src/keyHolder.ts
@@ -187,13 +187,12 @@
       const message = { slot, epoch: entry.epoch, record: state.toRecord(record) };
       const reply = await this._options.peers.copyRecord(entry.copy, message);
       if (!reply?.accepted) {
-        // Nobody got a grant and nobody will for this attempt. If the copy has the record all the same,
-        // a successor tells `unknown`, which is safe.
+        // Nobody gets a grant for this attempt. That does not prove that the key never ran: a copy that is
+        // silent, or refuses, may already serve a successor that granted it to another arrival.
         state.remove(record);
         this._wake(record);
         if (reply) this._settled.delete(slot);
-        // Refused by the copy: a later epoch has begun, whose owner may know more of this key.
-        return reply ? { kind: 'unknown', reason: 'key-unsettled' } : { kind: 'refused' };
+        return { kind: 'unknown', reason: 'key-unsettled' };
       }
     }
     record.state = 'granted';
--- a/packages/requests/src/keyMessages.ts
+++ b/packages/requests/src/keyMessages.ts
@@ -52,7 +52,6 @@
     reason: z.enum(['first-still-running', 'answer-not-kept', 'key-records-lost', 'key-unsettled']),
   }),
   z.strictObject({ kind: z.literal('conflict') }),
-  z.strictObject({ kind: z.literal('refused') }),
   z.strictObject({ kind: z.literal('wrong-owner') }),
 ]);
 export type ClaimReply = Readonly<z.infer<typeof claimReplySchema>>;
--- a/packages/requests/src/outcome.ts
+++ b/packages/requests/src/outcome.ts
@@ -11,7 +11,6 @@
   | 'no-endpoint'
   | 'endpoint-refused'
   | 'shutting-down'
-  | 'key-refused'
   | 'caller-left'
   | 'bad-request';
 
--- /dev/null
+++ b/tests/simulation.ts
@@ -0,0 +1,126 @@
+/**
+ * Processes, a network and a store on a virtual clock, for driving the decision packages into failures.
+ * A run depends on its seed only.
+ */
+import { SeededRandom, VirtualClock, type CancelTimer, type Clock } from '@fuchsiahitch/base';
+
+/** One process. Paused, it neither runs timers nor answers; killed, it never does again. */
+export class SimProcess implements Clock {
+  readonly name: string;
+  private readonly _clock: VirtualClock;
+  private readonly _held: (() => void)[] = [];
+  private _isPaused = false;
+  private _isKilled = false;
+
+  constructor(name: string, clock: VirtualClock) {
+    this.name = name;
+    this._clock = clock;
+  }
+
+  get isPaused(): boolean {
+    return this._isPaused;
+  }
+
+  get isKilled(): boolean {
+    return this._isKilled;
+  }
+
+  nowMs(): number {
+    return this._clock.nowMs();
+  }
+
+  wallMs(): number {
+    return this._clock.wallMs();
+  }
+
+  after(delayMs: number, run: () => void): CancelTimer {
+    let isCancelled = false;
+    this._clock.after(delayMs, () => {
+      if (!isCancelled) this.run(run);
+    });
+    return () => {
+      isCancelled = true;
+    };
+  }
+
+  /** Runs something in this process, now or when it wakes. */
+  run(step: () => void): void {
+    if (this._isKilled) return;
+    if (this._isPaused) this._held.push(step);
+    else step();
+  }
+
+  pause(): void {
+    this._isPaused = true;
+  }
+
+  wake(): void {
+    this._isPaused = false;
+    for (const step of this._held.splice(0)) this.run(step);
+  }
+
+  kill(): void {
+    this._isKilled = true;
+  }
+}
+
+export interface SimNetOptions {
+  readonly maxDelayMs: number;
+  /** Share of messages that are lost, each way. */
+  readonly lossShare: number;
+}
+
+const LOSS_STEPS = 1000;
+
+/** Calls between processes: delayed, lost, cut off. */
+export class SimNet {
+  lossShare: number;
+  private readonly _clock: VirtualClock;
+  private readonly _random: SeededRandom;
+  private readonly _maxDelayMs: number;
+  private readonly _cuts = new Set<string>();
+
+  constructor(clock: VirtualClock, random: SeededRandom, options: SimNetOptions) {
+    this._clock = clock;
+    this._random = random;
+    this._maxDelayMs = options.maxDelayMs;
+    this.lossShare = options.lossShare;
+  }
+
+  cut(a: string, b: string): void {
+    this._cuts.add(`${a}|${b}`);
+    this._cuts.add(`${b}|${a}`);
+  }
+
+  heal(): void {
+    this._cuts.clear();
+  }
+
+  /** Runs `handler` at the callee; undefined when no reply came in time, whether or not it ran. */
+  async call<T>(
+    from: SimProcess,
+    to: SimProcess,
+    timeoutMs: number,
+    handler: () => T | Promise<T>,
+  ): Promise<T | undefined> {
+    return new Promise(resolve => {
+      from.after(timeoutMs, () => resolve(undefined));
+      this._send(from, to, () => {
+        void Promise.resolve(handler()).then(reply => this._send(to, from, () => resolve(reply)));
+      });
+    });
+  }
+
+  private _send(from: SimProcess, to: SimProcess, deliver: () => void): void {
+    if (from.isKilled || this._isLost(from, to)) return;
+    const delayMs = 1 + this._random.below(this._maxDelayMs);
+    this._clock.after(delayMs, () => {
+      if (!this._cuts.has(`${from.name}|${to.name}`)) to.run(deliver);
+    });
+  }
+
+  private _isLost(from: SimProcess, to: SimProcess): boolean {
+    if (this._cuts.has(`${from.name}|${to.name}`)) return true;
+    return this._random.below(LOSS_STEPS) < this.lossShare * LOSS_STEPS;
+  }
+}
