Sockets: resets, slow readers, shutdown, bad input; a cancel that went unheard

Cause: a read can bring many events, and a cancel between two of them was not looked at: the adapter went on with events of a cancelled stream until its reader returned. Found by the slow-reader test, which hung on it.

A kept connection that is reset after the write: two runs for two calls, none resent by the library. Shutdown of two of three hosts at once: the stream whole, the late arrival served, the hold remembered.

--- a/packages/platform/src/httpEngineClient.ts
+++ b/packages/platform/src/httpEngineClient.ts
@@ -59,7 +59,7 @@
     }
     if (response.statusCode !== OK_STATUS) return refusalOf(response);
     try {
-      return await readStream(response.body, onChunk);
+      return await readStream(response.body, onChunk, signal);
     } catch {
       return signal.aborted ? { kind: 'cancelled' } : { kind: 'broken' };
     }
@@ -128,6 +128,7 @@
 async function readStream(
   body: AsyncIterable<Buffer>,
   onChunk: (chunk: GenerationChunk) => Promise<void> | void,
+  signal: AbortSignal,
 ): Promise<GenerationEnd> {
   const waiting: string[] = [];
   const parser = createParser({ onEvent: event => waiting.push(event.data) });
@@ -137,6 +138,8 @@
   for await (const bytes of body) {
     parser.feed(decoder.decode(bytes, { stream: true }));
     for (const data of waiting.splice(0)) {
+      // One read can bring many events: after a cancel the rest of them is nobody's.
+      if (signal.aborted) return { kind: 'cancelled' };
       if (data === DONE) return { kind: 'done', tokens, finishReason };
       const event = eventSchema.parse(JSON.parse(data));
       const [choice] = event.choices;
--- /dev/null
+++ b/tests/sockets.spec.ts
@@ -0,0 +1,188 @@
+/**
+ * What only real sockets show: resets of kept connections, slow readers, shutdown under load, bad input.
+ */
+import net from 'node:net';
+import tap from 'tap';
+import { endpointAgent, HttpEngineClient, HttpServiceClient, isUnwritten } from '@fuchsiahitch/platform';
+import { eventually, TestFleet } from './testFleet.js';
+
+tap.setTimeout(0);
+
+/** A raw HTTP server: `answer` gets each request's number and socket, and counts as its run. */
+async function rawServer(
+  answer: (run: number, socket: net.Socket) => void,
+): Promise<{ url: string; runs: () => number; close: () => void }> {
+  let runs = 0;
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer(socket => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', chunk => {
+      if (!chunk.toString('latin1').includes('HTTP/1.1')) return;
+      runs += 1;
+      answer(runs, socket);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const bound = server.address();
+  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const close = (): void => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  };
+  return { url: `http://127.0.0.1:${port}`, runs: () => runs, close };
+}
+
+const OK_ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: keep-alive\r\n\r\nok';
+
+await tap.test(
+  'should not resend a request when a kept connection is reset after it was written',
+  async t => {
+    // Symptom: a hold runs twice behind the product's back. Sequence: a connection is kept, the next request is
+    // written on it, the server runs it and the connection is reset. Cause: a library retries on its own.
+    const server = await rawServer((run, socket) => {
+      if (run === 1) socket.write(OK_ANSWER);
+      else socket.resetAndDestroy();
+    });
+    const client = new HttpServiceClient(endpointAgent());
+    const call = { url: server.url, method: 'POST', path: '/holds', headers: {}, body: Buffer.from('{}') };
+    const signal = new AbortController().signal;
+    t.match(await client.call(call, () => undefined, signal), { kind: 'answered', status: 200 });
+    t.same(await client.call(call, () => undefined, signal), { kind: 'broken' });
+    t.equal(server.runs(), 2, 'one for each call, none resent');
+    server.close();
+  },
+);
+
+await tap.test('should prove not run only for what was never written', async t => {
+  const server = await rawServer(() => undefined);
+  const client = new HttpServiceClient(endpointAgent());
+  const call = { url: server.url, method: 'POST', path: '/holds', headers: {}, body: undefined };
+  server.close();
+  await eventually(
+    'refused',
+    async () => (await client.call(call, () => undefined, new AbortController().signal)).kind === 'not-run',
+  );
+  t.ok(isUnwritten({ code: 'ECONNREFUSED' }));
+  t.notOk(isUnwritten({ code: 'ECONNRESET' }));
+  t.notOk(isUnwritten({ code: 'UND_ERR_SOCKET' }));
+});
+
+await tap.test('should not buffer a stream that its reader does not take', async t => {
+  // Symptom: a host's memory grows with a slow caller's answer. Sequence: the engine is fast, the caller reads one
+  // token and pauses. Cause: the host reads on regardless. The engine is held back by TCP instead.
+  const event = `data: ${JSON.stringify({ choices: [{ text: 'x'.repeat(2000) }], weight_version: 1 })}\n\n`;
+  let writtenBytes = 0;
+  const server = await rawServer((_run, socket) => {
+    socket.write('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n');
+    const pump = (): void => {
+      while (writtenBytes < 64 << 20) {
+        writtenBytes += event.length;
+        if (!socket.write(event)) {
+          socket.once('drain', pump);
+          return;
+        }
+      }
+    };
+    pump();
+  });
+  const stop = new AbortController();
+  const client = new HttpEngineClient(endpointAgent());
+  let chunks = 0;
+  const request = {
+    url: server.url,
+    requestId: 'r',
+    prompt: 'p',
+    maxTokens: 1,
+    priority: 'high',
+    resumeText: '',
+    resumeTokens: 0,
+    trace: undefined,
+  } as const;
+  const end = client.generate(
+    request,
+    async () => {
+      chunks += 1;
+      await new Promise<void>(resolve => stop.signal.addEventListener('abort', () => resolve()));
+    },
+    stop.signal,
+  );
+  let last = -1;
+  await eventually('the engine is held back', async () => {
+    const isStill = last === writtenBytes && chunks === 1;
+    last = writtenBytes;
+    await new Promise<void>(resolve => setTimeout(resolve, 100));
+    return isStill;
+  });
+  t.ok(writtenBytes < 16 << 20, `${writtenBytes} bytes left the engine`);
+  stop.abort();
+  await end;
+  server.close();
+});
+
+const fleet = await TestFleet.start({
+  domains: ['tekapo'],
+  hostsPerDomain: 3,
+  enginesPerDomain: 2,
+  servicesPerDomain: 1,
+  engine: { tokenMs: 20, meanTokens: 30 },
+});
+tap.teardown(() => fleet.stop());
+
+await tap.test('should refuse bad input with its reason and no effect', async t => {
+  const complete = (body: unknown, headers = {}): Promise<{ status: number; text: string }> =>
+    fleet.call('tekapo-0', 'callers', '/v1/completions', { body, headers });
+  t.match(await complete({ prompt: 'x' }), { status: 400, text: /model/ });
+  t.match(await complete({ model: 'gen-pool', prompt: 'x', max_token: 5 }), {
+    status: 400,
+    text: /max_token/,
+  });
+  t.match(await complete({ model: 'gen-pool', prompt: 5 }), { status: 400, text: /prompt/ });
+  t.match(await complete({ model: 'gen-pool', prompt: 'x' }, { 'fuchsiahitch-timeout-ms': 'soon' }), {
+    status: 400,
+    text: /timeout-ms/,
+  });
+  t.match(await complete({ model: 'gen-pool', prompt: 'x'.repeat(5_000_000) }), { status: 413 });
+  t.match(await complete({ model: 'no-such-pool', prompt: 'x' }), { status: 503, text: /no-endpoint/ });
+  t.match(await fleet.call('tekapo-0', 'callers', '/svc/', {}), { status: 400 });
+  t.match(await fleet.call('tekapo-0', 'trainers', '/v1/steps', { body: { trainer: 'X' } }), {
+    status: 400,
+    text: /trainer/,
+  });
+  t.match(await fleet.call('tekapo-0', 'trainers', '/v1/steps/take', { body: [] }), { status: 400 });
+});
+
+await tap.test('should let nobody edit rules without the token', async t => {
+  const wrong = { authorization: 'Bearer wrong' };
+  t.match(await fleet.call('tekapo-0', 'operators', '/v1/rules', { headers: wrong }), { status: 401 });
+  t.match(await fleet.call('tekapo-0', 'operators', '/readyz', { headers: wrong }), { status: 200 });
+  const metrics = await fleet.call('tekapo-0', 'operators', '/metrics', { headers: wrong });
+  t.match(metrics.text, /fuchsiahitch_bad_input_total\{listener="callers"\} \d/);
+});
+
+await tap.test('should cut no stream at a shutdown, and hand over what it remembers', async t => {
+  // Symptom: streams end early and holds run again at each rollout of the program. Sequence: SIGTERM while a long
+  // stream runs; the balancer still sends for a while; the keys' owner goes away. Cause: the process just ended.
+  const hold = { 'idempotency-key': 'before-shutdown' };
+  await fleet.call('tekapo-1', 'callers', '/svc/skybook/holds', { body: {}, headers: hold });
+  const streaming = fleet.call('tekapo-0', 'callers', '/v1/completions', {
+    body: { model: 'gen-pool', prompt: 'a long night', max_tokens: 60 },
+  });
+  await eventually('the stream began', () => fleet.engines.some(engine => engine.completions > 0));
+  const leaving = ['tekapo-0', 'tekapo-1'].map(id => fleet.host(id));
+  const ends = leaving.map(host => host.shutDown());
+  t.equal(leaving[0]?.isReady(), false, 'not ready first');
+  const late = await fleet.call('tekapo-0', 'callers', '/v1/completions', {
+    body: { model: 'gen-pool', prompt: 'late', max_tokens: 2 },
+  });
+  t.equal(late.status, 200, 'a late arrival of the balancer is served');
+  const whole = await streaming;
+  t.equal(whole.status, 200);
+  t.equal(whole.headers['fuchsiahitch-outcome'], 'completed');
+  await Promise.all(ends);
+  fleet.hosts.delete('tekapo-0');
+  fleet.hosts.delete('tekapo-1');
+  const resent = await fleet.call('tekapo-2', 'callers', '/svc/skybook/holds', { body: {}, headers: hold });
+  t.equal(resent.headers['fuchsiahitch-outcome'], 'completed');
+  t.equal(fleet.services[0]?.runs.get('before-shutdown'), 1);
+});
