--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -36,13 +36,14 @@
   readonly dueMs: number;
   readonly order: number;
   readonly run: () => void;
+  isCancelled: boolean;
 }
 
 /** A clock that moves only when told to. Timers that are due run in order of time, then of creation. */
 export class VirtualClock implements Clock {
   private _nowMs = 0;
   private _nextOrder = 0;
-  private readonly _pending = new Set<PendingTimer>();
+  private readonly _pending = new TimerHeap();
 
   nowMs(): number {
     return this._nowMs;
@@ -53,32 +54,81 @@
   }
 
   after(delayMs: number, run: () => void): CancelTimer {
-    const timer = { dueMs: this._nowMs + Math.max(0, delayMs), order: this._nextOrder++, run };
-    this._pending.add(timer);
-    return () => this._pending.delete(timer);
+    const dueMs = this._nowMs + Math.max(0, delayMs);
+    const timer = { dueMs, order: this._nextOrder++, run, isCancelled: false };
+    this._pending.push(timer);
+    return () => {
+      timer.isCancelled = true;
+    };
   }
 
   /** Moves time forward by `durationMs` and runs the timers that fall due on the way. */
   async advance(durationMs: number): Promise<void> {
     const endMs = this._nowMs + durationMs;
     await settle();
-    for (let next = this._nextDue(endMs); next; next = this._nextDue(endMs)) {
-      this._pending.delete(next);
+    for (let next = this._pending.popDue(endMs); next; next = this._pending.popDue(endMs)) {
+      if (next.isCancelled) continue;
       this._nowMs = Math.max(this._nowMs, next.dueMs);
       next.run();
       await settle();
     }
     this._nowMs = endMs;
   }
+}
 
-  private _nextDue(endMs: number): PendingTimer | undefined {
-    let best: PendingTimer | undefined;
-    for (const timer of this._pending) {
-      if (timer.dueMs > endMs) continue;
-      if (!best || timer.dueMs < best.dueMs || (timer.dueMs === best.dueMs && timer.order < best.order))
-        best = timer;
+/** Timers in a binary heap, the earliest first. */
+class TimerHeap {
+  private readonly _items: PendingTimer[] = [];
+
+  push(timer: PendingTimer): void {
+    this._items.push(timer);
+    let i = this._items.length - 1;
+    while (i > 0) {
+      const parent = (i - 1) >> 1;
+      if (!this._isBefore(i, parent)) return;
+      this._swap(i, parent);
+      i = parent;
     }
-    return best;
+  }
+
+  /** Removes and returns the earliest timer, if it is due by then. */
+  popDue(endMs: number): PendingTimer | undefined {
+    const [first] = this._items;
+    if (!first || first.dueMs > endMs) return undefined;
+    const last = this._items.pop();
+    if (last && this._items.length > 0) {
+      this._items[0] = last;
+      this._sink();
+    }
+    return first;
+  }
+
+  private _sink(): void {
+    for (let i = 0; ;) {
+      const left = 2 * i + 1;
+      const right = left + 1;
+      let least = i;
+      if (left < this._items.length && this._isBefore(left, least)) least = left;
+      if (right < this._items.length && this._isBefore(right, least)) least = right;
+      if (least === i) return;
+      this._swap(i, least);
+      i = least;
+    }
+  }
+
+  private _isBefore(i: number, j: number): boolean {
+    const a = this._items[i];
+    const b = this._items[j];
+    if (!a || !b) return false;
+    return a.dueMs < b.dueMs || (a.dueMs === b.dueMs && a.order < b.order);
+  }
+
+  private _swap(i: number, j: number): void {
+    const a = this._items[i];
+    const b = this._items[j];
+    if (!a || !b) return;
+    this._items[i] = b;
+    this._items[j] = a;
   }
 }
 
--- a/packages/entry/src/endpointService.ts
+++ b/packages/entry/src/endpointService.ts
@@ -9,7 +9,13 @@
 import type { HostContext } from './hostContext.js';
 import type { MembershipService } from './membershipService.js';
 
-const REPORT_PERIOD_MS = 2000;
+/**
+ * One endpoint is asked for its report at each of these moments, so that a host's bytes stay the same however
+ * many endpoints it uses: 16 endpoints are read once in 6.4 s.
+ */
+const REPORT_SPACING_MS = 400;
+/** With few endpoints each is asked no more often than this. */
+const REPORT_MIN_PERIOD_MS = 2000;
 const REPORT_TIMEOUT_MS = 1000;
 /** Hosts that send to one endpoint, when nothing better is known. */
 const MIN_HOSTS = 1;
@@ -33,6 +39,7 @@
   private readonly _engines: EngineClient;
   private readonly _endpoints = new Map<string, Endpoint>();
   private readonly _views = new Map<string, readonly CallableEndpoint[]>();
+  private readonly _askedMs = new Map<string, number>();
   private _onRoom: () => void = () => undefined;
 
   constructor(context: HostContext, membership: MembershipService, engines: EngineClient) {
@@ -44,7 +51,7 @@
   }
 
   start(): void {
-    every(this._context.clock, REPORT_PERIOD_MS, this._context.stopped, () => this._readReports());
+    every(this._context.clock, REPORT_SPACING_MS, this._context.stopped, () => this._readNext());
   }
 
   /** Called when a limit or the set of endpoints changed, so that waiting requests may go. */
@@ -157,15 +164,20 @@
     return endpoint;
   }
 
-  private async _readReports(): Promise<void> {
-    const engines = this.all().filter(endpoint => endpoint.kind === 'engine');
-    await Promise.all(
-      engines.map(async endpoint => {
-        const deadline = Deadline.after(this._context.clock, REPORT_TIMEOUT_MS);
-        const report = await this._engines.report(endpoint.url, deadline);
-        if (report) this.reported(endpoint.id, report);
-      }),
-    );
+  /** Asks the engine that was asked the longest ago, of the own domain or with work of this host. */
+  private async _readNext(): Promise<void> {
+    const { clock, domain } = this._context;
+    const nowMs = clock.nowMs();
+    const due = this.all()
+      .filter(endpoint => endpoint.kind === 'engine')
+      .filter(endpoint => endpoint.domain === domain || endpoint.stats.inFlight() > 0)
+      .map(endpoint => ({ endpoint, askedMs: this._askedMs.get(endpoint.id) ?? -Infinity }))
+      .filter(({ askedMs }) => nowMs - askedMs >= REPORT_MIN_PERIOD_MS);
+    if (due.length === 0) return;
+    const { endpoint } = due.reduce((oldest, one) => (one.askedMs < oldest.askedMs ? one : oldest));
+    this._askedMs.set(endpoint.id, nowMs);
+    const report = await this._engines.report(endpoint.url, Deadline.after(clock, REPORT_TIMEOUT_MS));
+    if (report) this.reported(endpoint.id, report);
   }
 }
 
--- a/packages/entry/src/membershipService.ts
+++ b/packages/entry/src/membershipService.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the view of the failure domain's hosts, and the member documents of all domains.
  */
-import { Deadline, every, messageOf } from '@fuchsiahitch/base';
+import { Deadline, digest, every, messageOf } from '@fuchsiahitch/base';
 import {
   HostView,
   isWatcher,
@@ -44,6 +44,7 @@
   private readonly _documents = new Map<string, MemberDocument>();
   private readonly _listeners: (() => void)[] = [];
   private _topics: PingTopics | undefined;
+  private _membersDigest = '';
   private _listRound = 0;
 
   constructor(context: HostContext, peers: PeerCaller, list: MemberList, peersAddress: string) {
@@ -69,8 +70,8 @@
       this.view.apply(self);
       return { updates: this.view.allUpdates() };
     });
-    server.handle(calls.membersPull, ({ domains }) => ({
-      documents: domains.flatMap(domain => this._documents.get(domain) ?? []),
+    server.handle(calls.membersPull, ({ known }) => ({
+      documents: this.documents().filter(({ domain, revision }) => revision > (known[domain] ?? 0)),
     }));
     server.handle(calls.leavingPush, notice => {
       this.leaving.note(notice);
@@ -124,14 +125,11 @@
   }
 
   private _message(): Ping {
-    const members = Object.fromEntries(
-      this.documents().map(document => [document.domain, document.revision]),
-    );
     return {
       updates: this.view.updatesToSend(),
       rulesRevision: this._topics?.rulesRevision() ?? 0,
       slotMapRevision: this._topics?.slotMapRevision() ?? 0,
-      members,
+      membersDigest: this._membersDigest,
       leaving: this.leaving.recent().slice(0, 256),
     };
   }
@@ -142,10 +140,8 @@
     const [sender] = ping.updates;
     if (!sender) return;
     this._topics?.sawRevisions(sender.address, ping);
-    const behind = Object.entries(ping.members)
-      .filter(([domain, revision]) => revision > (this._documents.get(domain)?.revision ?? 0))
-      .map(([domain]) => domain);
-    if (behind.length > 0) void this._pullDocuments(sender.address, behind);
+    const isSame = ping.membersDigest === this._membersDigest || ping.membersDigest === '';
+    if (!isSame) void this._pullDocuments(sender.address);
   }
 
   private async _pingNext(): Promise<void> {
@@ -186,8 +182,9 @@
     for (const update of reply.value.updates) this.view.apply(update);
   }
 
-  private async _pullDocuments(address: string, domains: readonly string[]): Promise<void> {
-    const reply = await this._peers.call(address, calls.membersPull, { domains }, PULL_TIMEOUT_MS);
+  private async _pullDocuments(address: string): Promise<void> {
+    const request = { known: this._revisions() };
+    const reply = await this._peers.call(address, calls.membersPull, request, PULL_TIMEOUT_MS);
     if (!reply.ok) return;
     for (const document of reply.value.documents) this._learn(document);
   }
@@ -215,9 +212,14 @@
       });
   }
 
+  private _revisions(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.documents().map(({ domain, revision }) => [domain, revision]));
+  }
+
   private _learn(document: MemberDocument): void {
     if (document.revision <= (this._documents.get(document.domain)?.revision ?? -1)) return;
     this._documents.set(document.domain, document);
+    this._membersDigest = digest(JSON.stringify(Object.entries(this._revisions()).sort()));
     if (document.domain === this._context.domain) {
       for (const host of document.hosts) this.view.learn(host.id, host.peerAddress);
     }
--- a/packages/entry/src/ordersService.ts
+++ b/packages/entry/src/ordersService.ts
@@ -10,7 +10,6 @@
   type WeightTarget,
 } from '@fuchsiahitch/orders';
 import type { EngineClient, KeyValueStore, WatchEvent } from '@fuchsiahitch/platform';
-import type { EndpointEntry } from '@fuchsiahitch/membership';
 import type { EndpointService } from './endpointService.js';
 import type { HostContext } from './hostContext.js';
 import type { MembershipService } from './membershipService.js';
@@ -21,7 +20,8 @@
 const LEASE_MARGIN_MS = 3000;
 const RENEW_PERIOD_MS = 3000;
 const PLAN_PERIOD_MS = 100;
-const READ_BACK_PERIOD_MS = 250;
+/** The leader looks at one endpoint after the other, to find those that restarted with an old version. */
+const PATROL_PERIOD_MS = 1000;
 const READ_TARGETS_PERIOD_MS = 5000;
 const STORE_TIMEOUT_MS = 2000;
 /** An order that takes longer than the lease's margin must not arrive after it. */
@@ -51,7 +51,7 @@
   private _held: HeldLease | undefined;
   private _watch: AbortController | undefined;
   private _lastReadMs = -Infinity;
-  private _lastReadBackMs = -Infinity;
+  private _patrolled = 0;
 
   constructor(
     context: HostContext,
@@ -76,6 +76,7 @@
     const { clock, stopped } = this._context;
     every(clock, ELECT_PERIOD_MS, stopped, () => this._elect());
     every(clock, PLAN_PERIOD_MS, stopped, () => this._order());
+    every(clock, PATROL_PERIOD_MS, stopped, () => this._patrol());
     stopped.addEventListener('abort', () => this._watch?.abort());
   }
 
@@ -211,13 +212,13 @@
       this._context.log.info('weight target', { pool: target.pool, version: target.version });
   }
 
-  private async _order(): Promise<void> {
+  private _order(): void {
     const token = this._guard.token();
     if (token === undefined) return;
     const pools = [...this._planners].filter(([pool, planner]) => !planner.isDone(this._swappable(pool)));
     if (pools.length === 0) return;
-    await this._readBack(pools.map(([pool]) => pool));
     for (const [pool, planner] of pools) {
+      for (const endpointId of planner.toReadBack()) void this._readOne(endpointId);
       for (const order of planner.next(this._swappable(pool), token)) void this._give(planner, order);
     }
   }
@@ -236,18 +237,17 @@
     planner.ended(order.endpointId, result);
   }
 
-  /** Asks the endpoints what they run. While swaps are under way only, at a quarter of a second. */
-  private async _readBack(pools: readonly string[]): Promise<void> {
-    const nowMs = this._context.clock.nowMs();
-    if (nowMs - this._lastReadBackMs < READ_BACK_PERIOD_MS) return;
-    this._lastReadBackMs = nowMs;
-    const entries = this._endpoints
-      .ownDomain()
-      .filter(entry => entry.kind === 'engine' && pools.includes(entry.pool));
-    await Promise.all(entries.map(entry => this._readOne(entry)));
+  private async _patrol(): Promise<void> {
+    if (!this.isLeader()) return;
+    const engines = this._endpoints.ownDomain().filter(entry => this._planners.has(entry.pool));
+    this._patrolled = (this._patrolled + 1) % Math.max(1, engines.length);
+    const entry = engines[this._patrolled];
+    if (entry) await this._readOne(entry.id);
   }
 
-  private async _readOne(entry: EndpointEntry): Promise<void> {
+  private async _readOne(endpointId: string): Promise<void> {
+    const entry = this._endpoints.ownDomain().find(one => one.id === endpointId);
+    if (!entry) return;
     const report = await this._engines.report(
       entry.url,
       Deadline.after(this._context.clock, ORDER_TIMEOUT_MS),
--- /dev/null
+++ b/packages/measure/src/controlSim.ts
@@ -0,0 +1,137 @@
+/**
+ * Control at the target's sizes: real services of each host over a simulated network on a virtual clock.
+ *
+ * The processor time includes the simulation's own work and the encoding of every message, so it is an upper
+ * bound of what the decisions cost; real sockets are measured by `sockets`.
+ */
+import { SimFleet } from '@fuchsiahitch/testkit';
+import type { Figure, Measurement } from './figure.js';
+import { pollBytes } from './pollBytes.js';
+
+interface Size {
+  readonly domains: number;
+  readonly hostsPerDomain: number;
+  readonly enginesPerDomain: number;
+}
+
+/** 9, 33, 110 and 330 hosts; the last with 1,300 engines. */
+const SIZES: readonly Size[] = [
+  { domains: 3, hostsPerDomain: 3, enginesPerDomain: 3 },
+  { domains: 3, hostsPerDomain: 11, enginesPerDomain: 43 },
+  { domains: 10, hostsPerDomain: 11, enginesPerDomain: 43 },
+  { domains: 10, hostsPerDomain: 33, enginesPerDomain: 130 },
+];
+const QUIET_MS = 30_000;
+/** Word of the start rides on pings for a while; what is measured is the time after it. */
+const SETTLE_MS = 90_000;
+const EDITS = 5;
+const STEP_MS = 20;
+const EDIT_LIMIT_MS = 30_000;
+const SEED = 42;
+const MS_A_SECOND = 1000;
+const MICROSECONDS_A_SECOND = 1_000_000;
+
+export const controlSim: Measurement = {
+  name: 'control',
+  about:
+    'control at 9, 33, 110 and 330 hosts on a virtual clock: spread, weights, bytes, store calls, CPU, memory',
+  async run(print) {
+    const bytesAPoll = await pollBytes();
+    print({ figure: 'load report over HTTP, both ways', value: bytesAPoll, unit: 'bytes' });
+    for (const size of SIZES) await measureSize(size, bytesAPoll, print);
+  },
+};
+
+async function measureSize(size: Size, bytesAPoll: number, print: (figure: Figure) => void): Promise<void> {
+  const nodes = size.domains * size.hostsPerDomain;
+  const isTarget = nodes === 330;
+  const tell = (name: string, value: number, unit: string, bound?: string): void =>
+    print({
+      figure: `${name}, ${nodes} hosts`,
+      value,
+      unit,
+      ...(bound !== undefined && isTarget ? { bound } : {}),
+    });
+  globalThis.gc?.();
+  const heapBefore = process.memoryUsage().heapUsed;
+  const fleet = await SimFleet.start({
+    seed: SEED,
+    domains: Array.from({ length: size.domains }, (_, i) => `d${i}`),
+    hostsPerDomain: size.hostsPerDomain,
+    enginesPerDomain: size.enginesPerDomain,
+    countsBytes: true,
+  });
+  await fleet.clock.advance(SETTLE_MS);
+  await measureQuiet(fleet, nodes, bytesAPoll, tell);
+  globalThis.gc?.();
+  tell(
+    'memory of control a host',
+    (process.memoryUsage().heapUsed - heapBefore) / nodes / 1024 / 1024,
+    'MB',
+    '<= 32',
+  );
+  await measureEdits(fleet, tell);
+  await measureWeights(fleet, tell);
+  await fleet.stop();
+}
+
+type Tell = (name: string, value: number, unit: string, bound?: string) => void;
+
+async function measureQuiet(fleet: SimFleet, nodes: number, bytesAPoll: number, tell: Tell): Promise<void> {
+  const hosts = [...fleet.hosts.values()];
+  const before = hosts.map(host => host.bytes);
+  const callsBefore = fleet.store.calls;
+  const reportsBefore = fleet.reports;
+  const cpu = process.cpuUsage();
+  await fleet.clock.advance(QUIET_MS);
+  const spent = process.cpuUsage(cpu);
+  const seconds = QUIET_MS / MS_A_SECOND;
+  const peer = hosts.map((host, i) => (host.bytes - (before[i] ?? 0)) / seconds);
+  const polls = ((fleet.reports - reportsBefore) * bytesAPoll) / nodes / seconds;
+  tell('control bytes a host and second, mean', mean(peer) + polls, 'bytes/s', '<= 2048');
+  tell('inner protocol bytes a host and second, most', Math.max(...peer), 'bytes/s');
+  tell('store calls of the fleet', (fleet.store.calls - callsBefore) / seconds, 'calls/s', '<= 600');
+  const core = (spent.user + spent.system) / MICROSECONDS_A_SECOND / nodes / seconds;
+  tell('control CPU a host, simulation included', core * 100, '% of a core', '<= 3.8');
+}
+
+async function measureEdits(fleet: SimFleet, tell: Tell): Promise<void> {
+  const hosts = fleet.liveHosts();
+  const spreads: number[] = [];
+  for (let i = 0; i < EDITS; i++) {
+    const host = hosts[(i * 7) % hosts.length];
+    const rule = {
+      id: `rule-${i}`,
+      team: 'measure',
+      when: { caller: [`caller-${i}`] },
+      then: { retries: 1 },
+    };
+    const startMs = fleet.clock.nowMs();
+    void host?.ready.rules.submit({ id: `measured-${i}`, team: 'measure', operation: { op: 'add', rule } });
+    while (
+      !hosts.every(one => one.ready.rules.revision() > i) &&
+      fleet.clock.nowMs() - startMs < EDIT_LIMIT_MS
+    ) {
+      await fleet.clock.advance(STEP_MS);
+    }
+    spreads.push(fleet.clock.nowMs() - startMs);
+  }
+  spreads.sort((a, b) => a - b);
+  tell('edit in force everywhere, p50', (spreads[Math.floor(EDITS / 2)] ?? 0) / MS_A_SECOND, 's');
+  tell('edit in force everywhere, most', Math.max(...spreads) / MS_A_SECOND, 's', '<= 11');
+}
+
+async function measureWeights(fleet: SimFleet, tell: Tell): Promise<void> {
+  await fleet.clock.advance(QUIET_MS);
+  const startMs = fleet.clock.nowMs();
+  void fleet.liveHosts()[0]?.ready.orders.setTarget('gen-pool', 2);
+  const engines = [...fleet.engines.values()];
+  while (!engines.every(engine => engine.version === 2) && fleet.clock.nowMs() - startMs < EDIT_LIMIT_MS) {
+    await fleet.clock.advance(STEP_MS);
+  }
+  tell('weights on all servers', (fleet.clock.nowMs() - startMs) / MS_A_SECOND, 's', '<= 10');
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- /dev/null
+++ b/packages/measure/src/hop.ts
@@ -0,0 +1,241 @@
+/**
+ * What an entry host costs as a hop, against a bare pass-through of the same libraries in the same run.
+ *
+ * Client, hop and endpoint share this process, so the hop's cost is the processor time of a request through it
+ * less that of a request without it; on one thread the ratio of costs is the ratio of throughputs.
+ */
+import http from 'node:http';
+import Fastify, { type FastifyInstance } from 'fastify';
+import { TestFleet } from '@fuchsiahitch/testkit';
+import { Agent, request, type Dispatcher } from 'undici';
+import type { Measurement } from './figure.js';
+
+const REQUESTS = 6000;
+const WARM_UP = 1500;
+const CONCURRENCY = 16;
+const ROUNDS = 3;
+const STREAM_TOKENS = 400;
+const STREAMS = 120;
+const LATENCY_REQUESTS = 1500;
+const MEMORY_REQUESTS = 20_000;
+const MS = 1000;
+
+export const hop: Measurement = {
+  name: 'hop',
+  about: 'cost of an entry host as a hop against a bare pass-through: small requests, streams, memory',
+  async run(print) {
+    const engine = await startFastEngine();
+    const fleet = await TestFleet.start({
+      domains: ['tekapo'],
+      hostsPerDomain: 1,
+      enginesPerDomain: 0,
+      servicesPerDomain: 1,
+    });
+    const engineEntry = {
+      id: 'fast-engine',
+      domain: 'tekapo',
+      pool: 'fast',
+      kind: 'engine' as const,
+      url: engine.url,
+    };
+    fleet.members.change({ endpoint: { ...engineEntry, slots: 64, checksFencing: false, state: 'live' } });
+    const service = fleet.services[0]?.url ?? '';
+    const bare = await startPassThrough(service, engine.url);
+    const host = fleet.urls('callers')[0] ?? '';
+    const agent = new Agent({ connections: CONCURRENCY });
+    await waitForPool(host, agent);
+
+    const small = {
+      direct: `${service}/listings`,
+      bare: `${bare.url}/svc/skybook/listings`,
+      entry: `${host}/svc/skybook/listings`,
+    };
+    const cost = await costs(url => get(url, agent), small, REQUESTS);
+    print({
+      figure: 'small request: CPU of the bare pass-through',
+      value: cost.bare - cost.direct,
+      unit: 'us',
+    });
+    print({ figure: 'small request: CPU of the entry host', value: cost.entry - cost.direct, unit: 'us' });
+    const ratio = (cost.bare - cost.direct) / (cost.entry - cost.direct);
+    print({
+      figure: 'small request: throughput of the entry host to the bare one',
+      value: ratio,
+      unit: 'ratio',
+      bound: '>= 0.5',
+    });
+
+    const addedMs = (await medianMs(small.entry, agent)) - (await medianMs(small.bare, agent));
+    print({ figure: 'small request: added median at low load', value: addedMs, unit: 'ms', bound: '<= 1' });
+
+    const streams = { direct: engine.url, bare: bare.url, entry: host };
+    const perStream = await costs(url => stream(url, agent), streams, STREAMS);
+    const toToken = (us: number): number => us / STREAM_TOKENS;
+    print({
+      figure: 'stream: CPU a token, bare',
+      value: toToken(perStream.bare - perStream.direct),
+      unit: 'us',
+    });
+    print({
+      figure: 'stream: CPU a token, entry host',
+      value: toToken(perStream.entry - perStream.direct),
+      unit: 'us',
+    });
+    const streamRatio = (perStream.bare - perStream.direct) / (perStream.entry - perStream.direct);
+    print({
+      figure: 'stream: tokens a second of the entry host to the bare one',
+      value: streamRatio,
+      unit: 'ratio',
+      bound: '>= 0.5',
+    });
+
+    print({
+      figure: 'heap growth over 20,000 requests',
+      value: await heapGrowthMb(small.entry, agent),
+      unit: 'MB',
+      bound: '<= 8',
+    });
+    await agent.close();
+    await bare.server.close();
+    await fleet.stop();
+    engine.server.closeAllConnections();
+    engine.server.close();
+  },
+};
+
+type Urls = Readonly<Record<'direct' | 'bare' | 'entry', string>>;
+
+/** Processor time of one call each way, in microseconds: the least of some rounds, taken in turns. */
+async function costs(
+  call: (url: string) => Promise<void>,
+  urls: Urls,
+  calls: number,
+): Promise<Record<keyof Urls, number>> {
+  const least = { direct: Infinity, bare: Infinity, entry: Infinity };
+  for (const url of Object.values(urls)) await runMany(() => call(url), Math.min(WARM_UP, calls));
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const name of ['direct', 'bare', 'entry'] as const) {
+      const before = process.cpuUsage();
+      await runMany(() => call(urls[name]), calls);
+      const spent = process.cpuUsage(before);
+      least[name] = Math.min(least[name], (spent.user + spent.system) / calls);
+    }
+  }
+  return least;
+}
+
+async function runMany(call: () => Promise<void>, calls: number): Promise<void> {
+  let left = calls;
+  const worker = async (): Promise<void> => {
+    while (left-- > 0) await call();
+  };
+  await Promise.all(Array.from({ length: CONCURRENCY }, worker));
+}
+
+async function medianMs(url: string, agent: Dispatcher): Promise<number> {
+  const times: number[] = [];
+  for (let i = 0; i < LATENCY_REQUESTS; i++) {
+    const startMs = performance.now();
+    await get(url, agent);
+    times.push(performance.now() - startMs);
+  }
+  times.sort((a, b) => a - b);
+  return times[Math.floor(times.length / 2)] ?? 0;
+}
+
+async function heapGrowthMb(url: string, agent: Dispatcher): Promise<number> {
+  await runMany(() => get(url, agent), WARM_UP);
+  globalThis.gc?.();
+  const before = process.memoryUsage().heapUsed;
+  await runMany(() => get(url, agent), MEMORY_REQUESTS);
+  globalThis.gc?.();
+  return Math.max(0, (process.memoryUsage().heapUsed - before) / MS / MS);
+}
+
+async function get(url: string, agent: Dispatcher): Promise<void> {
+  const response = await request(url, { dispatcher: agent });
+  await response.body.dump();
+  if (response.statusCode !== 200) throw new Error(`${url}: ${response.statusCode}`);
+}
+
+async function stream(url: string, agent: Dispatcher): Promise<void> {
+  const response = await request(`${url}/v1/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify({ model: 'fast', prompt: 'p', max_tokens: STREAM_TOKENS, stream: true }),
+    dispatcher: agent,
+  });
+  const text = await response.body.text();
+  if (!text.includes('[DONE]')) throw new Error(`${url}: a stream was not whole`);
+}
+
+async function waitForPool(host: string, agent: Dispatcher): Promise<void> {
+  for (;;) {
+    const isThere = await stream(host, agent).then(
+      () => true,
+      () => false,
+    );
+    if (isThere) return;
+    await new Promise<void>(resolve => setTimeout(resolve, 100));
+  }
+}
+
+interface Started<S> {
+  readonly url: string;
+  readonly server: S;
+}
+
+/** An engine that writes all tokens at once, so that the hop is what limits. */
+async function startFastEngine(): Promise<Started<http.Server>> {
+  const events = Array.from({ length: STREAM_TOKENS }, (_, i) => {
+    const event = { choices: [{ index: 0, text: `token${i} ` }], tokens: 1, weight_version: 1 };
+    return `data: ${JSON.stringify(event)}\n\n`;
+  });
+  const last = {
+    choices: [{ text: '', finish_reason: 'stop' }],
+    usage: { completion_tokens: STREAM_TOKENS },
+  };
+  const server = http.createServer((incoming, outgoing) => {
+    incoming.resume();
+    if (incoming.url === '/load') {
+      outgoing.end(
+        JSON.stringify({ in_flight: 0, queued: 0, weight_version: 1, start_id: '1', leaving: false }),
+      );
+      return;
+    }
+    outgoing.writeHead(200, { 'content-type': 'text/event-stream' });
+    for (const event of events) outgoing.write(event);
+    outgoing.end(`data: ${JSON.stringify(last)}\n\ndata: [DONE]\n\n`);
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return { url: urlOf(server), server };
+}
+
+/** The same libraries with nothing in between. */
+async function startPassThrough(serviceUrl: string, engineUrl: string): Promise<Started<FastifyInstance>> {
+  const server = Fastify();
+  const agent = new Agent();
+  server.get('/svc/skybook/listings', async (_request, reply) => {
+    const response = await request(`${serviceUrl}/listings`, { dispatcher: agent });
+    const body = await response.body.text();
+    return reply.status(response.statusCode).header('content-type', 'application/json').send(body);
+  });
+  server.post('/v1/completions', async (incoming, reply) => {
+    const body = JSON.stringify(incoming.body);
+    const headers = { 'content-type': 'application/json' };
+    const response = await request(`${engineUrl}/v1/completions`, {
+      method: 'POST',
+      headers,
+      body,
+      dispatcher: agent,
+    });
+    return reply.header('content-type', 'text/event-stream').send(response.body);
+  });
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  return { url: urlOf(server.server), server };
+}
+
+function urlOf(server: http.Server): string {
+  const bound = server.address();
+  return `http://127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`;
+}
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -2,9 +2,12 @@
  * `npm run measure`: all measurements, or those named. Benchmarks are no tests: they compare within one run.
  */
 import { isWithin, printFigure, type Figure, type Measurement } from './figure.js';
+import { controlSim } from './controlSim.js';
+import { hop } from './hop.js';
 import { ruleDecisions } from './ruleDecisions.js';
+import { steps } from './steps.js';
 
-const MEASUREMENTS: readonly Measurement[] = [ruleDecisions];
+const MEASUREMENTS: readonly Measurement[] = [ruleDecisions, hop, steps, controlSim];
 
 const names = process.argv.slice(2);
 if (names.includes('--list') || names.includes('--help')) {
--- a/packages/membership/src/hostView.ts
+++ b/packages/membership/src/hostView.ts
@@ -87,6 +87,8 @@
   learn(hostId: string, address: string): void {
     if (hostId === this._self.hostId || this._members.has(hostId)) return;
     this._store({ hostId, address, incarnation: 0, refutation: 0, state: 'live' });
+    // All hosts read the same list: there is nothing to tell.
+    this._sendsLeft.delete(hostId);
   }
 
   /** Takes in what a peer says. The newer incarnation wins, then the refutation, then the worse state. */
--- a/packages/orders/src/swapPlanner.ts
+++ b/packages/orders/src/swapPlanner.ts
@@ -31,6 +31,7 @@
   readonly isSwapping: boolean;
   readonly isAside: boolean;
   readonly readBack: ReadBack | undefined;
+  readonly readMs: number;
 }
 
 const FRESH: SwapState = {
@@ -39,7 +40,10 @@
   isSwapping: false,
   isAside: false,
   readBack: undefined,
+  readMs: -Infinity,
 };
+/** A swap takes about this long; asking sooner or more often would cost bytes and tell nothing. */
+const READ_BACK_AFTER_MS = 500;
 const MS_A_SECOND = 1000;
 
 /** Plans the swaps of one pool in one failure domain. */
@@ -75,7 +79,8 @@
     const isRestarted = state.readBack !== undefined && state.readBack.startId !== readBack.startId;
     const base = isRestarted ? FRESH : state;
     const isDone = readBack.version === this._target?.version;
-    this._states.set(endpointId, { ...base, readBack, isSwapping: base.isSwapping && !isDone });
+    const readMs = this._clock.nowMs();
+    this._states.set(endpointId, { ...base, readBack, readMs, isSwapping: base.isSwapping && !isDone });
   }
 
   /** Orders to give now. The caller holds the lease whose token they carry. */
@@ -103,6 +108,17 @@
     this._states.set(endpointId, this._failed(state));
   }
 
+  /** Endpoints whose swap should show by now: ordered, and not read back for a while. */
+  toReadBack(): readonly string[] {
+    const nowMs = this._clock.nowMs();
+    const due: string[] = [];
+    for (const [id, state] of this._states) {
+      const waitedMs = nowMs - Math.max(state.orderedMs, state.readMs);
+      if (state.isSwapping && waitedMs >= READ_BACK_AFTER_MS) due.push(id);
+    }
+    return due;
+  }
+
   /** Endpoints that carry traffic although they could not be brought to the version are for the operator. */
   setAside(): readonly string[] {
     return [...this._states].filter(([, state]) => state.isAside).map(([id]) => id);
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -46,8 +46,8 @@
     updates: z.array(memberUpdateSchema).max(64).readonly(),
     rulesRevision: count,
     slotMapRevision: count,
-    /** Revision of each failure domain's member document. */
-    members: z.record(z.string(), count).readonly(),
+    /** Digest of the revisions of all member documents; where it differs they are compared. */
+    membersDigest: z.string(),
     leaving: z.array(leavingNoticeSchema).max(256).readonly(),
   })
   .readonly();
@@ -112,7 +112,7 @@
   ),
   membersPull: defineCall(
     'membersPull',
-    z.strictObject({ domains: z.array(z.string()).max(64).readonly() }).readonly(),
+    z.strictObject({ known: z.record(z.string(), count).readonly() }).readonly(),
     z.strictObject({ documents: z.array(memberDocumentSchema).readonly() }).readonly(),
   ),
   leavingPush: defineCall('leavingPush', leavingNoticeSchema, emptySchema),
--- /dev/null
+++ b/packages/testkit/src/index.ts
@@ -0,0 +1,6 @@
+/** Fakes at the interfaces for tests and measurements: on a virtual clock, or over real sockets in one process. */
+export * from './simFleet.js';
+export * from './simTrainer.js';
+export * from './simulation.js';
+export * from './simWorld.js';
+export * from './testFleet.js';
--- a/tests/simFleet.ts
+++ b/packages/testkit/src/simFleet.ts
@@ -24,7 +24,7 @@
   type PeerCaller,
 } from '@fuchsiahitch/entry';
 import type { MemberDocument } from '@fuchsiahitch/membership';
-import type { CallContext, CallDefinition, CallError } from '@fuchsiahitch/protocol';
+import { encodeFrame, type CallContext, type CallDefinition, type CallError } from '@fuchsiahitch/protocol';
 import { SimNet, SimProcess } from './simulation.js';
 import {
   SimEngine,
@@ -66,6 +66,9 @@
     this.process = new SimProcess(id, fleet.clock);
   }
 
+  /** Bytes of the inner protocol that this host sent and received, its own calls to itself left out. */
+  bytes = 0;
+
   get ready(): EntryServices {
     if (!this.services) throw new Error(`host ${this.id} has not started`);
     return this.services;
@@ -86,23 +89,33 @@
   ): Promise<Result<A, CallError>> {
     const target = this._fleet.hosts.get(address);
     if (!target) return err({ kind: 'not-sent', text: 'no such host' });
-    this._fleet.noteCall(call.name, 'sent');
     const body = structuredClone(request);
+    const count = this._fleet.options.countsBytes === true;
+    if (count) this._count(target, encodeFrame({ t: 'call', id: 1, name: call.name, body }).length);
     const reply = await this._fleet.net.call(this.process, target.process, timeoutMs, async () => {
       const handler = target.handlers.get(call.name);
       if (!handler) return { refused: `no call '${call.name}'` };
       const peer = { hostId: this.id, domain: this.domain, incarnation: '1', programVersion: '0' };
       const value = structuredClone(await handler(body, { peer, trace: undefined }));
-      this._fleet.noteCall(call.name, 'handled', value);
+      this._fleet.noteCall(call.name, value);
+      if (count) target._count(this, encodeFrame({ t: 'reply', id: 1, body: value }).length);
       return { value };
     });
     if (!reply) return err({ kind: 'timed-out' });
     if ('refused' in reply) return err({ kind: 'refused', text: reply.refused ?? '' });
     return ok(call.reply.parse(reply.value));
   }
+
+  private _count(other: SimHost, sizeBytes: number): void {
+    if (other === this) return;
+    this.bytes += sizeBytes;
+    other.bytes += sizeBytes;
+  }
 }
 
 export interface SimFleetOptions {
+  /** Counts the bytes of the inner protocol, as they would stand on the wire. */
+  readonly countsBytes?: boolean;
   readonly seed: number;
   readonly domains: readonly string[];
   readonly hostsPerDomain: number;
@@ -123,6 +136,8 @@
   readonly options: SimFleetOptions;
   /** Called at each stage of something's life; a test causes its fault there. */
   onStage: (stage: string) => void = () => undefined;
+  /** Load reports that were asked for. */
+  reports = 0;
   private readonly _stop = new AbortController();
 
   constructor(options: SimFleetOptions) {
@@ -227,10 +242,9 @@
     return [...this.hosts.keys(), ...this.engines.keys()].filter(name => name.startsWith(`${domain}-`));
   }
 
-  noteCall(name: string, when: 'sent' | 'handled', reply?: unknown): void {
-    if (when === 'handled' && name === 'workPull' && JSON.stringify(reply).includes('sampleId'))
-      this.onStage('assigned');
-    if (when === 'handled' && name === 'sampleDone') this.onStage('copied');
+  noteCall(name: string, reply: unknown): void {
+    if (name === 'workPull' && JSON.stringify(reply).includes('sampleId')) this.onStage('assigned');
+    if (name === 'sampleDone') this.onStage('copied');
   }
 
   async stop(): Promise<void> {
@@ -273,7 +287,10 @@
 
   private _portsOf(host: SimHost): Parameters<typeof startServices>[1] {
     const { process } = host;
-    const onStage = (stage: string): void => this.onStage(stage);
+    const onStage = (stage: string): void => {
+      if (stage === 'report') this.reports += 1;
+      else this.onStage(stage);
+    };
     return {
       peers: host,
       registry: host,
--- a/tests/simWorld.ts
+++ b/packages/testkit/src/simWorld.ts
@@ -325,6 +325,7 @@
 
   async report(url: string): Promise<EngineReport | undefined> {
     const engine = this._engines.get(url);
+    this._onStage('report');
     if (!engine || !this._reaches(engine)) return undefined;
     return this._net.call(this._host, engine.process, CALL_MS, () => engine.report());
   }
--- a/tests/keyFleet.ts
+++ b/tests/keyFleet.ts
@@ -18,7 +18,7 @@
   type KeyRoutes,
   type SlotMap,
 } from '@fuchsiahitch/requests';
-import { SimNet, SimProcess } from './simulation.js';
+import { SimNet, SimProcess } from '@fuchsiahitch/testkit';
 
 const DOMAIN = 'tekapo';
 const DIGEST = 'list';
--- a/tests/orders.spec.ts
+++ b/tests/orders.spec.ts
@@ -4,7 +4,7 @@
 import tap from 'tap';
 import { VirtualClock } from '@fuchsiahitch/base';
 import { LeaseGuard, SwapPlanner, type WeightTarget } from '@fuchsiahitch/orders';
-import { SimFleet, type SimHost } from './simFleet.js';
+import { SimFleet, type SimHost } from '@fuchsiahitch/testkit';
 
 const OPTIONS = { maxSwappingShare: 0.34, loadsPerSecond: 20, swapTimeoutMs: 4000, maxTries: 2 };
 
--- a/tests/protocol.spec.ts
+++ b/tests/protocol.spec.ts
@@ -16,7 +16,7 @@
 } from '@fuchsiahitch/protocol';
 import { z } from 'zod';
 import { fuzzRuns } from './fuzzRuns.js';
-import { eventually } from './testFleet.js';
+import { eventually } from '@fuchsiahitch/testkit';
 
 const KEY = 'fleet-key-for-tests';
 const clock = new SystemClock();
--- a/tests/requests.spec.ts
+++ b/tests/requests.spec.ts
@@ -17,9 +17,9 @@
   type PickRequest,
 } from '@fuchsiahitch/requests';
 import { fuzzRuns } from './fuzzRuns.js';
-import { SimFleet, type SimHost } from './simFleet.js';
-import { lengthOf } from './simWorld.js';
-import { SimTrainer } from './simTrainer.js';
+import { SimFleet, type SimHost } from '@fuchsiahitch/testkit';
+import { lengthOf } from '@fuchsiahitch/testkit';
+import { SimTrainer } from '@fuchsiahitch/testkit';
 
 tap.setTimeout(0);
 
--- a/tests/rules.spec.ts
+++ b/tests/rules.spec.ts
@@ -26,7 +26,7 @@
 import { CallBudget } from '@fuchsiahitch/membership';
 import { SeededRandom } from '@fuchsiahitch/base';
 import { fuzzRuns } from './fuzzRuns.js';
-import { SimFleet, type SimHost } from './simFleet.js';
+import { SimFleet, type SimHost } from '@fuchsiahitch/testkit';
 
 const FACTS: RequestFacts = {
   kind: 'completion',
--- a/tests/sockets.spec.ts
+++ b/tests/sockets.spec.ts
@@ -4,7 +4,7 @@
 import net from 'node:net';
 import tap from 'tap';
 import { endpointAgent, HttpEngineClient, HttpServiceClient, isUnwritten } from '@fuchsiahitch/platform';
-import { eventually, TestFleet } from './testFleet.js';
+import { eventually, TestFleet } from '@fuchsiahitch/testkit';
 
 tap.setTimeout(0);
 
--- a/tests/stepMatrix.spec.ts
+++ b/tests/stepMatrix.spec.ts
@@ -5,8 +5,8 @@
  */
 import tap from 'tap';
 import type { StepSpec } from '@fuchsiahitch/steps';
-import { SimFleet, type SimHost } from './simFleet.js';
-import { brokenPromises, SimTrainer } from './simTrainer.js';
+import { SimFleet, type SimHost } from '@fuchsiahitch/testkit';
+import { brokenPromises, SimTrainer } from '@fuchsiahitch/testkit';
 
 const STAGES = [
   'opened',
--- a/tests/wholePath.spec.ts
+++ b/tests/wholePath.spec.ts
@@ -4,7 +4,7 @@
 import tap, { type Test } from 'tap';
 import { Trainer, type StepReport } from '@fuchsiahitch/standins';
 import type { StepSpec } from '@fuchsiahitch/steps';
-import { eventually, TestFleet } from './testFleet.js';
+import { eventually, TestFleet } from '@fuchsiahitch/testkit';
 
 const fleet = await TestFleet.start({
   domains: ['tekapo', 'twizel'],
