Streams: one call and one write for all that a read brought

Cause: the profile showed the hop's time in a promise, a write and a system call for each token, while a bare pass-through moves what a read brought at once.

--- a/packages/entry/src/callersController.ts
+++ b/packages/entry/src/callersController.ts
@@ -43,7 +43,7 @@
     }
     const { model, prompt, max_tokens: maxTokens, stream } = body.value;
     const output = stream ? new StreamedCompletion(reply) : new WholeCompletion();
-    const work = { kind: 'completion', prompt, maxTokens, onChunk: output.onChunk } as const;
+    const work = { kind: 'completion', prompt, maxTokens, onChunks: output.onChunks } as const;
     const answer = await this._requests.run({
       ...toRequest(reply, model, headers.value),
       kind: 'completion',
@@ -146,10 +146,12 @@
   private _tokens = 0;
   private readonly _versions = new Set<number>();
 
-  readonly onChunk = (chunk: Chunk): void => {
-    this._text += chunk.text;
-    this._tokens += chunk.tokens;
-    if (chunk.version !== undefined) this._versions.add(chunk.version);
+  readonly onChunks = (chunks: readonly Chunk[]): void => {
+    for (const chunk of chunks) {
+      this._text += chunk.text;
+      this._tokens += chunk.tokens;
+      if (chunk.version !== undefined) this._versions.add(chunk.version);
+    }
   };
 
   finish(reply: FastifyReply, answer: CallerAnswer): void {
@@ -180,15 +182,19 @@
     this._reply = reply;
   }
 
-  readonly onChunk = async (chunk: Chunk): Promise<void> => {
+  readonly onChunks = async (chunks: readonly Chunk[]): Promise<void> => {
     this._begin();
-    const event = {
-      choices: [{ index: 0, text: chunk.text }],
-      tokens: chunk.tokens,
-      weight_version: chunk.version,
-    };
+    let text = '';
+    for (const chunk of chunks) {
+      const event = {
+        choices: [{ index: 0, text: chunk.text }],
+        tokens: chunk.tokens,
+        weight_version: chunk.version,
+      };
+      text += `data: ${JSON.stringify(event)}\n\n`;
+    }
     const { raw } = this._reply;
-    if (raw.write(`data: ${JSON.stringify(event)}\n\n`) || raw.destroyed) return;
+    if (raw.write(text) || raw.destroyed) return;
     await new Promise<void>(resolve => {
       raw.once('drain', resolve);
       raw.once('close', resolve);
--- a/packages/entry/src/requestService.ts
+++ b/packages/entry/src/requestService.ts
@@ -46,7 +46,7 @@
       readonly kind: 'completion';
       readonly prompt: string;
       readonly maxTokens: number;
-      readonly onChunk: (chunk: GenerationChunk) => Promise<void> | void;
+      readonly onChunks: (chunks: readonly GenerationChunk[]) => Promise<void> | void;
     }
   | {
       readonly kind: 'service';
@@ -287,14 +287,16 @@
       resumeTokens: work.tokens,
       trace,
     };
-    const onChunk = async (chunk: GenerationChunk): Promise<void> => {
+    const onChunks = async (chunks: readonly GenerationChunk[]): Promise<void> => {
       if (run.phase() === 'sent') run.answerBegan(attempt);
       if (run.phase() !== 'answering') return;
-      work.text += chunk.text;
-      work.tokens += chunk.tokens;
-      await what.onChunk(chunk);
+      for (const chunk of chunks) {
+        work.text += chunk.text;
+        work.tokens += chunk.tokens;
+      }
+      await what.onChunks(chunks);
     };
-    const end = await this._engines.generate(generation, onChunk, work.signal);
+    const end = await this._engines.generate(generation, onChunks, work.signal);
     this._freed(endpoint, end);
     switch (end.kind) {
       case 'done':
--- a/packages/entry/src/rolloutService.ts
+++ b/packages/entry/src/rolloutService.ts
@@ -253,15 +253,17 @@
     const deadline = Deadline.after(this._context.clock, Math.max(0, offer.deadlineInMs));
     let text = '';
     let breaks = 0;
-    const onChunk = (chunk: GenerationChunk): void => {
-      recorder.add(chunk.version, chunk.tokens);
-      text += chunk.text;
+    const onChunks = (chunks: readonly GenerationChunk[]): void => {
+      for (const chunk of chunks) {
+        recorder.add(chunk.version, chunk.tokens);
+        text += chunk.text;
+      }
     };
     while (!deadline.isOver() && breaks <= MAX_BREAKS) {
       const end = await this._oneStream(offer, assignment, {
         text,
         tokens: recorder.tokens(),
-        onChunk,
+        onChunks,
         deadline,
       });
       if (end === undefined) return 'too-late';
@@ -279,7 +281,7 @@
     soFar: {
       readonly text: string;
       readonly tokens: number;
-      readonly onChunk: (chunk: GenerationChunk) => void;
+      readonly onChunks: (chunks: readonly GenerationChunk[]) => void;
       readonly deadline: Deadline;
     },
   ): Promise<GenerationEnd | undefined> {
@@ -316,7 +318,7 @@
         resumeTokens: soFar.tokens,
         trace: hop.traceparent,
       },
-      soFar.onChunk,
+      soFar.onChunks,
       stop.signal,
     );
     removeYielder();
--- a/packages/platform/src/engine.ts
+++ b/packages/platform/src/engine.ts
@@ -52,9 +52,10 @@
 export type OrderAnswer = 'accepted' | 'failed' | 'fenced' | 'unknown';
 
 export interface EngineClient {
+  /** `onChunks` gets all that one read brought, in order; the next read waits for its promise. */
   generate(
     request: GenerationRequest,
-    onChunk: (chunk: GenerationChunk) => Promise<void> | void,
+    onChunks: (chunks: readonly GenerationChunk[]) => Promise<void> | void,
     signal: AbortSignal,
   ): Promise<GenerationEnd>;
   report(url: string, deadline: Deadline): Promise<EngineReport | undefined>;
--- a/packages/platform/src/httpEngineClient.ts
+++ b/packages/platform/src/httpEngineClient.ts
@@ -46,7 +46,7 @@
 
   async generate(
     generation: GenerationRequest,
-    onChunk: (chunk: GenerationChunk) => Promise<void> | void,
+    onChunks: (chunks: readonly GenerationChunk[]) => Promise<void> | void,
     signal: AbortSignal,
   ): Promise<GenerationEnd> {
     let response: Dispatcher.ResponseData;
@@ -59,7 +59,7 @@
     }
     if (response.statusCode !== OK_STATUS) return refusalOf(response);
     try {
-      return await readStream(response.body, onChunk, signal);
+      return await readStream(response.body, onChunks, signal);
     } catch {
       return signal.aborted ? { kind: 'cancelled' } : { kind: 'broken' };
     }
@@ -127,7 +127,7 @@
 /** Reads the whole stream. A stream that ends without its last event is broken, however much it brought. */
 async function readStream(
   body: AsyncIterable<Buffer>,
-  onChunk: (chunk: GenerationChunk) => Promise<void> | void,
+  onChunks: (chunks: readonly GenerationChunk[]) => Promise<void> | void,
   signal: AbortSignal,
 ): Promise<GenerationEnd> {
   const waiting: string[] = [];
@@ -136,19 +136,26 @@
   let tokens = 0;
   let finishReason = '';
   for await (const bytes of body) {
+    if (signal.aborted) return { kind: 'cancelled' };
     parser.feed(decoder.decode(bytes, { stream: true }));
+    const chunks: GenerationChunk[] = [];
+    let isDone = false;
     for (const data of waiting.splice(0)) {
-      // One read can bring many events: after a cancel the rest of them is nobody's.
-      if (signal.aborted) return { kind: 'cancelled' };
-      if (data === DONE) return { kind: 'done', tokens, finishReason };
+      if (data === DONE) {
+        isDone = true;
+        break;
+      }
       const event = eventSchema.parse(JSON.parse(data));
       const [choice] = event.choices;
       if (event.usage) tokens = event.usage.completion_tokens;
       if (choice?.finish_reason) finishReason = choice.finish_reason;
       if (choice && choice.text !== '') {
-        await onChunk({ text: choice.text, tokens: event.tokens, version: event.weight_version });
+        chunks.push({ text: choice.text, tokens: event.tokens, version: event.weight_version });
       }
     }
+    // One call and one write for all that a read brought, instead of one for each token.
+    if (chunks.length > 0) await onChunks(chunks);
+    if (isDone) return { kind: 'done', tokens, finishReason };
   }
   return { kind: 'broken' };
 }
--- a/packages/testkit/src/simWorld.ts
+++ b/packages/testkit/src/simWorld.ts
@@ -306,7 +306,7 @@
 
   async generate(
     request: GenerationRequest,
-    onChunk: (chunk: GenerationChunk) => Promise<void> | void,
+    onChunks: (chunks: readonly GenerationChunk[]) => Promise<void> | void,
     signal: AbortSignal,
   ): Promise<GenerationEnd> {
     const engine = this._engines.get(request.url);
@@ -317,7 +317,7 @@
     const { startId } = engine;
     engine.inFlight += 1;
     try {
-      return await this._stream(engine, startId, request, onChunk, signal);
+      return await this._stream(engine, startId, request, onChunks, signal);
     } finally {
       if (engine.startId === startId && !engine.isCrashed) engine.inFlight -= 1;
     }
@@ -347,7 +347,7 @@
     engine: SimEngine,
     startId: number,
     request: GenerationRequest,
-    onChunk: (chunk: GenerationChunk) => Promise<void> | void,
+    onChunks: (chunks: readonly GenerationChunk[]) => Promise<void> | void,
     signal: AbortSignal,
   ): Promise<GenerationEnd> {
     const length = Math.min(request.maxTokens, lengthOf(request.prompt));
@@ -359,7 +359,7 @@
       if (!this._reaches(engine) || engine.startId !== startId) return { kind: 'broken' };
       versions[i] = engine.version;
       if (!engine.bornMs.has(request.requestId)) engine.bornMs.set(request.requestId, this._host.nowMs());
-      await onChunk({ text: `${i} `, tokens: 1, version: engine.version });
+      await onChunks([{ text: `${i} `, tokens: 1, version: engine.version }]);
       if (i === request.resumeTokens + 1) this._onStage('generating');
     }
     this._onStage('generated');
--- a/tests/requests.spec.ts
+++ b/tests/requests.spec.ts
@@ -274,11 +274,11 @@
   options: Partial<CallerRequest> = {},
 ): Running {
   const running: Running = { answer: undefined, left: new AbortController(), text: '' };
-  const onChunk = (chunk: { readonly text: string }): void => {
-    running.text += chunk.text;
+  const onChunks = (chunks: readonly { readonly text: string }[]): void => {
+    for (const chunk of chunks) running.text += chunk.text;
   };
   const whole = {
-    completion: { kind: 'completion', prompt: 'stars', maxTokens: 100, onChunk },
+    completion: { kind: 'completion', prompt: 'stars', maxTokens: 100, onChunks },
     service: {
       kind: 'service',
       method: 'POST',
