--- /dev/null
+++ b/packages/measure/src/controlSockets.ts
@@ -0,0 +1,67 @@
+/**
+ * Control of real hosts over real sockets, without any traffic: processor time, bytes and heap a host.
+ *
+ * All hosts and their stand-ins share this process, so the processor time is an upper bound for a host.
+ */
+import { TestFleet } from '@fuchsiahitch/testkit';
+import type { Measurement } from './figure.js';
+
+const SIZES = [3, 9, 18];
+const SETTLE_MS = 8000;
+const MEASURE_MS = 15_000;
+const MICROSECONDS = 1_000_000;
+const MS_A_SECOND = 1000;
+
+export const controlSockets: Measurement = {
+  name: 'sockets',
+  about: 'control of 3, 9 and 18 real hosts without traffic: CPU, inner protocol bytes, heap a host',
+  async run(print) {
+    for (const hosts of SIZES) {
+      globalThis.gc?.();
+      const heapBefore = process.memoryUsage().heapUsed;
+      const fleet = await TestFleet.start({
+        domains: ['d0'],
+        hostsPerDomain: hosts,
+        enginesPerDomain: 4,
+        servicesPerDomain: 1,
+      });
+      await pause(SETTLE_MS);
+      const bytesBefore = await peerBytes(fleet);
+      const cpu = process.cpuUsage();
+      await pause(MEASURE_MS);
+      const spent = process.cpuUsage(cpu);
+      const seconds = MEASURE_MS / MS_A_SECOND;
+      const core = (spent.user + spent.system) / MICROSECONDS / seconds / hosts;
+      print({
+        figure: `control CPU a host, ${hosts} real hosts`,
+        value: core * 100,
+        unit: '% of a core',
+        bound: '<= 3.8',
+      });
+      const bytes = ((await peerBytes(fleet)) - bytesBefore) / seconds / hosts;
+      print({
+        figure: `inner protocol bytes a host and second, ${hosts} real hosts`,
+        value: bytes,
+        unit: 'bytes/s',
+      });
+      globalThis.gc?.();
+      const heap = (process.memoryUsage().heapUsed - heapBefore) / hosts / 1024 / 1024;
+      print({ figure: `heap a host with its listeners, ${hosts} real hosts`, value: heap, unit: 'MB' });
+      await fleet.stop();
+    }
+  },
+};
+
+async function peerBytes(fleet: TestFleet): Promise<number> {
+  let sum = 0;
+  for (const id of fleet.hosts.keys()) {
+    const { text } = await fleet.call(id, 'operators', '/metrics');
+    for (const match of text.matchAll(/^fuchsiahitch_peer_bytes_total\{[^}]*\} (\d+)/gm))
+      sum += Number(match[1]);
+  }
+  return sum;
+}
+
+async function pause(durationMs: number): Promise<void> {
+  await new Promise<void>(resolve => setTimeout(resolve, durationMs));
+}
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -2,12 +2,21 @@
  * `npm run measure`: all measurements, or those named. Benchmarks are no tests: they compare within one run.
  */
 import { isWithin, printFigure, type Figure, type Measurement } from './figure.js';
+import { controlSockets } from './controlSockets.js';
 import { controlSim } from './controlSim.js';
 import { hop } from './hop.js';
+import { requests } from './requests.js';
 import { ruleDecisions } from './ruleDecisions.js';
 import { steps } from './steps.js';
 
-const MEASUREMENTS: readonly Measurement[] = [ruleDecisions, hop, steps, controlSim];
+const MEASUREMENTS: readonly Measurement[] = [
+  ruleDecisions,
+  hop,
+  requests,
+  steps,
+  controlSockets,
+  controlSim,
+];
 
 const names = process.argv.slice(2);
 if (names.includes('--list') || names.includes('--help')) {
--- /dev/null
+++ b/packages/measure/src/requests.ts
@@ -0,0 +1,126 @@
+/**
+ * Customers beside rollouts, and routing under failures against two baselines of our own in the same run.
+ */
+import { SeededRandom, VirtualClock } from '@fuchsiahitch/base';
+import { SimFleet, SimTrainer } from '@fuchsiahitch/testkit';
+import type { Figure, Measurement } from './figure.js';
+import { LeastReported, Ours, RoundRobin, runRouting, type RoutingPolicy } from './routingWorld.js';
+
+const CUSTOMERS = 400;
+const MEAN_GAP_MS = 40;
+const ROLLOUTS = 1200;
+const SEED = 31;
+const PATIENCE_MS = 600_000;
+
+export const requests: Measurement = {
+  name: 'requests',
+  about: 'customer p99 beside rollouts; spread, retries and p99 with a third of the endpoints failing',
+  async run(print) {
+    const quiet = await customersP99(false);
+    const busy = await customersP99(true);
+    print({ figure: 'customer p99, rollouts off', value: quiet.p99Ms, unit: 'ms' });
+    print({ figure: 'customer p99, rollouts saturate the pool', value: busy.p99Ms, unit: 'ms' });
+    print({
+      figure: 'customer p99, rollouts on to off',
+      value: busy.p99Ms / quiet.p99Ms,
+      unit: 'ratio',
+      bound: '<= 1.5',
+    });
+    print({
+      figure: 'customer requests lost or cut',
+      value: quiet.lost + busy.lost,
+      unit: 'requests',
+      bound: '<= 0',
+    });
+    const policies: readonly ((clock: VirtualClock, random: SeededRandom) => RoutingPolicy)[] = [
+      (clock, random) => new Ours(clock, random),
+      () => new RoundRobin(),
+      () => new LeastReported(),
+    ];
+    for (const make of policies) await measureRouting(make, print);
+  },
+};
+
+async function customersP99(
+  hasRollouts: boolean,
+): Promise<{ readonly p99Ms: number; readonly lost: number }> {
+  const fleet = await SimFleet.start({
+    seed: SEED,
+    domains: ['d0', 'd1'],
+    hostsPerDomain: 2,
+    enginesPerDomain: 2,
+    engineSlots: 8,
+  });
+  if (hasRollouts) {
+    const spec = {
+      trainer: 'd0:tuner',
+      step: 1,
+      house: 'h',
+      pool: 'gen-pool',
+      groups: Array.from({ length: ROLLOUTS }, (_, i) => ({
+        prompt: `${i} long tail`,
+        samples: 1,
+        expectedTokens: 0,
+      })),
+      maxTokens: 100,
+      stalenessVersions: 9,
+      stalenessMs: PATIENCE_MS,
+      deadlineMs: PATIENCE_MS,
+    };
+    void new SimTrainer(fleet, spec, true).run();
+    await fleet.clock.advance(3000);
+  }
+  const hosts = [...fleet.hosts.values()];
+  const random = new SeededRandom(SEED);
+  const timesMs: number[] = [];
+  let lost = 0;
+  for (let i = 0; i < CUSTOMERS; i++) {
+    const host = hosts[i % hosts.length];
+    const startMs = fleet.clock.nowMs();
+    void host?.ready.requests
+      .run({
+        kind: 'completion',
+        pool: 'gen-pool',
+        caller: 'web',
+        house: 'h',
+        priority: 'normal',
+        timeoutMs: 10_000,
+        key: undefined,
+        trace: undefined,
+        left: new AbortController().signal,
+        work: { kind: 'completion', prompt: `question ${i}`, maxTokens: 20, onChunks: () => undefined },
+      })
+      .then(answer => {
+        timesMs.push(fleet.clock.nowMs() - startMs);
+        if (answer.outcome.kind !== 'completed') lost += 1;
+      });
+    await fleet.clock.advance(random.below(2 * MEAN_GAP_MS));
+  }
+  await fleet.until('customers answered', () => timesMs.length === CUSTOMERS, PATIENCE_MS);
+  await fleet.stop();
+  timesMs.sort((a, b) => a - b);
+  return { p99Ms: timesMs[Math.floor(0.99 * timesMs.length)] ?? 0, lost };
+}
+
+async function measureRouting(
+  make: (clock: VirtualClock, random: SeededRandom) => RoutingPolicy,
+  print: (figure: Figure) => void,
+): Promise<void> {
+  const clock = new VirtualClock();
+  const random = new SeededRandom(SEED);
+  const policy = make(clock, random);
+  const result = await runRouting(policy, clock, random);
+  const isOurs = policy instanceof Ours;
+  const tell = (name: string, value: number, unit: string, bound?: string): void =>
+    print({
+      figure: `${name}, ${policy.name}`,
+      value,
+      unit,
+      ...(bound !== undefined && isOurs ? { bound } : {}),
+    });
+  tell('p99, all endpoints well', result.wellP99Ms, 'ms');
+  tell('busiest endpoint to the mean, all well', result.spread, 'ratio');
+  tell('p99, a third of the endpoints fail', result.faultP99Ms, 'ms');
+  tell('requests without a whole answer, a third fail', result.lostShare, 'share');
+  tell('extra attempts, a third fail', result.extraAttempts, 'share', '<= 0.1');
+}
--- a/packages/measure/src/steps.ts
+++ b/packages/measure/src/steps.ts
@@ -178,8 +178,8 @@
     [BASELINE.name, baseline],
   ] as const) {
     print({ figure: `idle share of both trainers, ${name}`, value: run.idleShare, unit: 'ratio' });
-    print({ figure: `step time of the small house, ${name}`, value: run.stepMs['small'] ?? 0, unit: 'ms' });
-    print({ figure: `step time of the large house, ${name}`, value: run.stepMs['large'] ?? 0, unit: 'ms' });
+    print({ figure: `step time of the small house, ${name}`, value: run.stepMs.small ?? 0, unit: 'ms' });
+    print({ figure: `step time of the large house, ${name}`, value: run.stepMs.large ?? 0, unit: 'ms' });
   }
   print({
     figure: 'idle share, ours to the baseline',
@@ -187,7 +187,7 @@
     unit: 'ratio',
     bound: '<= 0.5',
   });
-  const light = (ours.stepMs['small'] ?? 0) / (alone.stepMs['small'] ?? 1);
+  const light = (ours.stepMs.small ?? 0) / (alone.stepMs.small ?? 1);
   print({
     figure: "small house's step time to its share alone",
     value: light,
