Key slots: chains that cannot grow, and a slot called settled by a former owner

Cause, found by measuring real hosts and by a test that hung one time in four: - a join cost one map for each host, since a planner only moved slots that it owned itself: 10,770 bytes/s a host for half a minute with 9 hosts; - an owner that never planned never shortened its slots' chains; after 16 changes a slot could not change any more; - an owner whose successor reached it before the map did went on calling the slot settled, and as planner would have forgotten the generation that holds its records: two runs of a key were possible after two changes of hosts. Ruled out: the simulation's network and the start of the hosts.

--- a/packages/entry/src/keyService.ts
+++ b/packages/entry/src/keyService.ts
@@ -47,6 +47,7 @@
   private readonly _store: KeyValueStore;
   private readonly _domainsDigest: string;
   private _wantedSinceMs: number | undefined;
+  private _pulling: Promise<void> | undefined;
 
   constructor(context: HostContext, membership: MembershipService, peers: PeerCaller, store: KeyValueStore) {
     this._context = context;
@@ -79,7 +80,15 @@
     return this.holder.map()?.revision ?? 0;
   }
 
+  /** Fetches the map from a peer that is ahead; one fetch at a time, since several peers show it at once. */
   async pullFrom(address: string): Promise<void> {
+    this._pulling ??= this._pull(address).finally(() => {
+      this._pulling = undefined;
+    });
+    await this._pulling;
+  }
+
+  private async _pull(address: string): Promise<void> {
     const reply = await this._peers.call(address, calls.slotMapPull, {}, STORE_TIMEOUT_MS);
     if (reply.ok && reply.value.map) this.holder.learnMap(reply.value.map);
   }
--- a/packages/entry/src/ordersService.ts
+++ b/packages/entry/src/ordersService.ts
@@ -22,6 +22,8 @@
 const PLAN_PERIOD_MS = 100;
 /** The leader looks at one endpoint after the other, to find those that restarted with an old version. */
 const PATROL_PERIOD_MS = 1000;
+/** An endpoint that does not answer is asked again after this time. */
+const SURVEY_PERIOD_MS = 1000;
 const READ_TARGETS_PERIOD_MS = 5000;
 const STORE_TIMEOUT_MS = 2000;
 /** An order that takes longer than the lease's margin must not arrive after it. */
@@ -51,6 +53,9 @@
   private _held: HeldLease | undefined;
   private _watch: AbortController | undefined;
   private _lastReadMs = -Infinity;
+  /** For each endpoint, the lease under which its version was read. */
+  private readonly _surveyed = new Map<string, number>();
+  private readonly _surveyAskedMs = new Map<string, number>();
   private _patrolled = 0;
 
   constructor(
@@ -219,10 +224,24 @@
     if (pools.length === 0) return;
     for (const [pool, planner] of pools) {
       for (const endpointId of planner.toReadBack()) void this._readOne(endpointId);
-      for (const order of planner.next(this._swappable(pool), token)) void this._give(planner, order);
+      const known = this._swappable(pool).filter(endpoint => this._isSurveyed(endpoint.id, token));
+      for (const order of planner.next(known, token)) void this._give(planner, order);
     }
   }
 
+  /**
+   * A host that begins to lead first reads what each endpoint runs. What it remembers from an earlier lease is old,
+   * and ordering all of them again would make each load weights that it has.
+   */
+  private _isSurveyed(endpointId: string, token: number): boolean {
+    if (this._surveyed.get(endpointId) === token) return true;
+    const nowMs = this._context.clock.nowMs();
+    if (nowMs - (this._surveyAskedMs.get(endpointId) ?? -Infinity) < SURVEY_PERIOD_MS) return false;
+    this._surveyAskedMs.set(endpointId, nowMs);
+    void this._readOne(endpointId);
+    return false;
+  }
+
   private async _give(planner: SwapPlanner, order: WeightOrder): Promise<void> {
     const endpoint = this._endpoints.ownDomain().find(entry => entry.id === order.endpointId);
     // Asked again right before it is sent: this process may have been paused since it was planned.
@@ -253,6 +272,7 @@
       Deadline.after(this._context.clock, ORDER_TIMEOUT_MS),
     );
     if (!report) return;
+    if (this._held) this._surveyed.set(entry.id, this._held.token);
     this._planners.get(entry.pool)?.readBack(entry.id, report);
     this._endpoints.reported(entry.id, report);
   }
--- a/packages/requests/src/keyHolder.ts
+++ b/packages/requests/src/keyHolder.ts
@@ -122,6 +122,7 @@
     const state = this._slot(message.slot);
     if (message.epoch < state.promised) return { accepted: false };
     state.promised = message.epoch;
+    this._settled.delete(message.slot);
     state.replace(message.records, message.lostForMs);
     state.completeEpoch = message.epoch;
     return { accepted: true };
@@ -236,8 +237,12 @@
       this._settled.delete(slot);
       this._handedOver.delete(slot);
     }
-    const isSettling = this._settling.get(slot) === entry.epoch;
-    if (entry.owner !== this._options.self || this._settled.has(slot) || isSettling) return;
+    // The new owner may have reached this host before the map did: then the epoch is not news, and the role is.
+    if (entry.owner !== this._options.self) {
+      this._settled.delete(slot);
+      return;
+    }
+    if (this._settled.has(slot) || this._settling.get(slot) === entry.epoch) return;
     this._settling.set(slot, entry.epoch);
     void this._settle(slot, entry);
   }
--- a/packages/requests/src/slotMap.ts
+++ b/packages/requests/src/slotMap.ts
@@ -12,6 +12,8 @@
 export const SLOTS_A_DOMAIN = 128;
 /** Generations that were not confirmed as settled yet. Longer chains are not begun. */
 const MAX_OLDER = 16;
+/** An owner shortens the chains of its settled slots when one is this long. */
+const TRIM_AT = 4;
 /** Hosts whose loads differ by less than this share of the mean, or this number, are left alone. */
 const UNEVEN_SHARE = 0.25;
 const MIN_GAP = 2;
@@ -128,7 +130,7 @@
     const hasOwner = this._live.has(entry.owner);
     const hasCopy = this._live.has(entry.copy);
     const wantsCopy = this._input.live.length > 1;
-    if (hasOwner && hasCopy) return this._rebalanced(entry, slot);
+    if (hasOwner && hasCopy) return this._rebalanced(this._trimmed(entry, slot), slot);
     if (hasOwner && !wantsCopy && entry.copy === '') return entry;
     const older = this._olderOf(entry, slot);
     if (older.length > MAX_OLDER) return entry;
@@ -139,14 +141,25 @@
 
   /**
    * Evens out what joined hosts left uneven: first copies move to them, then owner and copy change roles.
-   * Only a slot without unsettled generations moves, so that chains stay short.
+   * A slot whose chain is long waits until its owner has shortened it. Waiting for every single generation to
+   * be confirmed made each join cost a map for each host, since only owners know what is settled.
    */
   private _rebalanced(entry: SlotEntry, slot: number): SlotEntry {
     const older = this._olderOf(entry, slot);
-    if (older.length > 1) return entry;
+    if (older.length > TRIM_AT) return entry;
     return this._copyMoved(entry, older) ?? this._rolesChanged(entry, older) ?? entry;
   }
 
+  /**
+   * Forgets the earlier generations of a slot that this planner owns and has settled. Without it chains grow with
+   * every change until none can be begun, and a slot whose holder dies stays without one.
+   */
+  private _trimmed(entry: SlotEntry, slot: number): SlotEntry {
+    if (entry.older.length < TRIM_AT || !this._input.settled.has(slot)) return entry;
+    this._changed = true;
+    return { ...entry, older: [] };
+  }
+
   private _copyMoved(entry: SlotEntry, older: readonly Generation[]): SlotEntry | undefined {
     const lightest = this._leastLoaded(entry.owner);
     if (lightest === '' || lightest === entry.copy) return undefined;
