--- /dev/null
+++ b/utils/no-cbor-extract/index.cjs
@@ -0,0 +1,1 @@
+module.exports = null;
