One way to reach some host of another failure domain

Cause: four places drew a random live host of a domain, each with its own copy of the draw and of the empty case (two in keys, two in steps). They call MembershipService.someAddressOf now.

Seen and left: customers and rollouts each tell the dispatcher how an attempt ended (requestService and rolloutService _freed), in a different order; one function would change that order and wants a test of its own.

--- a/packages/entry/src/keyService.ts
+++ b/packages/entry/src/keyService.ts
@@ -132,22 +132,15 @@
 
   async claim(domain: string, claim: Claim, deadline: Deadline): Promise<ClaimReply | undefined> {
     if (domain === this._context.domain) return this._claimHere(claim, deadline.leftMs());
-    const relays = this._membership.hostsOf(domain);
-    const relay = relays[this._context.random.below(Math.max(1, relays.length))];
-    const reply = await this._peers.call(relay?.peerAddress ?? '', calls.claimKey, claim, deadline.leftMs());
+    const relay = this._membership.someAddressOf(domain);
+    const reply = await this._peers.call(relay, calls.claimKey, claim, deadline.leftMs());
     return reply.ok ? reply.value : undefined;
   }
 
   async finish(domain: string, finish: Finish): Promise<boolean> {
     if (domain === this._context.domain) return this._finishHere(finish);
-    const relays = this._membership.hostsOf(domain);
-    const relay = relays[this._context.random.below(Math.max(1, relays.length))];
-    const reply = await this._peers.call(
-      relay?.peerAddress ?? '',
-      calls.finishKey,
-      finish,
-      FINISH_TIMEOUT_MS,
-    );
+    const relay = this._membership.someAddressOf(domain);
+    const reply = await this._peers.call(relay, calls.finishKey, finish, FINISH_TIMEOUT_MS);
     return reply.ok && reply.value.accepted;
   }
 
--- a/packages/entry/src/membershipService.ts
+++ b/packages/entry/src/membershipService.ts
@@ -99,6 +99,13 @@
     return (this._documents.get(domain)?.hosts ?? []).filter(host => host.state === 'live');
   }
 
+  /** The address of some live host of a failure domain, empty when none is known. */
+  someAddressOf(domain: string): string {
+    const hosts = this.hostsOf(domain);
+    const host = hosts[this._context.random.below(Math.max(1, hosts.length))];
+    return host?.peerAddress ?? '';
+  }
+
   /** The address of a host of this failure domain, empty when unknown. */
   addressOf(hostId: string): string {
     if (hostId === this._context.hostId) return this.view.self().address;
--- a/packages/entry/src/stepService.ts
+++ b/packages/entry/src/stepService.ts
@@ -214,9 +214,8 @@
   }
 
   private _elsewhere(domain: string): Place {
-    const hosts = this._membership.hostsOf(domain);
-    const host = hosts[this._context.random.below(Math.max(1, hosts.length))];
-    return host ? { kind: 'there', address: host.peerAddress } : { kind: 'moving' };
+    const address = this._membership.someAddressOf(domain);
+    return address === '' ? { kind: 'moving' } : { kind: 'there', address };
   }
 
   /** The address of a holder while its process seems to run; empty otherwise. */
@@ -350,9 +349,8 @@
     for (const peer of this._membership.livePeers()) this._sendOffer(peer.address, offer);
     for (const domain of this._context.domains) {
       if (domain === this._context.domain) continue;
-      const hosts = this._membership.hostsOf(domain);
-      const host = hosts[this._context.random.below(Math.max(1, hosts.length))];
-      if (host) this._sendOffer(host.peerAddress, { ...offer, passOn: true });
+      const address = this._membership.someAddressOf(domain);
+      if (address !== '') this._sendOffer(address, { ...offer, passOn: true });
     }
   }
 
