--- /dev/null
+++ b/packages/batches/src/batchKeys.ts
@@ -0,0 +1,43 @@
+/**
+ * Where a batch stands in the store.
+ *
+ * `own/ID` is the claim: who runs the batch. Every write to the batch names the claim's revision, so that a
+ * host that lost the batch cannot add to it, however late its write is carried out. The batch itself and its
+ * results stand beside it and are never changed once written.
+ */
+
+export const ROOT = 'fuchsiahitch/';
+export const CLAIMS = `${ROOT}own/`;
+
+const POSITION_DIGITS = 7;
+
+export function claimKey(batchId: string): string {
+  return `${CLAIMS}${batchId}`;
+}
+
+/** The prefix of all parts of the batch as it was submitted. */
+export function partPrefix(batchId: string): string {
+  return `${ROOT}batch/${batchId}/part/`;
+}
+
+export function partKey(batchId: string, part: number): string {
+  return `${partPrefix(batchId)}${padded(part)}`;
+}
+
+/** The prefix of all lists of results. Keys sort by position. */
+export function resultPrefix(batchId: string): string {
+  return `${ROOT}batch/${batchId}/result/`;
+}
+
+export function resultKey(batchId: string, position: number): string {
+  return `${resultPrefix(batchId)}${padded(position)}`;
+}
+
+/** The position at which a list of results begins. */
+export function positionOf(key: string): number {
+  return Number(key.slice(-POSITION_DIGITS));
+}
+
+function padded(value: number): string {
+  return String(value).padStart(POSITION_DIGITS, '0');
+}
--- /dev/null
+++ b/packages/batches/src/batchLedger.ts
@@ -0,0 +1,152 @@
+/**
+ * The owner's account of one batch: which items wait, run or are done, and in which order results are listed.
+ *
+ * A result is listed in two steps. It is finished when its text is whole, and readers see it only once the
+ * store has confirmed its position: a position shown earlier could be given to another result by the next owner.
+ */
+import { invariant } from '@fuchsiahitch/base';
+import { ItemProgress, type EventEffect, type GeneratedEvent } from './itemProgress.js';
+import type { Batch, BatchItem, ItemResult } from './model.js';
+
+/** The rules of the route for the items of a batch. */
+export interface ItemRules {
+  /** Failed runs after which an item is given up. */
+  readonly maxAttempts: number;
+  readonly isSingleVersion: boolean;
+}
+
+type ItemState = 'waiting' | 'running' | 'finished';
+
+interface Entry {
+  readonly item: BatchItem;
+  readonly progress: ItemProgress;
+  state: ItemState;
+  failures: number;
+  attempts: number;
+}
+
+export class BatchLedger {
+  readonly batch: Batch;
+  private readonly _rules: ItemRules;
+  private readonly _entries = new Map<string, Entry>();
+  private readonly _confirmed: ItemResult[] = [];
+  private _unconfirmed: ItemResult[] = [];
+
+  constructor(batch: Batch, listed: readonly ItemResult[], rules: ItemRules) {
+    this.batch = batch;
+    this._rules = rules;
+    const { minVersion } = batch;
+    for (const item of batch.items) {
+      const progress = new ItemProgress({ minVersion, isSingleVersion: rules.isSingleVersion });
+      this._entries.set(item.id, { item, progress, state: 'waiting', failures: 0, attempts: 0 });
+    }
+    for (const result of listed) {
+      this._confirmed.push(result);
+      const entry = this._entries.get(result.id);
+      if (entry) entry.state = 'finished';
+    }
+  }
+
+  total(): number {
+    return this.batch.items.length;
+  }
+
+  /** The results that readers may see. */
+  listed(): readonly ItemResult[] {
+    return this._confirmed;
+  }
+
+  /** Results that are finished and have no confirmed position yet, in the order of their positions. */
+  unconfirmed(): readonly ItemResult[] {
+    return this._unconfirmed;
+  }
+
+  /** The store confirmed the first `count` unconfirmed results. */
+  confirm(count: number): void {
+    this._confirmed.push(...this._unconfirmed.slice(0, count));
+    this._unconfirmed = this._unconfirmed.slice(count);
+  }
+
+  isDone(): boolean {
+    return this._confirmed.length === this.total();
+  }
+
+  item(itemId: string): BatchItem | undefined {
+    return this._entries.get(itemId)?.item;
+  }
+
+  progress(itemId: string): ItemProgress {
+    return this._entry(itemId).progress;
+  }
+
+  /** The items that wait: groups in the order of the batch, so that whole groups end before new ones begin. */
+  waiting(): readonly BatchItem[] {
+    const items: BatchItem[] = [];
+    for (const entry of this._entries.values()) if (entry.state === 'waiting') items.push(entry.item);
+    return items;
+  }
+
+  countRunning(): number {
+    let count = 0;
+    for (const entry of this._entries.values()) if (entry.state === 'running') count += 1;
+    return count;
+  }
+
+  /** An attempt begins: its number, from 1. */
+  begin(itemId: string): number {
+    const entry = this._entry(itemId);
+    invariant(entry.state === 'waiting', 'only a waiting item begins');
+    entry.state = 'running';
+    entry.attempts += 1;
+    return entry.attempts;
+  }
+
+  event(itemId: string, event: GeneratedEvent): EventEffect {
+    return this._entry(itemId).progress.add(event);
+  }
+
+  /** The item's stream ended whole. */
+  completed(itemId: string): void {
+    this._finish(itemId, 'completed');
+  }
+
+  /** The attempt ended without a whole text, and says nothing against the item: it waits again. */
+  interrupted(itemId: string): void {
+    const entry = this._entry(itemId);
+    if (entry.state === 'running') entry.state = 'waiting';
+  }
+
+  /** The endpoint failed to run the item. An item that fails at each run must end, or its step never would. */
+  failed(itemId: string): void {
+    const entry = this._entry(itemId);
+    if (entry.state !== 'running') return;
+    entry.failures += 1;
+    if (entry.failures >= this._rules.maxAttempts) this._finish(itemId, 'terminated');
+    else entry.state = 'waiting';
+  }
+
+  /** The endpoint said that the item can never be done. */
+  impossible(itemId: string): void {
+    this._finish(itemId, 'terminated');
+  }
+
+  /** Gives up every item that is not finished: its time is up, or its route is gone. */
+  terminateRest(): void {
+    for (const entry of this._entries.values())
+      if (entry.state !== 'finished') this._finish(entry.item.id, 'terminated');
+  }
+
+  private _finish(itemId: string, state: ItemResult['state']): void {
+    const entry = this._entry(itemId);
+    if (entry.state === 'finished') return;
+    entry.state = 'finished';
+    const { progress } = entry;
+    this._unconfirmed.push({ id: itemId, state, text: progress.text(), versions: progress.versions() });
+  }
+
+  private _entry(itemId: string): Entry {
+    const entry = this._entries.get(itemId);
+    invariant(entry !== undefined, 'the item belongs to the batch');
+    return entry;
+  }
+}
--- /dev/null
+++ b/packages/batches/src/batchMessages.ts
@@ -0,0 +1,42 @@
+/**
+ * What hosts ask the owner of a batch.
+ */
+import { z } from 'zod';
+import { itemResultSchema } from './model.js';
+
+const count = z.number().int().min(0);
+
+export const batchReadSchema = z
+  .strictObject({ batchId: z.string(), after: count, waitMs: z.number().min(0) })
+  .readonly();
+
+/** `not-owner`: the host does not run the batch. `unsure`: it may have lost it and cannot ask the store. */
+export const batchReadReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('page'),
+    total: count,
+    results: z.array(itemResultSchema).readonly(),
+    next: count,
+  }),
+  z.strictObject({ kind: z.literal('not-owner') }),
+  z.strictObject({ kind: z.literal('unsure') }),
+]);
+export type BatchReadReply = z.infer<typeof batchReadReplySchema>;
+
+export const batchItemReadSchema = z.strictObject({ batchId: z.string(), itemId: z.string() }).readonly();
+
+export const batchItemReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('body'), bodyBase64: z.string() }),
+  z.strictObject({ kind: z.literal('no-item') }),
+  z.strictObject({ kind: z.literal('not-owner') }),
+]);
+export type BatchItemReply = z.infer<typeof batchItemReplySchema>;
+
+export const batchEndSchema = z.strictObject({ batchId: z.string() }).readonly();
+
+export const batchEndReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('ended') }),
+  z.strictObject({ kind: z.literal('not-owner') }),
+  z.strictObject({ kind: z.literal('unsure') }),
+]);
+export type BatchEndReply = z.infer<typeof batchEndReplySchema>;
--- /dev/null
+++ b/packages/batches/src/index.ts
@@ -0,0 +1,10 @@
+/** Decisions about batches: what is kept, who runs what, and what a reader sees. */
+export * from './batchKeys.js';
+export * from './batchLedger.js';
+export * from './batchMessages.js';
+export * from './endpointShares.js';
+export * from './itemPlacement.js';
+export * from './itemProgress.js';
+export * from './model.js';
+export * from './records.js';
+export * from './resultList.js';
--- /dev/null
+++ b/packages/batches/src/itemPlacement.ts
@@ -0,0 +1,72 @@
+/**
+ * Which endpoint runs an item.
+ *
+ * Engines batch what they run, and a step of the batch costs nearly the same at any fill, so free places are
+ * used to the full. What decides how long an item takes is the pace of its endpoint: a slow one holds a whole
+ * group, and with it the step. Items of a group share their prompt and go to one endpoint while it has room.
+ */
+
+/** An endpoint as the placement sees it. */
+export interface PlacementEndpoint {
+  readonly id: string;
+  readonly domain: string;
+  /** Places that are free by this host's own count and the endpoint's last word. */
+  readonly freePlaces: number;
+  /** Milliseconds from one event to the next; undefined before the first. */
+  readonly paceMs: number | undefined;
+}
+
+/** An endpoint with this many times the median pace is slow. Endpoints of one pool differ by up to 1.3. */
+export const SLOW_FACTOR = 2;
+
+/** The median pace of the endpoints that have one; undefined when none has. */
+export function medianPaceMs(endpoints: readonly PlacementEndpoint[]): number | undefined {
+  const paces = endpoints.map(endpoint => endpoint.paceMs).filter(pace => pace !== undefined);
+  paces.sort((a, b) => a - b);
+  return paces[Math.floor((paces.length - 1) / 2)];
+}
+
+export function isSlow(endpoint: PlacementEndpoint, medianMs: number | undefined): boolean {
+  if (endpoint.paceMs === undefined || medianMs === undefined) return false;
+  return endpoint.paceMs > SLOW_FACTOR * medianMs;
+}
+
+export interface PlacementRequest {
+  /** The endpoint that runs other items of the group, if any. */
+  readonly groupEndpointId: string | undefined;
+  readonly ownDomain: string;
+  /** Endpoints at which this item was refused or broke a moment ago. */
+  readonly avoid: ReadonlySet<string>;
+}
+
+/** The endpoint for an item, or undefined when it is better to wait for a place. */
+export function placeItem(
+  endpoints: readonly PlacementEndpoint[],
+  request: PlacementRequest,
+): PlacementEndpoint | undefined {
+  const medianMs = medianPaceMs(endpoints);
+  const open = endpoints.filter(endpoint => endpoint.freePlaces > 0 && !request.avoid.has(endpoint.id));
+  const quick = open.filter(endpoint => !isSlow(endpoint, medianMs));
+  const together = quick.find(endpoint => endpoint.id === request.groupEndpointId);
+  if (together) return together;
+  return best(quick, request.ownDomain) ?? (hasQuick(endpoints, medianMs) ? undefined : best(open, ''));
+}
+
+/** True if an endpoint that is not slow exists: an item that waits for its place still ends sooner there. */
+function hasQuick(endpoints: readonly PlacementEndpoint[], medianMs: number | undefined): boolean {
+  return endpoints.some(endpoint => !isSlow(endpoint, medianMs));
+}
+
+/** The endpoint with the most free places; among equals one of the own failure domain. */
+function best(endpoints: readonly PlacementEndpoint[], ownDomain: string): PlacementEndpoint | undefined {
+  let found: PlacementEndpoint | undefined;
+  for (const endpoint of endpoints) {
+    if (!found || isBetter(endpoint, found, ownDomain)) found = endpoint;
+  }
+  return found;
+}
+
+function isBetter(a: PlacementEndpoint, b: PlacementEndpoint, ownDomain: string): boolean {
+  if (a.freePlaces !== b.freePlaces) return a.freePlaces > b.freePlaces;
+  return a.domain === ownDomain && b.domain !== ownDomain;
+}
--- a/packages/platform/src/keyValueStore.ts
+++ b/packages/clients/src/keyValueStore.ts
@@ -41,6 +41,18 @@
   readonly version: number;
 }
 
+/** The values under a prefix. Changes after `revision` are what `changes` reports. */
+export interface Snapshot {
+  readonly items: readonly StoredValue[];
+  readonly revision: number;
+}
+
+/** What changed under a prefix, up to `revision`. */
+export interface Changes {
+  readonly events: readonly WatchEvent[];
+  readonly revision: number;
+}
+
 /** Why a watch ended. */
 export type WatchEnd = 'closed' | 'failed' | 'compacted';
 
@@ -62,3 +74,17 @@
     signal: AbortSignal,
   ): Promise<WatchEnd>;
 }
+
+/** A store whose watches go on from a revision, so that nothing is missed between a read and a watch. */
+export interface RevisionedStore extends KeyValueStore {
+  snapshot(prefix: string, deadline: Deadline): Promise<Result<Snapshot, StoreError>>;
+  /** Waits up to `waitMs` for changes after a revision. `compacted`: that history is gone, read a snapshot. */
+  changes(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    deadline: Deadline,
+  ): Promise<Result<Changes, StoreError | 'compacted'>>;
+  /** Ends a lease; its keys go with it. */
+  endLease(leaseId: string, deadline: Deadline): Promise<Result<void, StoreError>>;
+}
--- a/packages/entry/src/budgetedStore.ts
+++ b/packages/entry/src/budgetedStore.ts
@@ -12,7 +12,7 @@
   WatchEnd,
   WatchEvent,
   Write,
-} from '@fuchsiahitch/platform';
+} from '@fuchsiahitch/clients';
 import type { Metrics } from './metrics.js';
 
 /** Waits for this host's share before each call, and counts calls. */
--- a/packages/entry/src/endpointService.ts
+++ b/packages/entry/src/endpointService.ts
@@ -3,7 +3,7 @@
  */
 import { Deadline, every } from '@fuchsiahitch/base';
 import type { EndpointEntry } from '@fuchsiahitch/membership';
-import type { EngineClient, EngineReport } from '@fuchsiahitch/platform';
+import type { EngineClient, EngineReport } from '@fuchsiahitch/clients';
 import { ConcurrencyLimit, EndpointStats, subsetFor, type EndpointView } from '@fuchsiahitch/requests';
 import type { Signal } from '@fuchsiahitch/rules';
 import type { HostContext } from './hostContext.js';
--- a/packages/entry/src/entryHost.ts
+++ b/packages/entry/src/entryHost.ts
@@ -10,7 +10,7 @@
   HttpMemberList,
   HttpScorer,
   HttpServiceClient,
-} from '@fuchsiahitch/platform';
+} from '@fuchsiahitch/clients';
 import { PeerServer } from '@fuchsiahitch/protocol';
 import { startServices, type EntryServices } from './entryServices.js';
 import type { HostPorts } from './hostPorts.js';
@@ -18,8 +18,8 @@
 import type { EntrySettings } from './entrySettings.js';
 import { FleetStatus } from './fleetStatus.js';
 import type { HostContext } from './hostContext.js';
-import { Listener } from './listeners.js';
-import { RoarrLogger } from './logger.js';
+import { Listener } from '@fuchsiahitch/listener';
+import { RoarrLogger, Tracing } from '@fuchsiahitch/telemetry';
 import { Metrics } from './metrics.js';
 import { OperatorsController } from './operatorsController.js';
 import { OrdersService } from './ordersService.js';
@@ -27,7 +27,6 @@
 import { RequestService } from './requestService.js';
 import { RulesService } from './rulesService.js';
 import { StepService } from './stepService.js';
-import { Tracing } from './tracing.js';
 import { TrainersController } from './trainersController.js';
 
 const HANDOVER_MS = 10_000;
@@ -151,7 +150,7 @@
     incarnation,
     clock,
     random,
-    log: new RoarrLogger(settings['log-level'], { hostId, domain }),
+    log: new RoarrLogger(settings['log-level'], { program: 'fuchsiahitch-entry', hostId, domain }),
     metrics: new Metrics(),
     tracing: new Tracing(settings['trace-file'], hostId),
     stopped,
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -2,6 +2,7 @@
  * Settings of the entry daemon.
  */
 import { addressSchema, integerSchema, nameSchema, type SettingValues } from '@fuchsiahitch/base';
+import { logLevels } from '@fuchsiahitch/telemetry';
 import { z } from 'zod';
 
 const MIN_KEY = 16;
@@ -16,7 +17,6 @@
   .transform(text => text.split(',').filter(Boolean))
   .pipe(z.array(addressSchema));
 
-export const logLevels = ['debug', 'info', 'warn', 'error'] as const;
 
 export const entrySettings = {
   'host-id': { schema: nameSchema, help: 'the name of this host, unique in the fleet' },
--- a/packages/entry/src/hostContext.ts
+++ b/packages/entry/src/hostContext.ts
@@ -3,9 +3,8 @@
  */
 import type { Clock, Random } from '@fuchsiahitch/base';
 import type { EntrySettings } from './entrySettings.js';
-import type { Logger } from './logger.js';
+import type { Logger, Tracing } from '@fuchsiahitch/telemetry';
 import type { Metrics } from './metrics.js';
-import type { Tracing } from './tracing.js';
 
 export interface HostContext {
   readonly settings: EntrySettings;
--- a/packages/entry/src/hostPorts.ts
+++ b/packages/entry/src/hostPorts.ts
@@ -2,7 +2,7 @@
  * What connects a host to the outside, as interfaces: real sockets in the daemon, small fakes in tests.
  */
 import type { Result } from '@fuchsiahitch/base';
-import type { EngineClient, KeyValueStore, MemberList, Scorer, ServiceClient } from '@fuchsiahitch/platform';
+import type { EngineClient, KeyValueStore, MemberList, Scorer, ServiceClient } from '@fuchsiahitch/clients';
 import type { CallContext, CallDefinition, CallError } from '@fuchsiahitch/protocol';
 
 /** Calls other hosts. An empty address is a host that is not known. */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,8 +3,6 @@
 export * from './entryServices.js';
 export * from './hostContext.js';
 export * from './hostPorts.js';
-export * from './logger.js';
 export * from './metrics.js';
 export * from './requestService.js';
-export * from './tracing.js';
 export * from './entrySettings.js';
--- a/packages/entry/src/keyService.ts
+++ b/packages/entry/src/keyService.ts
@@ -2,7 +2,7 @@
  * Idempotency keys on this host: the holder, its peers, the slot map in the store, and claims for requests.
  */
 import { Deadline, digest, every, sleep } from '@fuchsiahitch/base';
-import type { KeyValueStore } from '@fuchsiahitch/platform';
+import type { KeyValueStore } from '@fuchsiahitch/clients';
 import { calls } from '@fuchsiahitch/protocol';
 import {
   holderId,
--- a/packages/entry/src/membershipService.ts
+++ b/packages/entry/src/membershipService.ts
@@ -12,7 +12,7 @@
   type Member,
   type MemberDocument,
 } from '@fuchsiahitch/membership';
-import type { MemberList } from '@fuchsiahitch/platform';
+import type { MemberList } from '@fuchsiahitch/clients';
 import { calls, type Ping } from '@fuchsiahitch/protocol';
 import type { HostContext } from './hostContext.js';
 import type { CallRegistry, PeerCaller } from './hostPorts.js';
--- a/packages/entry/src/ordersService.ts
+++ b/packages/entry/src/ordersService.ts
@@ -9,7 +9,7 @@
   type WeightOrder,
   type WeightTarget,
 } from '@fuchsiahitch/orders';
-import type { EngineClient, KeyValueStore, WatchEvent } from '@fuchsiahitch/platform';
+import type { EngineClient, KeyValueStore, WatchEvent } from '@fuchsiahitch/clients';
 import type { EndpointService } from './endpointService.js';
 import type { HostContext } from './hostContext.js';
 import type { MembershipService } from './membershipService.js';
--- a/packages/entry/src/requestService.ts
+++ b/packages/entry/src/requestService.ts
@@ -9,7 +9,7 @@
   GenerationEnd,
   ServiceClient,
   ServiceEnd,
-} from '@fuchsiahitch/platform';
+} from '@fuchsiahitch/clients';
 import {
   backoffMs,
   RequestRun,
--- a/packages/entry/src/rolloutService.ts
+++ b/packages/entry/src/rolloutService.ts
@@ -8,7 +8,7 @@
   GenerationEnd,
   Scorer,
   ScoreResult,
-} from '@fuchsiahitch/platform';
+} from '@fuchsiahitch/clients';
 import { calls } from '@fuchsiahitch/protocol';
 import { splitHolder } from '@fuchsiahitch/requests';
 import type { RequestFacts } from '@fuchsiahitch/rules';
--- a/packages/entry/src/rulesService.ts
+++ b/packages/entry/src/rulesService.ts
@@ -4,7 +4,7 @@
  */
 import { every, sleep, type Result } from '@fuchsiahitch/base';
 import { isWatcher } from '@fuchsiahitch/membership';
-import type { KeyValueStore, WatchEvent } from '@fuchsiahitch/platform';
+import type { KeyValueStore, WatchEvent } from '@fuchsiahitch/clients';
 import { calls } from '@fuchsiahitch/protocol';
 import {
   RuleBook,
--- a/packages/entry/src/storedRules.ts
+++ b/packages/entry/src/storedRules.ts
@@ -3,7 +3,7 @@
  * written and watched as one edit, so that its cost does not grow with the number of rules.
  */
 import { Deadline, err, ok, type Clock, type Result } from '@fuchsiahitch/base';
-import type { KeyValueStore, StoredValue, Write } from '@fuchsiahitch/platform';
+import type { KeyValueStore, StoredValue, Write } from '@fuchsiahitch/clients';
 import {
   applyEdit,
   documentSchema,
--- a/packages/entry/src/storedSteps.ts
+++ b/packages/entry/src/storedSteps.ts
@@ -2,7 +2,7 @@
  * Steps in the key-value service. Every write compares with the head's version, which changes with the owner.
  */
 import { Deadline, err, ok, type Clock, type Result } from '@fuchsiahitch/base';
-import type { KeyValueStore, StoredValue, Write } from '@fuchsiahitch/platform';
+import type { KeyValueStore, StoredValue, Write } from '@fuchsiahitch/clients';
 import {
   chunkSchema,
   stepHeadSchema,
--- /dev/null
+++ b/packages/gateway/src/batchOwner.ts
@@ -0,0 +1,394 @@
+/**
+ * Runs one batch on the host that owns it: sends its items to endpoints, and lists results in the store.
+ */
+import { Deadline, sleep, type CancelTimer } from '@fuchsiahitch/base';
+import {
+  BatchLedger,
+  countThatFits,
+  pageFrom,
+  placeItem,
+  SLOW_FACTOR,
+  type Batch,
+  type BatchItem,
+  type BatchReadReply,
+  type ItemResult,
+} from '@fuchsiahitch/batches';
+import type { Route } from '@fuchsiahitch/rules';
+import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
+import type { ConfigurationService } from './configurationService.js';
+import type { Endpoint } from './endpoint.js';
+import type { EndpointDirectory } from './endpointDirectory.js';
+import type { GatewayContext } from './gatewayContext.js';
+import { ItemAttempt, type AttemptEnd } from './itemAttempt.js';
+import type { EndpointClient } from './ports.js';
+
+/** What the owner of a batch works with. */
+export interface BatchPorts {
+  readonly store: BatchStore;
+  readonly endpoints: EndpointDirectory;
+  readonly configuration: ConfigurationService;
+  readonly client: EndpointClient;
+}
+
+/** Results that end within this time share one write: trainers read twice a second. */
+const LIST_INTERVAL_MS = 200;
+const LIST_RETRY_MS = 250;
+const STORE_TIMEOUT_MS = 1000;
+/** How often items that found no place look again. */
+const PLACE_INTERVAL_MS = 25;
+/**
+ * A reader is told that there is nothing yet only by an owner that the store has confirmed this recently; a
+ * result read elsewhere must be shown by everybody within a second.
+ */
+const SURE_MS = 600;
+/** An endpoint that refused an item gets none for this long: it is full or loads weights. */
+const REFUSED_PAUSE_MS = 100;
+/** Wall clocks of hosts are near true time; a generous bound for the difference of two. */
+const CLOCK_SKEW_MS = 5000;
+
+export class BatchOwner {
+  readonly ledger: BatchLedger;
+  private readonly _context: GatewayContext;
+  private readonly _ports: BatchPorts;
+  private readonly _lost: () => void;
+  private readonly _attempts = new Map<string, ItemAttempt>();
+  private readonly _groupEndpoints = new Map<string, string>();
+  private readonly _avoided = new Map<string, Set<string>>();
+  private readonly _startedMs: number;
+  private _held: HeldClaim;
+  private _confirmedMs: number;
+  private _isStopped = false;
+  private _isLost = false;
+  private _isListing = false;
+  /** A write that was not confirmed is repeated as it was: it may have taken effect. */
+  private _unsettled: readonly ItemResult[] | undefined;
+  private _placeTimer: CancelTimer | undefined;
+  private _wake: (() => void)[] = [];
+
+  constructor(
+    context: GatewayContext,
+    ports: BatchPorts,
+    held: HeldClaim,
+    stored: StoredBatch,
+    lost: () => void,
+  ) {
+    this._context = context;
+    this._ports = ports;
+    this._held = held;
+    this._lost = lost;
+    this._startedMs = context.clock.nowMs();
+    this._confirmedMs = this._startedMs;
+    const route = this._routeOf(stored.batch);
+    this.ledger = new BatchLedger(stored.batch, stored.results, {
+      maxAttempts: route?.maxAttempts ?? 1,
+      isSingleVersion: route?.isSingleVersion ?? false,
+    });
+  }
+
+  get batchId(): string {
+    return this.ledger.batch.id;
+  }
+
+  isEnded(): boolean {
+    return this._held.claim.isEnded;
+  }
+
+  /** Begins to run what is not listed yet. */
+  start(): void {
+    if (this.isEnded()) return;
+    this._armExpiry();
+    this._place();
+  }
+
+  /** Stops all attempts: the batch has ended, or another host runs it. */
+  stop(reason: string): void {
+    if (this._isStopped) return;
+    this._isStopped = true;
+    this._placeTimer?.();
+    for (const attempt of this._attempts.values()) attempt.stop();
+    this._wakeReaders();
+    const { batchId } = this;
+    this._context.log.info('batch stopped', { batchId, reason, listed: this.ledger.listed().length });
+  }
+
+  /** Results from a position on; waits for one up to `waitMs` if there is none. */
+  async read(after: number, waitMs: number): Promise<BatchReadReply> {
+    const deadline = Deadline.after(this._context.clock, waitMs);
+    while (this._hasNothingAfter(after) && !deadline.isOver()) await this._changed(deadline);
+    if (this._hasNothingAfter(after) && !(await this._isSure())) return { kind: 'unsure' };
+    if (this._isLost) return { kind: 'not-owner' };
+    return { kind: 'page', ...pageFrom(this.ledger.listed(), this.ledger.total(), after) };
+  }
+
+  /** Ends the batch for good. False if that could not be agreed with the store. */
+  async end(): Promise<'ended' | 'lost' | 'out-of-reach'> {
+    if (this.isEnded()) return 'ended';
+    const deadline = this._storeDeadline();
+    const { store } = this._ports;
+    const done = await store.changeClaim(this.batchId, this._held, { isEnded: true }, deadline);
+    if (done.kind === 'out-of-reach') return 'out-of-reach';
+    if (done.kind === 'lost') {
+      this._loseBatch();
+      return 'lost';
+    }
+    this._held = done.value;
+    this.stop('ended by the trainer');
+    return 'ended';
+  }
+
+  private _hasNothingAfter(after: number): boolean {
+    const isMore = after < this.ledger.listed().length;
+    return !isMore && !this.ledger.isDone() && !this._isStopped;
+  }
+
+  /** Resolves at the next listed result, or when the deadline is over. */
+  private async _changed(deadline: Deadline): Promise<void> {
+    await new Promise<void>(resolve => {
+      const cancel = this._context.clock.after(deadline.leftMs(), resolve);
+      this._wake.push(() => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+
+  private _wakeReaders(): void {
+    const wake = this._wake;
+    this._wake = [];
+    for (const run of wake) run();
+  }
+
+  /** True if the store has confirmed a moment ago that this host still owns the batch. */
+  private async _isSure(): Promise<boolean> {
+    if (this._context.clock.nowMs() - this._confirmedMs < SURE_MS) return true;
+    const askedMs = this._context.clock.nowMs();
+    const claim = await this._ports.store.readClaim(this.batchId, this._storeDeadline());
+    if (!claim.ok) return false;
+    if (claim.value?.revision !== this._held.revision) {
+      this._loseBatch();
+      return false;
+    }
+    this._confirmedMs = askedMs;
+    return true;
+  }
+
+  private _loseBatch(): void {
+    this._isLost = true;
+    this.stop('another host owns the batch');
+    this._lost();
+  }
+
+  /** The route of the batch's items; they share one. Undefined if the configuration has none for them. */
+  private _routeOf(batch: Batch): Route | undefined {
+    const [item] = batch.items;
+    return item && this._route(batch.host, item);
+  }
+
+  private _route(host: string, item: BatchItem): Route | undefined {
+    const result = this._ports.configuration.route(host, item.path);
+    return result.kind === 'routed' ? result.route : undefined;
+  }
+
+  /** Sends every waiting item for which an endpoint has a place. */
+  private _place(): void {
+    if (this._isStopped) return;
+    this._placeTimer?.();
+    for (const item of this.ledger.waiting()) this._placeItem(item);
+    this._moveFromSlow();
+    const isOver = this.ledger.waiting().length === 0 && this._attempts.size === 0;
+    if (!isOver) this._placeTimer = this._context.clock.after(PLACE_INTERVAL_MS, () => this._place());
+  }
+
+  private _placeItem(item: BatchItem): void {
+    const route = this._route(this.ledger.batch.host, item);
+    if (!route) return;
+    const candidates = this._candidates(route);
+    const avoid = this._avoided.get(item.id) ?? new Set<string>();
+    const views = candidates.map(endpoint => ({
+      id: endpoint.id,
+      domain: endpoint.domain,
+      freePlaces: endpoint.freePlaces(),
+      paceMs: endpoint.paceMs(),
+    }));
+    const request = {
+      groupEndpointId: this._groupEndpoints.get(item.group),
+      ownDomain: this._context.domain,
+      avoid,
+    };
+    const place = placeItem(views, request);
+    const endpoint = candidates.find(candidate => candidate.id === place?.id);
+    if (endpoint) void this._run(item, endpoint);
+    // All were tried: the item may go anywhere again.
+    else if (avoid.size > 0 && avoid.size >= candidates.length) avoid.clear();
+  }
+
+  /** Endpoints of the route's pools whose weights are new enough. */
+  private _candidates(route: Route): readonly Endpoint[] {
+    const { model, minVersion } = this.ledger.batch;
+    return route.pools
+      .filter(share => share.weight > 0)
+      .flatMap(share => this._ports.endpoints.ofPool(share.pool))
+      .filter(endpoint => !endpoint.isLeaving)
+      .filter(endpoint => model === '' || endpoint.versionOf(model) >= minVersion);
+  }
+
+  private async _run(item: BatchItem, endpoint: Endpoint): Promise<void> {
+    const number = this.ledger.begin(item.id);
+    this._groupEndpoints.set(item.group, endpoint.id);
+    const attempt = new ItemAttempt(this._context, this._ports.client, this.ledger, item, endpoint);
+    this._attempts.set(item.id, attempt);
+    const end = await attempt.run();
+    this._attempts.delete(item.id);
+    this._logAttempt(item, endpoint, number, end);
+    if (this._isStopped) return;
+    this._settle(item, endpoint, end);
+    this._place();
+  }
+
+  private _settle(item: BatchItem, endpoint: Endpoint, end: AttemptEnd): void {
+    switch (end.kind) {
+      case 'done':
+        this.ledger.completed(item.id);
+        break;
+      case 'failed':
+        this._avoid(item, endpoint);
+        this.ledger.failed(item.id);
+        break;
+      case 'impossible':
+        this.ledger.impossible(item.id);
+        break;
+      case 'not-run':
+        this._avoid(item, endpoint);
+        endpoint.closeFor(REFUSED_PAUSE_MS);
+        this.ledger.interrupted(item.id);
+        break;
+      case 'broken':
+      case 'stalled':
+        this._avoid(item, endpoint);
+        this.ledger.interrupted(item.id);
+        break;
+      case 'cancelled':
+      case 'old-version':
+        this.ledger.interrupted(item.id);
+        break;
+    }
+    if (this.ledger.unconfirmed().length > 0) void this._list();
+  }
+
+  private _avoid(item: BatchItem, endpoint: Endpoint): void {
+    const avoided = this._avoided.get(item.id) ?? new Set<string>();
+    avoided.add(endpoint.id);
+    this._avoided.set(item.id, avoided);
+    if (this._groupEndpoints.get(item.group) === endpoint.id) this._groupEndpoints.delete(item.group);
+  }
+
+  /** Writes finished results to the store, one write at a time, until none is left. */
+  private async _list(): Promise<void> {
+    if (this._isListing) return;
+    this._isListing = true;
+    const { clock, stopped } = this._context;
+    while (this.ledger.unconfirmed().length > 0 && !this._isStopped && !stopped.aborted) {
+      const isLast = this.ledger.listed().length + this.ledger.unconfirmed().length === this.ledger.total();
+      if (!isLast) await sleep(clock, LIST_INTERVAL_MS, stopped);
+      const isDone = await this._listOnce();
+      if (!isDone) await sleep(clock, LIST_RETRY_MS, stopped);
+    }
+    this._isListing = false;
+  }
+
+  private async _listOnce(): Promise<boolean> {
+    if (this._isStopped) return true;
+    const pending = this.ledger.unconfirmed();
+    const results = this._unsettled ?? pending.slice(0, countThatFits(pending));
+    this._unsettled = results;
+    const position = this.ledger.listed().length;
+    const askedMs = this._context.clock.nowMs();
+    const { store } = this._ports;
+    const done = await store.append(this.batchId, this._held, position, results, this._storeDeadline());
+    if (done.kind === 'out-of-reach') return false;
+    this._unsettled = undefined;
+    if (done.kind === 'lost') {
+      this._loseBatch();
+      return true;
+    }
+    this._confirmedMs = askedMs;
+    this.ledger.confirm(results.length);
+    this._logListed(position, results);
+    this._wakeReaders();
+    return true;
+  }
+
+  /** Moves the items of slow endpoints to quick ones that have nothing better to do. */
+  private _moveFromSlow(): void {
+    if (this.ledger.waiting().length > 0) return;
+    for (const attempt of this._attempts.values()) {
+      if (attempt.endpoint.isLeaving || !attempt.isLong()) continue;
+      const item = this.ledger.item(attempt.itemId);
+      if (!item || !this._hasQuickerPlace(item, attempt.endpoint)) continue;
+      this._avoid(item, attempt.endpoint);
+      attempt.stop();
+    }
+  }
+
+  private _hasQuickerPlace(item: BatchItem, than: Endpoint): boolean {
+    const route = this._route(this.ledger.batch.host, item);
+    const paceMs = than.paceMs();
+    if (!route || paceMs === undefined) return false;
+    return this._candidates(route).some(endpoint => {
+      const otherMs = endpoint.paceMs();
+      return endpoint !== than && endpoint.freePlaces() > 0 && otherMs !== undefined && otherMs * SLOW_FACTOR < paceMs;
+    });
+  }
+
+  /** An item that is not done when its route lets it go is given up, so that its step has an end. */
+  private _armExpiry(): void {
+    const route = this._routeOf(this.ledger.batch);
+    if (!route || route.keepMs === 0) return;
+    const ageMs = Math.max(0, this._context.clock.wallMs() - this._held.claim.acceptedWallMs);
+    // Wall clocks differ between hosts: an older batch may be a little younger than it seems.
+    const leftMs = Math.max(0, route.keepMs - ageMs) + CLOCK_SKEW_MS;
+    this._context.clock.after(leftMs, () => {
+      if (this._isStopped || this.ledger.isDone()) return;
+      this._context.log.warn('batch expired', { batchId: this.batchId, keepMs: route.keepMs });
+      for (const attempt of this._attempts.values()) attempt.stop();
+      this.ledger.terminateRest();
+      void this._list();
+    });
+  }
+
+  private _storeDeadline(): Deadline {
+    return Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
+  }
+
+  private _logAttempt(item: BatchItem, endpoint: Endpoint, attempt: number, end: AttemptEnd): void {
+    this._context.metrics.attempts.inc({ kind: 'item', end: end.kind });
+    this._context.log.info('item attempt', {
+      batchId: this.batchId,
+      itemId: item.id,
+      endpointId: endpoint.id,
+      attempt,
+      end: end.kind,
+      reason: 'text' in end ? end.text : 'reason' in end ? end.reason : undefined,
+      status: 'status' in end ? end.status : undefined,
+      events: this.ledger.progress(item.id).lastEvent(),
+      endpointsAgeMs: Math.round(this._ports.endpoints.ageMs()),
+    });
+  }
+
+  private _logListed(position: number, results: readonly ItemResult[]): void {
+    const { metrics, log, clock } = this._context;
+    const sinceStartMs = Math.round(clock.nowMs() - this._startedMs);
+    for (const { state } of results) {
+      metrics.items.inc({ state });
+      metrics.listing.observe(sinceStartMs / 1000);
+    }
+    log.info('results listed', {
+      batchId: this.batchId,
+      position,
+      results: results.length,
+      total: this.ledger.total(),
+      claimRevision: this._held.revision,
+      sinceStartMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/batchService.ts
@@ -0,0 +1,421 @@
+/**
+ * Batches at this host: acceptance, reading, bodies, ends, for batches that it owns and for all others.
+ *
+ * Any host takes any call. The claim in the store says who owns a batch; the owner is asked, and if it is gone
+ * this host takes the batch over and goes on with it. So what drives a takeover is the trainer that reads.
+ */
+import { Deadline, err, ok, sleep, type Result } from '@fuchsiahitch/base';
+import {
+  pageFrom,
+  type Batch,
+  type BatchEndReply,
+  type BatchItemReply,
+  type BatchReadReply,
+  type Owner,
+  type ResultPage,
+} from '@fuchsiahitch/batches';
+import { calls, type PeerServer } from '@fuchsiahitch/protocol';
+import { BatchOwner, type BatchPorts } from './batchOwner.js';
+import type { HeldClaim, StoredBatch } from './batchStore.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { HostDirectory } from './hostDirectory.js';
+
+export type SubmitOutcome =
+  | { readonly kind: 'accepted' }
+  /** Nothing of the batch runs, now or later. */
+  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  | { readonly kind: 'unknown' };
+
+export type ReadOutcome =
+  | { readonly kind: 'page'; readonly page: ResultPage }
+  | { readonly kind: 'no-batch' }
+  | { readonly kind: 'unsure' };
+
+export type ItemOutcome =
+  | { readonly kind: 'body'; readonly body: Buffer }
+  | { readonly kind: 'no-item' }
+  | { readonly kind: 'unsure' };
+
+export type EndOutcome = 'ended' | 'no-batch' | 'unsure';
+
+/** Where a batch stands, as far as this host could learn. */
+type Located =
+  | { readonly kind: 'here'; readonly owner: BatchOwner }
+  | { readonly kind: 'peer'; readonly held: HeldClaim }
+  | { readonly kind: 'stored'; readonly held: HeldClaim }
+  | { readonly kind: 'no-batch' }
+  | { readonly kind: 'unsure' };
+
+const STORE_TIMEOUT_MS = 1000;
+/** A peer that does not answer a call, beyond the time that the call itself waits. */
+const PEER_TIMEOUT_MS = 700;
+/** How often a batch whose owner can't be reached is read from the store while a reader waits. */
+const STORED_POLL_MS = 400;
+/** A refused batch may come back after this: an outage of the store lasts seconds. */
+const RETRY_AFTER_MS = 1000;
+/** Ended batches that are kept in memory for their readers, about half a megabyte each; the rest is read from the store. */
+const KEPT_STORED = 8;
+const KEPT_ENDED = 4;
+/** Claims that are remembered: some hundred bytes each. */
+const KEPT_CLAIMS = 2000;
+
+export class BatchService {
+  private readonly _context: GatewayContext;
+  private readonly _ports: BatchPorts;
+  private readonly _hosts: HostDirectory;
+  private readonly _owned = new Map<string, BatchOwner>();
+  private readonly _submits = new Map<string, Promise<SubmitOutcome>>();
+  private readonly _takeovers = new Map<string, Promise<Located>>();
+  /** Claims as last read: where to ask first. The owner itself says if it is one no more. */
+  private readonly _claims = new Map<string, HeldClaim>();
+  private readonly _stored = new Map<string, StoredBatch>();
+
+  constructor(context: GatewayContext, ports: BatchPorts, hosts: HostDirectory) {
+    this._context = context;
+    this._ports = ports;
+    this._hosts = hosts;
+  }
+
+  serve(server: PeerServer): void {
+    server.handle(calls.batchRead, request => this._readHere(request));
+    server.handle(calls.batchItem, request => this._itemHere(request));
+    server.handle(calls.batchEnd, request => this._endHere(request.batchId));
+  }
+
+  /** Batches that this host runs. */
+  ownedCount(): number {
+    return this._owned.size;
+  }
+
+  /** Items that run or wait at this host. */
+  openItems(): number {
+    let count = 0;
+    for (const owner of this._owned.values())
+      if (!owner.isEnded()) count += owner.ledger.total() - owner.ledger.listed().length;
+    return count;
+  }
+
+  /** Accepts a batch once, however often and wherever it is submitted. */
+  async submit(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    if (this._owned.has(batch.id)) return { kind: 'accepted' };
+    const running = this._submits.get(batch.id) ?? this._accept(batch, deadline);
+    this._submits.set(batch.id, running);
+    const outcome = await running;
+    this._submits.delete(batch.id);
+    return outcome;
+  }
+
+  async read(batchId: string, after: number, waitMs: number): Promise<ReadOutcome> {
+    const deadline = Deadline.after(this._context.clock, waitMs);
+    const request = { batchId, after, waitMs };
+    const reply = await this._atOwner<BatchReadReply>(
+      batchId,
+      owner => owner.read(after, deadline.leftMs()),
+      address => this._hosts.call(address, calls.batchRead, request, waitMs + PEER_TIMEOUT_MS),
+    );
+    switch (reply.kind) {
+      case 'page':
+        return { kind: 'page', page: { total: reply.total, results: reply.results, next: reply.next } };
+      case 'stored':
+        return this._readStored(batchId, reply.held, after, deadline);
+      case 'no-batch':
+        return { kind: 'no-batch' };
+      default:
+        return { kind: 'unsure' };
+    }
+  }
+
+  async item(batchId: string, itemId: string): Promise<ItemOutcome> {
+    const request = { batchId, itemId };
+    const reply = await this._atOwner<BatchItemReply>(
+      batchId,
+      owner => itemOf(owner.ledger.batch, itemId),
+      address => this._hosts.call(address, calls.batchItem, request, PEER_TIMEOUT_MS),
+    );
+    switch (reply.kind) {
+      case 'body':
+        return { kind: 'body', body: Buffer.from(reply.bodyBase64, 'base64') };
+      case 'stored':
+        return this._storedItem(batchId, itemId);
+      case 'no-item':
+      case 'no-batch':
+        return { kind: 'no-item' };
+      default:
+        return { kind: 'unsure' };
+    }
+  }
+
+  async end(batchId: string): Promise<EndOutcome> {
+    const reply = await this._atOwner<BatchEndReply>(
+      batchId,
+      async owner => endReply(await owner.end()),
+      address => this._hosts.call(address, calls.batchEnd, { batchId }, STORE_TIMEOUT_MS + PEER_TIMEOUT_MS),
+    );
+    switch (reply.kind) {
+      case 'ended':
+        return 'ended';
+      case 'stored':
+        return reply.held.claim.isEnded ? 'ended' : this._endStored(batchId, reply.held);
+      case 'no-batch':
+        return 'no-batch';
+      default:
+        return 'unsure';
+    }
+  }
+
+  /** Stops every run; the batches stay in the store for their next owners. */
+  stop(): void {
+    for (const owner of this._owned.values()) owner.stop('this host shuts down');
+  }
+
+  private async _accept(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    const startedMs = this._context.clock.nowMs();
+    const outcome = await this._ports.store.accept(batch, this._hosts.self(), deadline);
+    const tookMs = this._context.clock.nowMs() - startedMs;
+    this._context.metrics.batches.inc({ call: 'submit', outcome: outcome.kind });
+    this._context.metrics.acceptance.observe(tookMs / 1000);
+    this._context.log.info('batch submitted', {
+      batchId: batch.id,
+      outcome: outcome.kind,
+      error: 'error' in outcome ? outcome.error : undefined,
+      items: batch.items.length,
+      step: batch.step,
+      model: batch.model,
+      minVersion: batch.minVersion,
+      tookMs: Math.round(tookMs),
+    });
+    switch (outcome.kind) {
+      case 'accepted':
+        this._own(outcome.held, { batch, results: [] });
+        return { kind: 'accepted' };
+      case 'known':
+        this._claims.set(batch.id, outcome.held);
+        return { kind: 'accepted' };
+      case 'not-done':
+        return { kind: 'not-run', reason: 'the store is out of reach', retryAfterMs: RETRY_AFTER_MS };
+      case 'too-large':
+        return { kind: 'not-run', reason: 'the batch is too large to keep', retryAfterMs: RETRY_AFTER_MS };
+      case 'unknown':
+        return { kind: 'unknown' };
+    }
+  }
+
+  private _own(held: HeldClaim, stored: StoredBatch): BatchOwner {
+    const { id } = stored.batch;
+    this._forgetEnded();
+    const owner = new BatchOwner(this._context, this._ports, held, stored, () => {
+      this._owned.delete(id);
+      this._claims.delete(id);
+    });
+    this._owned.set(id, owner);
+    owner.start();
+    return owner;
+  }
+
+  /** Ended batches can be read from the store: only the newest are kept in memory. */
+  private _forgetEnded(): void {
+    const ended = [...this._owned].filter(([, owner]) => owner.isEnded());
+    for (const [id] of ended.slice(0, Math.max(0, ended.length - KEPT_ENDED))) this._owned.delete(id);
+  }
+
+  /** Does something at the owner of a batch, wherever that is; takes the batch over if its owner is gone. */
+  private async _atOwner<A extends { readonly kind: string }>(
+    batchId: string,
+    here: (owner: BatchOwner) => Promise<A> | A,
+    there: (address: string) => Promise<Result<A, unknown>>,
+  ): Promise<A | Exclude<Located, { readonly kind: 'here' | 'peer' }>> {
+    for (let tries = 0; tries < 3; tries++) {
+      const located = await this._locate(batchId, tries > 0);
+      if (located.kind === 'here') {
+        const reply = await here(located.owner);
+        if (reply.kind !== 'not-owner') return reply;
+        continue;
+      }
+      if (located.kind !== 'peer') return located;
+      const reply = await there(located.held.claim.owner.address);
+      if (reply.ok && reply.value.kind !== 'not-owner') return reply.value;
+      this._claims.delete(batchId);
+      const next = await this._replaceOwner(batchId, located.held.claim.owner, reply.ok);
+      if (next.kind !== 'here' && next.kind !== 'peer') return next;
+    }
+    return { kind: 'unsure' };
+  }
+
+  private async _locate(batchId: string, isAgain: boolean): Promise<Located> {
+    const owner = this._owned.get(batchId);
+    if (owner) return { kind: 'here', owner };
+    const known = this._claims.get(batchId);
+    if (known && !isAgain) return toLocated(known);
+    const held = await this._ports.store.readClaim(batchId, this._storeDeadline());
+    if (!held.ok) return known ? toLocated(known) : { kind: 'unsure' };
+    if (!held.value) return { kind: 'no-batch' };
+    this._remember(batchId, held.value);
+    if (this._isSelf(held.value.claim.owner)) return this._replaceOwner(batchId, held.value.claim.owner, true);
+    return toLocated(held.value);
+  }
+
+  /**
+   * Takes over a batch whose owner is gone. `deniedIt`: the process itself said that it does not run the batch.
+   * An owner that merely can't be reached from here, and whose lease stands, keeps the batch.
+   */
+  private async _replaceOwner(batchId: string, owner: Owner, deniedIt: boolean): Promise<Located> {
+    const running = this._takeovers.get(batchId) ?? this._takeOver(batchId, owner, deniedIt);
+    this._takeovers.set(batchId, running);
+    const located = await running;
+    this._takeovers.delete(batchId);
+    return located;
+  }
+
+  private async _takeOver(batchId: string, from: Owner, deniedIt: boolean): Promise<Located> {
+    const { store } = this._ports;
+    const held = await store.readClaim(batchId, this._storeDeadline());
+    if (!held.ok) return { kind: 'unsure' };
+    if (!held.value) return { kind: 'no-batch' };
+    const { claim } = held.value;
+    if (claim.isEnded) return { kind: 'stored', held: held.value };
+    const isSame = claim.owner.hostId === from.hostId && claim.owner.incarnation === from.incarnation;
+    if (!isSame) return this._follow(batchId, held.value);
+    const isGone = deniedIt || (this._hosts.isSynced() && !this._hosts.isAlive(claim.owner));
+    if (!isGone) return { kind: 'stored', held: held.value };
+    const change = { owner: this._hosts.self(), takeovers: claim.takeovers + 1 };
+    const done = await store.changeClaim(batchId, held.value, change, this._storeDeadline());
+    this._logTakeover(batchId, from, deniedIt, done.kind);
+    if (done.kind === 'out-of-reach') return { kind: 'unsure' };
+    if (done.kind === 'lost') return { kind: 'unsure' };
+    const stored = await store.load(batchId, this._storeDeadline());
+    if (!stored.ok) {
+      this._context.log.error('batch could not be loaded', { batchId, error: stored.error.kind });
+      return { kind: 'unsure' };
+    }
+    return { kind: 'here', owner: this._own(done.value, stored.value) };
+  }
+
+  private _follow(batchId: string, held: HeldClaim): Located {
+    this._remember(batchId, held);
+    return toLocated(held);
+  }
+
+  private _logTakeover(batchId: string, from: Owner, deniedIt: boolean, outcome: string): void {
+    if (outcome === 'done') this._context.metrics.takeovers.inc();
+    this._context.log.info('batch takeover', {
+      batchId,
+      outcome,
+      from: from.hostId,
+      fromIncarnation: from.incarnation,
+      reason: deniedIt ? 'its owner does not run it' : 'its owner is gone',
+    });
+  }
+
+  private async _readStored(
+    batchId: string,
+    held: HeldClaim,
+    after: number,
+    deadline: Deadline,
+  ): Promise<ReadOutcome> {
+    for (;;) {
+      const results = await this._storedResults(batchId, held);
+      if (!results.ok) return { kind: 'unsure' };
+      const { items } = held.claim;
+      const isWaiting = results.value.length <= after && after < items && !held.claim.isEnded;
+      if (!isWaiting || deadline.leftMs() <= STORED_POLL_MS)
+        return { kind: 'page', page: pageFrom(results.value, items, after) };
+      await sleep(this._context.clock, STORED_POLL_MS, this._context.stopped);
+    }
+  }
+
+  private async _storedResults(
+    batchId: string,
+    held: HeldClaim,
+  ): Promise<Result<StoredBatch['results'], 'unsure'>> {
+    if (held.claim.isEnded) {
+      const stored = await this._loadStored(batchId);
+      return stored ? ok(stored.results) : err('unsure');
+    }
+    const results = await this._ports.store.results(batchId, this._storeDeadline());
+    return results.ok ? ok(results.value) : err('unsure');
+  }
+
+  private async _storedItem(batchId: string, itemId: string): Promise<ItemOutcome> {
+    const stored = await this._loadStored(batchId);
+    if (!stored) return { kind: 'unsure' };
+    const reply = itemOf(stored.batch, itemId);
+    if (reply.kind !== 'body') return { kind: 'no-item' };
+    return { kind: 'body', body: Buffer.from(reply.bodyBase64, 'base64') };
+  }
+
+  /** An ended batch never changes again, so that its last readers need one read of the store. */
+  private async _loadStored(batchId: string): Promise<StoredBatch | undefined> {
+    const known = this._stored.get(batchId);
+    if (known) return known;
+    const stored = await this._ports.store.load(batchId, this._storeDeadline());
+    if (!stored.ok) return undefined;
+    const claim = this._claims.get(batchId);
+    if (claim?.claim.isEnded) {
+      this._stored.set(batchId, stored.value);
+      const [oldest] = this._stored.keys();
+      if (this._stored.size > KEPT_STORED && oldest !== undefined) this._stored.delete(oldest);
+    }
+    return stored.value;
+  }
+
+  private async _endStored(batchId: string, held: HeldClaim): Promise<EndOutcome> {
+    const done = await this._ports.store.changeClaim(
+      batchId,
+      held,
+      { isEnded: true },
+      this._storeDeadline(),
+    );
+    if (done.kind !== 'done') return 'unsure';
+    this._remember(batchId, done.value);
+    return 'ended';
+  }
+
+  private async _readHere(request: {
+    readonly batchId: string;
+    readonly after: number;
+    readonly waitMs: number;
+  }): Promise<BatchReadReply> {
+    const owner = this._owned.get(request.batchId);
+    return owner ? owner.read(request.after, request.waitMs) : { kind: 'not-owner' };
+  }
+
+  private _itemHere(request: { readonly batchId: string; readonly itemId: string }): BatchItemReply {
+    const owner = this._owned.get(request.batchId);
+    return owner ? itemOf(owner.ledger.batch, request.itemId) : { kind: 'not-owner' };
+  }
+
+  private async _endHere(batchId: string): Promise<BatchEndReply> {
+    const owner = this._owned.get(batchId);
+    return owner ? endReply(await owner.end()) : { kind: 'not-owner' };
+  }
+
+  private _remember(batchId: string, held: HeldClaim): void {
+    this._claims.delete(batchId);
+    this._claims.set(batchId, held);
+    const [oldest] = this._claims.keys();
+    if (this._claims.size > KEPT_CLAIMS && oldest !== undefined) this._claims.delete(oldest);
+  }
+
+  private _isSelf(owner: Owner): boolean {
+    const { hostId, incarnation } = this._context;
+    return owner.hostId === hostId && owner.incarnation === incarnation;
+  }
+
+  private _storeDeadline(): Deadline {
+    return Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
+  }
+}
+
+function toLocated(held: HeldClaim): Located {
+  return held.claim.isEnded ? { kind: 'stored', held } : { kind: 'peer', held };
+}
+
+function itemOf(batch: Batch, itemId: string): BatchItemReply {
+  const item = batch.items.find(candidate => candidate.id === itemId);
+  return item ? { kind: 'body', bodyBase64: item.bodyBase64 } : { kind: 'no-item' };
+}
+
+function endReply(end: Awaited<ReturnType<BatchOwner['end']>>): BatchEndReply {
+  if (end === 'ended') return { kind: 'ended' };
+  return end === 'lost' ? { kind: 'not-owner' } : { kind: 'unsure' };
+}
--- /dev/null
+++ b/packages/gateway/src/batchStore.ts
@@ -0,0 +1,222 @@
+/**
+ * A batch's records in the store: accepted once, owned by one host at a time, results added in order.
+ *
+ * Every write names the revision of the claim. A write whose answer was lost, and that may be carried out
+ * seconds later, is therefore harmless: it takes effect only if nothing has changed hands, and then it is the
+ * very write that was meant. Its outcome is read back before anything depends on it.
+ */
+import { err, ok, sleep, type Deadline, type Result } from '@fuchsiahitch/base';
+import {
+  claimKey,
+  isSameOwner,
+  joinBatch,
+  partKey,
+  partPrefix,
+  positionOf,
+  readClaim,
+  readResults,
+  resultKey,
+  resultPrefix,
+  splitBatch,
+  type Batch,
+  type Claim,
+  type ItemResult,
+  type Owner,
+} from '@fuchsiahitch/batches';
+import type { RevisionedStore, StoreError, Write } from '@fuchsiahitch/clients';
+import type { GatewayContext } from './gatewayContext.js';
+
+/** A claim with the revision that writes to the batch must name. */
+export interface HeldClaim {
+  readonly claim: Claim;
+  readonly revision: number;
+}
+
+/** A batch as it stands in the store. */
+export interface StoredBatch {
+  readonly batch: Batch;
+  readonly results: readonly ItemResult[];
+}
+
+/** Why a batch could not be read or written. `damaged`: a record does not fit, which is a defect. */
+export type BatchStoreError =
+  | { readonly kind: 'out-of-reach'; readonly error: StoreError }
+  | { readonly kind: 'damaged'; readonly key: string }
+  | { readonly kind: 'too-large' };
+
+export type AcceptOutcome =
+  | { readonly kind: 'accepted'; readonly held: HeldClaim }
+  /** Another acceptance came first, of this or another host. */
+  | { readonly kind: 'known'; readonly held: HeldClaim }
+  /** Nothing was written, and nothing will be. */
+  | { readonly kind: 'not-done'; readonly error: StoreError }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'unknown' };
+
+/** `lost`: the claim has changed hands. */
+export type WriteOutcome<T> =
+  | { readonly kind: 'done'; readonly value: T }
+  | { readonly kind: 'lost' }
+  | { readonly kind: 'out-of-reach'; readonly error: StoreError };
+
+/** The platform's store takes 32 entries in one transaction; one is the claim. */
+const MAX_PARTS = 31;
+/** Pause between two tries of a write that found the store away: many tries fit an outage of seconds. */
+const RETRY_MS = 200;
+
+export class BatchStore {
+  private readonly _context: GatewayContext;
+  private readonly _store: RevisionedStore;
+
+  constructor(context: GatewayContext, store: RevisionedStore) {
+    this._context = context;
+    this._store = store;
+  }
+
+  /** Writes a batch that no host has accepted yet. Tries until the deadline while the store is away. */
+  async accept(batch: Batch, owner: Owner, deadline: Deadline): Promise<AcceptOutcome> {
+    const parts = splitBatch(batch);
+    if (parts.length > MAX_PARTS) return { kind: 'too-large' };
+    const key = claimKey(batch.id);
+    const claim: Claim = {
+      owner,
+      isEnded: false,
+      items: batch.items.length,
+      parts: parts.length,
+      acceptedWallMs: this._context.clock.wallMs(),
+      takeovers: 0,
+    };
+    const writes: Write[] = [{ kind: 'put', key, value: JSON.stringify(claim) }];
+    for (const [i, value] of parts.entries()) writes.push({ kind: 'put', key: partKey(batch.id, i), value });
+    let mayBeDone = false;
+    for (;;) {
+      const done = await this._store.transact([{ key, version: 0 }], writes, deadline);
+      if (done.ok && done.value.succeeded)
+        return { kind: 'accepted', held: { claim, revision: done.value.version } };
+      if (done.ok) return this._acceptedBefore(batch.id, owner, deadline);
+      if (done.error === 'unknown') mayBeDone = true;
+      if (deadline.leftMs() <= RETRY_MS)
+        return mayBeDone ? { kind: 'unknown' } : { kind: 'not-done', error: done.error };
+      await sleep(this._context.clock, RETRY_MS, this._context.stopped);
+    }
+  }
+
+  /** The claim of a batch; undefined when no such batch was accepted. */
+  async readClaim(
+    batchId: string,
+    deadline: Deadline,
+  ): Promise<Result<HeldClaim | undefined, BatchStoreError>> {
+    const key = claimKey(batchId);
+    const stored = await this._store.get(key, deadline);
+    if (!stored.ok) return err({ kind: 'out-of-reach', error: stored.error });
+    if (!stored.value) return ok(undefined);
+    const claim = readClaim(key, stored.value.value);
+    if (!claim.ok) return err({ kind: 'damaged', key });
+    return ok({ claim: claim.value, revision: stored.value.version });
+  }
+
+  /** Changes a claim that still stands at the revision. */
+  async changeClaim(
+    batchId: string,
+    held: HeldClaim,
+    change: Partial<Pick<Claim, 'owner' | 'isEnded' | 'takeovers'>>,
+    deadline: Deadline,
+  ): Promise<WriteOutcome<HeldClaim>> {
+    const key = claimKey(batchId);
+    const claim: Claim = { ...held.claim, ...change };
+    const value = JSON.stringify(claim);
+    const compares = [{ key, version: held.revision }];
+    for (;;) {
+      const done = await this._store.transact(compares, [{ kind: 'put', key, value }], deadline);
+      if (done.ok && done.value.succeeded)
+        return { kind: 'done', value: { claim, revision: done.value.version } };
+      if (done.ok) return this._changedBefore(key, value, deadline);
+      if (deadline.leftMs() <= RETRY_MS) return { kind: 'out-of-reach', error: done.error };
+      await sleep(this._context.clock, RETRY_MS, this._context.stopped);
+    }
+  }
+
+  /** Adds results at a position. One try; a repeated call finds what an earlier one has done. */
+  async append(
+    batchId: string,
+    held: HeldClaim,
+    position: number,
+    results: readonly ItemResult[],
+    deadline: Deadline,
+  ): Promise<WriteOutcome<void>> {
+    const key = resultKey(batchId, position);
+    const value = JSON.stringify(results);
+    const compares = [
+      { key: claimKey(batchId), version: held.revision },
+      { key, version: 0 },
+    ];
+    const done = await this._store.transact(compares, [{ kind: 'put', key, value }], deadline);
+    if (!done.ok) return { kind: 'out-of-reach', error: done.error };
+    if (done.value.succeeded) return { kind: 'done', value: undefined };
+    const stored = await this._store.get(key, deadline);
+    if (!stored.ok) return { kind: 'out-of-reach', error: stored.error };
+    return stored.value?.value === value ? { kind: 'done', value: undefined } : { kind: 'lost' };
+  }
+
+  /** Reads the whole batch. What is read after a claim was taken is complete: former owners can't add. */
+  async load(batchId: string, deadline: Deadline): Promise<Result<StoredBatch, BatchStoreError>> {
+    const parts = await this._store.list(partPrefix(batchId), deadline);
+    if (!parts.ok) return err({ kind: 'out-of-reach', error: parts.error });
+    const texts = parts.value.map(part => part.value);
+    const batch = joinBatch(partPrefix(batchId), texts);
+    if (!batch.ok) return err({ kind: 'damaged', key: batch.error.key });
+    const results = await this.results(batchId, deadline);
+    return results.ok ? ok({ batch: batch.value, results: results.value }) : results;
+  }
+
+  /** All results that the store has, in the order of their positions. */
+  async results(
+    batchId: string,
+    deadline: Deadline,
+  ): Promise<Result<readonly ItemResult[], BatchStoreError>> {
+    const lists = await this._store.list(resultPrefix(batchId), deadline);
+    if (!lists.ok) return err({ kind: 'out-of-reach', error: lists.error });
+    const results: ItemResult[] = [];
+    for (const { key, value } of lists.value) {
+      const parsed = readResults(key, value);
+      if (!parsed.ok || positionOf(key) !== results.length) return err({ kind: 'damaged', key });
+      results.push(...parsed.value);
+    }
+    return ok(results);
+  }
+
+  /** Removes every record of a batch. */
+  async remove(batchId: string, deadline: Deadline): Promise<boolean> {
+    for (const prefix of [resultPrefix(batchId), partPrefix(batchId)]) {
+      const records = await this._store.list(prefix, deadline);
+      if (!records.ok) return false;
+      for (const { key } of records.value) {
+        const done = await this._store.transact([], [{ kind: 'delete', key }], deadline);
+        if (!done.ok) return false;
+      }
+    }
+    const done = await this._store.transact([], [{ kind: 'delete', key: claimKey(batchId) }], deadline);
+    return done.ok;
+  }
+
+  /** The claim exists: an earlier try of this very call may have written it. */
+  private async _acceptedBefore(batchId: string, owner: Owner, deadline: Deadline): Promise<AcceptOutcome> {
+    const held = await this.readClaim(batchId, deadline);
+    if (!held.ok || !held.value) return { kind: 'unknown' };
+    const kind = isSameOwner(held.value.claim.owner, owner) ? 'accepted' : 'known';
+    return { kind, held: held.value };
+  }
+
+  private async _changedBefore(
+    key: string,
+    value: string,
+    deadline: Deadline,
+  ): Promise<WriteOutcome<HeldClaim>> {
+    const stored = await this._store.get(key, deadline);
+    if (!stored.ok) return { kind: 'out-of-reach', error: stored.error };
+    if (stored.value?.value !== value) return { kind: 'lost' };
+    const claim = readClaim(key, value);
+    if (!claim.ok) return { kind: 'lost' };
+    return { kind: 'done', value: { claim: claim.value, revision: stored.value.version } };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint.ts
@@ -0,0 +1,107 @@
+/**
+ * One endpoint as this host knows it.
+ */
+import type { Clock } from '@fuchsiahitch/base';
+import { ConcurrencyLimit, EndpointStats } from '@fuchsiahitch/requests';
+import type { EndpointInfo, EndpointLoad } from './ports.js';
+
+/**
+ * A load that an endpoint stated is used for so long. Other hosts' work on it comes and goes within a second,
+ * and an older word would keep places empty that are free again.
+ */
+const LOAD_VALID_MS = 1000;
+/** Weight of the newest pause between two events in the endpoint's pace. */
+const PACE_WEIGHT = 0.1;
+
+export class Endpoint {
+  readonly stats: EndpointStats;
+  readonly limit: ConcurrencyLimit;
+  private readonly _clock: Clock;
+  private readonly _heardVersions = new Map<string, number>();
+  private _info: EndpointInfo;
+  private _saidLeaving = false;
+  private _closedUntilMs = -Infinity;
+  private _paceMs: number | undefined;
+
+  constructor(info: EndpointInfo, clock: Clock) {
+    this._info = info;
+    this._clock = clock;
+    this.stats = new EndpointStats(clock, LOAD_VALID_MS);
+    this.limit = new ConcurrencyLimit(info.slots, 1);
+  }
+
+  get id(): string {
+    return this._info.id;
+  }
+
+  get domain(): string {
+    return this._info.domain;
+  }
+
+  get pool(): string {
+    return this._info.pool;
+  }
+
+  /** Picking by version is for items only; they ask `versionOf`. */
+  get version(): string {
+    return '';
+  }
+
+  /** Leaving is final for one start, whichever source says so first. */
+  get isLeaving(): boolean {
+    return this._info.isLeaving || this._saidLeaving;
+  }
+
+  info(): EndpointInfo {
+    return this._info;
+  }
+
+  updated(info: EndpointInfo): void {
+    this._info = { ...info, isLeaving: info.isLeaving || this._info.isLeaving };
+  }
+
+  saidLeaving(): void {
+    this._saidLeaving = true;
+  }
+
+  /** The endpoint's own word about its load. */
+  loaded(load: EndpointLoad): void {
+    this.stats.reported({
+      inFlight: load.running,
+      queued: load.waiting,
+      version: '',
+      startId: this.id,
+      isLeaving: false,
+    });
+  }
+
+  /** The newest version that the endpoint is known to have: by its heartbeat, or by an answer. */
+  versionOf(model: string): number {
+    return Math.max(this._info.versions.get(model) ?? 0, this._heardVersions.get(model) ?? 0);
+  }
+
+  heardVersion(model: string, version: number): void {
+    this._heardVersions.set(model, Math.max(version, this._heardVersions.get(model) ?? 0));
+  }
+
+  /** Sends no items for a while: the endpoint refused one, because it is full or loads weights. */
+  closeFor(durationMs: number): void {
+    this._closedUntilMs = Math.max(this._closedUntilMs, this._clock.nowMs() + durationMs);
+  }
+
+  /** Items that this host may send now. */
+  freePlaces(): number {
+    if (this.isLeaving || !this.stats.isUsable() || this._clock.nowMs() < this._closedUntilMs) return 0;
+    return Math.max(0, this._info.slots - this.stats.estimatedLoad());
+  }
+
+  /** The time between two events of a stream at this endpoint. */
+  paced(pauseMs: number): void {
+    const before = this._paceMs ?? pauseMs;
+    this._paceMs = before + PACE_WEIGHT * (pauseMs - before);
+  }
+
+  paceMs(): number | undefined {
+    return this._paceMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/forwarder.ts
@@ -0,0 +1,377 @@
+/**
+ * Forwards one request of a caller to an endpoint.
+ *
+ * An idempotent request is sent again, to another endpoint, after any failure, and also when the first endpoint
+ * is late. Any other request is sent again only after proof that it did not run. One place counts attempts, so
+ * that no two layers retry the same request.
+ */
+import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
+import { EndpointPicker, RetryBudget, type PickRequest } from '@fuchsiahitch/requests';
+import type { Route } from '@fuchsiahitch/rules';
+import type { Endpoint } from './endpoint.js';
+import type { EndpointDirectory } from './endpointDirectory.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { EndpointAnswer, EndpointClient, HeaderPair } from './ports.js';
+
+/** A request of a caller, read whole. */
+export interface CallerRequest {
+  readonly id: string;
+  readonly host: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: readonly HeaderPair[];
+  readonly body: Buffer | undefined;
+  /** How long the caller waits, from its arrival; undefined if it did not say. */
+  readonly waitMs: number | undefined;
+}
+
+/** An answer as it is passed on. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderPair[];
+  readonly body: Buffer;
+}
+
+/** Takes a stream piece by piece; `write` resolves when the caller keeps up. */
+export interface StreamSink {
+  begin(status: number, headers: readonly HeaderPair[]): void;
+  write(chunk: Buffer): Promise<void>;
+  end(): void;
+  /** Breaks the answer off in a way that can't be taken for its end. */
+  abort(): void;
+}
+
+/** How a request ended. `not-run` is a promise: no endpoint ran it or will. */
+export type ForwardOutcome =
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer }
+  | { readonly kind: 'streamed' }
+  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  | { readonly kind: 'unknown'; readonly reason: 'broken' | 'late' }
+  | { readonly kind: 'caller-left' };
+
+/** How one attempt ended. */
+type AttemptEnd =
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly isFailure: boolean }
+  | { readonly kind: 'not-run' }
+  | { readonly kind: 'broken' }
+  | { readonly kind: 'cancelled' };
+
+/** Without a word of the caller or the route a request may take this long. */
+const DEFAULT_TIMEOUT_MS = 30_000;
+/** An idempotent request is sent to a second endpoint after this share of its target, if still unanswered. */
+const HEDGE_SHARE = 0.6;
+const MIN_HEDGE_MS = 30;
+/** Second sends without a failure of the first: at most this share of requests, so that load never doubles. */
+const HEDGE_BUDGET = { share: 0.2, burst: 10 };
+/** When every endpoint is full, a place comes free within a few requests' time. */
+const RETRY_AFTER_MS = 300;
+/** Weights are drawn in steps of a thousandth. */
+const WEIGHT_STEPS = 1000;
+const SERVER_ERROR = 500;
+const FIRST_ERROR = 400;
+
+export class Forwarder {
+  private readonly _context: GatewayContext;
+  private readonly _endpoints: EndpointDirectory;
+  private readonly _client: EndpointClient;
+  private readonly _picker: EndpointPicker;
+  private readonly _hedges = new RetryBudget(HEDGE_BUDGET.share, HEDGE_BUDGET.burst);
+
+  constructor(context: GatewayContext, endpoints: EndpointDirectory, client: EndpointClient) {
+    this._context = context;
+    this._endpoints = endpoints;
+    this._client = client;
+    this._picker = new EndpointPicker(context.random);
+  }
+
+  /** Forwards a request whose answer is passed on whole. */
+  async forward(request: CallerRequest, route: Route, left: AbortSignal): Promise<ForwardOutcome> {
+    this._hedges.requestBegan();
+    const run = new ForwardRun(this._context, this, request, route, left);
+    return run.run();
+  }
+
+  /** Forwards a request whose answer is a stream. It is sent again only after proof that it did not run. */
+  async stream(
+    request: CallerRequest,
+    route: Route,
+    sink: StreamSink,
+    left: AbortSignal,
+  ): Promise<ForwardOutcome> {
+    const deadline = Deadline.after(this._context.clock, timeoutOf(request, route));
+    const tried = new Set<string>();
+    for (let attempt = 0; attempt < route.maxAttempts; attempt++) {
+      const endpoint = this.choose(route, tried);
+      if (!endpoint) break;
+      tried.add(endpoint.id);
+      const end = await this._streamOnce(request, endpoint, deadline, sink, left);
+      if (end) return end;
+    }
+    return { kind: 'not-run', reason: 'no endpoint takes it', retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  mayHedge(): boolean {
+    return this._hedges.take();
+  }
+
+  /** The endpoint for an attempt; when all are at their limit, the one with the least load. */
+  choose(route: Route, tried: ReadonlySet<string>): Endpoint | undefined {
+    const pool = this._pool(route);
+    const endpoints = this._endpoints.ofPool(pool);
+    const request: PickRequest = {
+      pool,
+      ownDomain: this._context.domain,
+      domains: [],
+      isRollout: false,
+      reserve: 0,
+      prefix: '',
+      version: '',
+      tried,
+    };
+    const picked = this._picker.pick(endpoints, request);
+    if (picked) return this._endpoints.get(picked.id);
+    return leastLoaded(endpoints.filter(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)));
+  }
+
+  /** One attempt, up to its whole answer. */
+  async attempt(
+    request: CallerRequest,
+    endpoint: Endpoint,
+    leftMs: number,
+    signal: AbortSignal,
+  ): Promise<AttemptEnd> {
+    endpoint.stats.began(false);
+    endpoint.limit.used(endpoint.stats.inFlight());
+    const end = await this._exchange(request, endpoint, leftMs, signal);
+    if (end.kind === 'cancelled') endpoint.stats.cancelled(false);
+    else endpoint.stats.ended(false, end.kind === 'broken' || (end.kind === 'answered' && end.isFailure));
+    this._context.metrics.attempts.inc({ kind: 'request', end: end.kind });
+    return end;
+  }
+
+  private async _exchange(
+    request: CallerRequest,
+    endpoint: Endpoint,
+    leftMs: number,
+    signal: AbortSignal,
+  ): Promise<AttemptEnd> {
+    const call = toCall(request, endpoint, leftMs);
+    const reply = await this._client.send(call, signal);
+    if (reply.kind === 'not-run') {
+      if (reply.reason === 'refused') endpoint.limit.refused();
+      if (reply.load) endpoint.loaded(reply.load);
+      return { kind: 'not-run' };
+    }
+    if (reply.kind !== 'answered') return { kind: reply.kind };
+    return this._readWhole(endpoint, reply.answer, signal);
+  }
+
+  private async _readWhole(
+    endpoint: Endpoint,
+    answer: EndpointAnswer,
+    signal: AbortSignal,
+  ): Promise<AttemptEnd> {
+    noteAnswer(endpoint, answer);
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of answer.body) chunks.push(chunk);
+    } catch {
+      // Part of an answer is none: whether it ran is unknown, and only the next attempt can tell more.
+      return { kind: signal.aborted ? 'cancelled' : 'broken' };
+    }
+    const isSuccess = answer.status < FIRST_ERROR;
+    // A success without the endpoint's proof did not come from it as it was made.
+    if (isSuccess && !answer.isGenuine) return { kind: 'broken' };
+    const whole = { status: answer.status, headers: answer.headers, body: Buffer.concat(chunks) };
+    return { kind: 'answered', answer: whole, isFailure: answer.status >= SERVER_ERROR };
+  }
+
+  private async _streamOnce(
+    request: CallerRequest,
+    endpoint: Endpoint,
+    deadline: Deadline,
+    sink: StreamSink,
+    left: AbortSignal,
+  ): Promise<ForwardOutcome | undefined> {
+    endpoint.stats.began(false);
+    const reply = await this._client.send(toCall(request, endpoint, deadline.leftMs()), left);
+    if (reply.kind !== 'answered') {
+      endpoint.stats.ended(false, reply.kind === 'broken');
+      if (reply.kind === 'not-run') return undefined;
+      return reply.kind === 'cancelled' ? { kind: 'caller-left' } : { kind: 'unknown', reason: 'broken' };
+    }
+    noteAnswer(endpoint, reply.answer);
+    sink.begin(reply.answer.status, reply.answer.headers);
+    try {
+      for await (const chunk of reply.answer.body) await sink.write(chunk);
+      sink.end();
+      endpoint.stats.ended(false, false);
+    } catch {
+      // The stream broke off: the caller must see that it is not whole.
+      sink.abort();
+      endpoint.stats.ended(false, !left.aborted);
+    }
+    return { kind: 'streamed' };
+  }
+
+  private _pool(route: Route): string {
+    const total = route.pools.reduce((sum, share) => sum + share.weight, 0);
+    let draw = this._context.random.below(Math.max(1, Math.round(total * WEIGHT_STEPS))) / WEIGHT_STEPS;
+    for (const share of route.pools) {
+      draw -= share.weight;
+      if (draw < 0) return share.pool;
+    }
+    return route.pools[0]?.pool ?? '';
+  }
+}
+
+/** One request with its attempts, of which two may run at a time. */
+class ForwardRun {
+  private readonly _context: GatewayContext;
+  private readonly _forwarder: Forwarder;
+  private readonly _request: CallerRequest;
+  private readonly _route: Route;
+  private readonly _left: AbortSignal;
+  private readonly _deadline: Deadline;
+  private readonly _stop = new AbortController();
+  private readonly _tried = new Set<string>();
+  private readonly _events: AttemptEnd[] = [];
+  private _wake: (() => void) | undefined;
+  private _running = 0;
+  private _sent = 0;
+  private _mayHaveRun = false;
+  private _failure: WholeAnswer | undefined;
+
+  constructor(
+    context: GatewayContext,
+    forwarder: Forwarder,
+    request: CallerRequest,
+    route: Route,
+    left: AbortSignal,
+  ) {
+    this._context = context;
+    this._forwarder = forwarder;
+    this._request = request;
+    this._route = route;
+    this._left = left;
+    this._deadline = Deadline.after(context.clock, timeoutOf(request, route));
+  }
+
+  async run(): Promise<ForwardOutcome> {
+    const wake = (): void => this._wake?.();
+    const cancels = [this._context.clock.after(this._deadline.leftMs(), wake), this._armHedge()];
+    this._left.addEventListener('abort', wake);
+    const outcome = await this._decide();
+    this._left.removeEventListener('abort', wake);
+    for (const cancel of cancels) cancel();
+    // Whatever still runs is told to stop: its caller has the answer, or is gone.
+    this._stop.abort();
+    return outcome;
+  }
+
+  private async _decide(): Promise<ForwardOutcome> {
+    this._start();
+    for (;;) {
+      const end = this._events.shift();
+      const outcome = end ? this._take(end) : this._givenUp();
+      if (outcome) return outcome;
+      if (!end) await this._nextEvent();
+    }
+  }
+
+  private async _nextEvent(): Promise<void> {
+    await new Promise<void>(resolve => {
+      this._wake = resolve;
+    });
+    this._wake = undefined;
+  }
+
+  /** Sends the request to one more endpoint, if its route allows another and there is one. */
+  private _start(): boolean {
+    if (this._sent >= this._route.maxAttempts || this._deadline.isOver()) return false;
+    const endpoint = this._forwarder.choose(this._route, this._tried);
+    if (!endpoint) return false;
+    this._tried.add(endpoint.id);
+    this._sent += 1;
+    this._running += 1;
+    void this._attempt(endpoint);
+    return true;
+  }
+
+  private async _attempt(endpoint: Endpoint): Promise<void> {
+    const attempt = this._sent;
+    const leftMs = this._deadline.leftMs();
+    const startedMs = this._context.clock.nowMs();
+    const end = await this._forwarder.attempt(this._request, endpoint, leftMs, this._stop.signal);
+    this._running -= 1;
+    this._events.push(end);
+    this._wake?.();
+    this._context.log.info('request attempt', {
+      requestId: this._request.id,
+      endpointId: endpoint.id,
+      attempt,
+      end: end.kind,
+      status: end.kind === 'answered' ? end.answer.status : undefined,
+      tookMs: Math.round(this._context.clock.nowMs() - startedMs),
+      leftMs: Math.round(leftMs),
+    });
+  }
+
+  private _take(end: AttemptEnd): ForwardOutcome | undefined {
+    const mayRepeat = this._route.run === 'idempotent';
+    if (end.kind === 'answered' && !(end.isFailure && mayRepeat))
+      return { kind: 'answered', answer: end.answer };
+    if (end.kind === 'answered') this._failure = end.answer;
+    if (end.kind !== 'not-run') this._mayHaveRun = true;
+    if (end.kind === 'not-run' || mayRepeat) this._start();
+    if (this._running > 0 || this._events.length > 0) return undefined;
+    if (this._failure) return { kind: 'answered', answer: this._failure };
+    if (this._mayHaveRun) return { kind: 'unknown', reason: 'broken' };
+    return { kind: 'not-run', reason: 'every endpoint refused it', retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  /** The end of a request that waits for nothing, whose time is up, or whose caller is gone. */
+  private _givenUp(): ForwardOutcome | undefined {
+    if (this._left.aborted) return { kind: 'caller-left' };
+    if (this._running === 0) return { kind: 'not-run', reason: 'no endpoint', retryAfterMs: RETRY_AFTER_MS };
+    return this._deadline.isOver() ? { kind: 'unknown', reason: 'late' } : undefined;
+  }
+
+  private _armHedge(): CancelTimer {
+    if (this._route.run !== 'idempotent') return () => undefined;
+    const afterMs = Math.max(MIN_HEDGE_MS, this._route.targetMs * HEDGE_SHARE);
+    return this._context.clock.after(afterMs, () => {
+      if (this._running === 1 && this._forwarder.mayHedge()) this._start();
+    });
+  }
+}
+
+/** The time that a request has: what its caller waits and what its route allows, whichever is less. */
+function timeoutOf(request: CallerRequest, route: Route): number {
+  const routeMs = route.timeoutMs > 0 ? route.timeoutMs : DEFAULT_TIMEOUT_MS;
+  return Math.min(request.waitMs ?? routeMs, routeMs);
+}
+
+function toCall(
+  request: CallerRequest,
+  endpoint: Endpoint,
+  leftMs: number,
+): Parameters<EndpointClient['send']>[0] {
+  const { method, target, headers, body } = request;
+  return { endpoint: endpoint.info(), method, target, headers, body, leftMs };
+}
+
+function noteAnswer(endpoint: Endpoint, answer: EndpointAnswer): void {
+  if (answer.load) {
+    endpoint.loaded(answer.load);
+    endpoint.limit.reported(answer.load.waiting, answer.load.running);
+  }
+  if (answer.isLeaving) endpoint.saidLeaving();
+}
+
+function leastLoaded(endpoints: readonly Endpoint[]): Endpoint | undefined {
+  let least: Endpoint | undefined;
+  for (const endpoint of endpoints)
+    if (!least || endpoint.stats.estimatedLoad() < least.stats.estimatedLoad()) least = endpoint;
+  return least;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,121 @@
+/**
+ * The gateway of one host: builds its services, starts them, and ends them without cutting a request.
+ */
+import { sleep } from '@fuchsiahitch/base';
+import type { RevisionedStore } from '@fuchsiahitch/clients';
+import type { PeerServer } from '@fuchsiahitch/protocol';
+import { BatchService } from './batchService.js';
+import { BatchStore } from './batchStore.js';
+import { ConfigurationService } from './configurationService.js';
+import { EndpointDirectory } from './endpointDirectory.js';
+import { Forwarder } from './forwarder.js';
+import type { GatewayContext } from './gatewayContext.js';
+import { HostDirectory, type HostDirectoryOptions } from './hostDirectory.js';
+import type { EndpointClient, RecordDecoder, RecordKeys } from './ports.js';
+import { WeightOrders, type WeightOrdersOptions } from './weightOrders.js';
+
+export interface GatewayOptions {
+  readonly store: RevisionedStore;
+  readonly client: EndpointClient;
+  readonly keys: RecordKeys;
+  readonly decoder: RecordDecoder;
+  readonly hosts: HostDirectoryOptions;
+  readonly orders: WeightOrdersOptions;
+}
+
+const SERVING_POLL_MS = 100;
+/** The balancer asks once a second and stops sending after two misses. */
+const ARRIVAL_MS = 3200;
+
+export class Gateway {
+  readonly configuration: ConfigurationService;
+  readonly endpoints: EndpointDirectory;
+  readonly hosts: HostDirectory;
+  readonly batches: BatchService;
+  readonly forwarder: Forwarder;
+  readonly orders: WeightOrders;
+  private readonly _context: GatewayContext;
+  private _inFlight = 0;
+  private _isLeaving = false;
+
+  constructor(context: GatewayContext, options: GatewayOptions) {
+    const { store, client, keys, decoder } = options;
+    this._context = context;
+    this.configuration = new ConfigurationService(context, store, keys, decoder);
+    this.endpoints = new EndpointDirectory(context, store, keys, decoder);
+    this.hosts = new HostDirectory(context, store, options.hosts);
+    const ports = {
+      store: new BatchStore(context, store),
+      endpoints: this.endpoints,
+      configuration: this.configuration,
+      client,
+    };
+    this.batches = new BatchService(context, ports, this.hosts);
+    this.forwarder = new Forwarder(context, this.endpoints, client);
+    this.orders = new WeightOrders(
+      context,
+      store,
+      this.configuration,
+      this.endpoints,
+      this.hosts,
+      client,
+      options.orders,
+    );
+    this._registerGauges();
+  }
+
+  start(server: PeerServer): void {
+    this.batches.serve(server);
+    this.configuration.start();
+    this.endpoints.start();
+    this.hosts.start();
+    this.orders.start();
+  }
+
+  /** True when callers may be sent here: the configuration and the endpoints are known. */
+  isReady(): boolean {
+    return !this._isLeaving && this.configuration.isKnown() && this.endpoints.isSynced();
+  }
+
+  /** Counts a call of a caller while it runs. */
+  async serving<T>(run: () => Promise<T>): Promise<T> {
+    this._inFlight += 1;
+    try {
+      return await run();
+    } finally {
+      this._inFlight -= 1;
+    }
+  }
+
+  /**
+   * Ends the gateway within `graceMs`: not ready first, while callers still arrive; then what runs ends; then
+   * the leases go, so that other hosts go on with this host's batches at once.
+   */
+  async shutDown(graceMs: number): Promise<void> {
+    this._isLeaving = true;
+    const { clock, log } = this._context;
+    log.info('shutting down', { graceMs, inFlight: this._inFlight, batches: this.batches.ownedCount() });
+    await this.orders.stop();
+    this.batches.stop();
+    await this.hosts.leave();
+    const endMs = clock.nowMs() + graceMs;
+    const quietMs = Math.min(ARRIVAL_MS, graceMs / 2);
+    await sleep(clock, quietMs);
+    while (this._inFlight > 0 && clock.nowMs() < endMs) await sleep(clock, SERVING_POLL_MS);
+    this.hosts.close();
+    log.info('stopped', { inFlight: this._inFlight });
+  }
+
+  private _registerGauges(): void {
+    const { metrics } = this._context;
+    metrics.gauge('fuchsiahitch_in_flight', 'Calls of callers that run', () => this._inFlight);
+    metrics.gauge('fuchsiahitch_owned_batches', 'Batches that this host owns', () =>
+      this.batches.ownedCount(),
+    );
+    metrics.gauge('fuchsiahitch_open_items', 'Items that are not listed yet', () => this.batches.openItems());
+    metrics.gauge('fuchsiahitch_endpoints', 'Endpoints that are known', () => this.endpoints.all().length);
+    metrics.gauge('fuchsiahitch_configuration_age_seconds', 'Time since the store last answered', () =>
+      this.configuration.ageMs() / 1000,
+    );
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/hostDirectory.ts
@@ -0,0 +1,153 @@
+/**
+ * The hosts that live, by keys in the store that end with their leases, and calls to them.
+ */
+import { Deadline, err, type Result } from '@fuchsiahitch/base';
+import { isSameOwner, ownerSchema, ROOT, type Owner } from '@fuchsiahitch/batches';
+import type { RevisionedStore } from '@fuchsiahitch/clients';
+import { PeerLink, type CallDefinition, type CallError, type PeerIdentity } from '@fuchsiahitch/protocol';
+import type { GatewayContext } from './gatewayContext.js';
+import { StoreLease } from './storeLease.js';
+import { StoreMirror } from './storeMirror.js';
+
+/** Keys that end with the process that wrote them. */
+const LIVE_PREFIX = `${ROOT}live/`;
+const HOST_PREFIX = `${LIVE_PREFIX}host/`;
+/** The key of the one host that gives weight orders. */
+export const ORDERS_KEY = `${LIVE_PREFIX}orders`;
+
+/**
+ * A dead host is known after this time at most. Batches wait for it; against that a host that pauses for a
+ * moment loses its batches.
+ */
+const HOST_LEASE = { ttlMs: 2000, renewMs: 600 };
+const MIRROR = { prefix: LIVE_PREFIX, waitMs: 4000, spacingMs: 0 };
+
+export interface HostDirectoryOptions {
+  readonly identity: PeerIdentity;
+  readonly fleetKey: string;
+  /** Where this host's peers reach it. */
+  readonly address: string;
+}
+
+export class HostDirectory {
+  private readonly _context: GatewayContext;
+  private readonly _options: HostDirectoryOptions;
+  private readonly _mirror: StoreMirror;
+  private readonly _lease: StoreLease;
+  private readonly _owners = new Map<string, Owner>();
+  private readonly _keys = new Set<string>();
+  private readonly _links = new Map<string, PeerLink>();
+
+  constructor(context: GatewayContext, store: RevisionedStore, options: HostDirectoryOptions) {
+    this._context = context;
+    this._options = options;
+    this._mirror = new StoreMirror(context, store, MIRROR, {
+      changed: item => this._changed(item.key, item.value),
+      removed: key => this._removed(key),
+    });
+    this._lease = new StoreLease(
+      context,
+      store,
+      `${HOST_PREFIX}${context.hostId}`,
+      HOST_LEASE,
+      false,
+      {
+        value: () => JSON.stringify(this.self()),
+        wants: () => true,
+        held: () => undefined,
+        lost: reason => context.log.warn('host lease lost', { reason }),
+      },
+    );
+  }
+
+  start(): void {
+    this._mirror.start();
+    this._lease.start();
+  }
+
+  isSynced(): boolean {
+    return this._mirror.isSynced();
+  }
+
+  /** Says that this host leaves, so that its batches need not wait for its lease to end. */
+  async leave(): Promise<void> {
+    await this._lease.release();
+  }
+
+  close(): void {
+    for (const link of this._links.values()) link.close();
+  }
+
+  self(): Owner {
+    const { hostId, incarnation } = this._context;
+    return { hostId, incarnation, address: this._options.address };
+  }
+
+  /** True if the process that owns something lives, as far as the store's last word goes. */
+  isAlive(owner: Owner): boolean {
+    const known = this._owners.get(owner.hostId);
+    return known !== undefined && isSameOwner(known, owner);
+  }
+
+  /** True if some host holds the key. */
+  isHeld(key: string): boolean {
+    return this._keys.has(key);
+  }
+
+  /** The other hosts. */
+  peers(): readonly Owner[] {
+    return [...this._owners.values()].filter(owner => owner.hostId !== this._context.hostId);
+  }
+
+  async call<Q, A>(
+    address: string,
+    call: CallDefinition<Q, A>,
+    request: Q,
+    timeoutMs: number,
+  ): Promise<Result<A, CallError>> {
+    if (address === '') return err({ kind: 'not-sent', text: 'no such host' });
+    const deadline = Deadline.after(this._context.clock, timeoutMs);
+    return this._link(address).call(call, request, deadline);
+  }
+
+  private _link(address: string): PeerLink {
+    const known = this._links.get(address);
+    if (known) return known;
+    const { identity, fleetKey } = this._options;
+    const { clock, metrics } = this._context;
+    const link = new PeerLink({ address, fleetKey, identity, clock, counters: metrics });
+    this._links.set(address, link);
+    return link;
+  }
+
+  private _changed(key: string, value: string): void {
+    this._keys.add(key);
+    if (!key.startsWith(HOST_PREFIX)) return;
+    const owner = readOwner(value);
+    if (!owner) {
+      this._context.log.warn('unreadable host record', { key });
+      return;
+    }
+    const known = this._owners.get(owner.hostId);
+    this._owners.set(owner.hostId, owner);
+    if (known && isSameOwner(known, owner)) return;
+    this._context.log.info('host', { change: 'new', peer: owner.hostId, peerIncarnation: owner.incarnation });
+  }
+
+  private _removed(key: string): void {
+    this._keys.delete(key);
+    if (!key.startsWith(HOST_PREFIX)) return;
+    const hostId = key.slice(HOST_PREFIX.length);
+    this._owners.delete(hostId);
+    this._context.log.info('host', { change: 'gone', peer: hostId });
+  }
+}
+
+function readOwner(value: string): Owner | undefined {
+  try {
+    const parsed = ownerSchema.safeParse(JSON.parse(value));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/itemAttempt.ts
@@ -0,0 +1,126 @@
+/**
+ * One attempt to run an item at one endpoint.
+ */
+import type { BatchItem, BatchLedger, GeneratedEvent } from '@fuchsiahitch/batches';
+import type { CancelTimer } from '@fuchsiahitch/base';
+import type { Endpoint } from './endpoint.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { EndpointClient, EndpointLoad, ItemEnd, ItemListener } from './ports.js';
+
+/** `stalled`: nothing came for too long. `old-version`: the endpoint's weights are older than allowed. */
+export type AttemptEnd = ItemEnd | { readonly kind: 'stalled' } | { readonly kind: 'old-version' };
+
+/**
+ * An endpoint that sends nothing for this long is taken for stuck. Before the first event an item may wait
+ * behind the prompts of others; between events a slow engine takes some 150 ms.
+ */
+const FIRST_EVENT_TIMEOUT_MS = 2500;
+const EVENT_TIMEOUT_MS = 1200;
+/** No item runs longer than this: a bound for the endpoint, not a goal. */
+const MAX_RUN_MS = 30_000;
+/** A shorter attempt is not worth moving: its text would end in the time that the move takes. */
+const MOVE_AFTER_MS = 800;
+
+export class ItemAttempt implements ItemListener {
+  readonly endpoint: Endpoint;
+  private readonly _context: GatewayContext;
+  private readonly _client: EndpointClient;
+  private readonly _ledger: BatchLedger;
+  private readonly _item: BatchItem;
+  private readonly _abort = new AbortController();
+  private readonly _beganMs: number;
+  private _verdict: AttemptEnd | undefined;
+  private _lastEventMs: number | undefined;
+  private _stallTimer: CancelTimer | undefined;
+
+  constructor(
+    context: GatewayContext,
+    client: EndpointClient,
+    ledger: BatchLedger,
+    item: BatchItem,
+    endpoint: Endpoint,
+  ) {
+    this._context = context;
+    this._client = client;
+    this._ledger = ledger;
+    this._item = item;
+    this.endpoint = endpoint;
+    this._beganMs = context.clock.nowMs();
+  }
+
+  get itemId(): string {
+    return this._item.id;
+  }
+
+  /** Ends the attempt from outside; the endpoint drops the run when its connection closes. */
+  stop(): void {
+    this._verdict ??= { kind: 'cancelled' };
+    this._abort.abort();
+  }
+
+  /** True if the attempt runs long enough to be worth moving to a quicker endpoint. */
+  isLong(): boolean {
+    return this._context.clock.nowMs() - this._beganMs > MOVE_AFTER_MS;
+  }
+
+  async run(): Promise<AttemptEnd> {
+    const { stats } = this.endpoint;
+    stats.began(true);
+    this._armStall(FIRST_EVENT_TIMEOUT_MS);
+    const end = await this._client.runItem(this._call(), this, this._abort.signal);
+    this._stallTimer?.();
+    const verdict = this._verdict ?? end;
+    if (verdict.kind === 'cancelled' || verdict.kind === 'old-version') stats.cancelled(true);
+    else stats.ended(true, isFailure(verdict));
+    return verdict;
+  }
+
+  began(version: number, load: EndpointLoad | undefined): boolean {
+    const { model } = this._ledger.batch;
+    if (load) this.endpoint.loaded(load);
+    if (model !== '') this.endpoint.heardVersion(model, version);
+    const progress = this._ledger.progress(this._item.id);
+    if (version >= this._ledger.batch.minVersion && progress.mayContinueWith(version)) return true;
+    // The text so far can't go on under this version. A version that is too old says nothing against the text.
+    if (version >= this._ledger.batch.minVersion) progress.clear();
+    this._verdict = { kind: 'old-version' };
+    return false;
+  }
+
+  event(event: GeneratedEvent): boolean {
+    const nowMs = this._context.clock.nowMs();
+    if (this._lastEventMs !== undefined) this.endpoint.paced(nowMs - this._lastEventMs);
+    this._lastEventMs = nowMs;
+    this._armStall(EVENT_TIMEOUT_MS);
+    const effect = this._ledger.event(this._item.id, event);
+    if (effect === 'added' || effect === 'repeated') return true;
+    this._verdict = { kind: 'broken', text: `event ${event.number} at the wrong place (${effect})` };
+    return false;
+  }
+
+  private _armStall(timeoutMs: number): void {
+    this._stallTimer?.();
+    this._stallTimer = this._context.clock.after(timeoutMs, () => {
+      this._verdict ??= { kind: 'stalled' };
+      this._abort.abort();
+    });
+  }
+
+  private _call(): Parameters<EndpointClient['runItem']>[0] {
+    return {
+      endpoint: this.endpoint.info(),
+      itemId: this._item.id,
+      host: this._ledger.batch.host,
+      target: this._item.path,
+      headers: this._item.headers,
+      body: Buffer.from(this._item.bodyBase64, 'base64'),
+      afterEvent: this._ledger.progress(this._item.id).lastEvent(),
+      leftMs: MAX_RUN_MS,
+    };
+  }
+}
+
+/** True if the end speaks against the endpoint. A refusal is its right, and an impossible item its answer. */
+function isFailure(end: AttemptEnd): boolean {
+  return end.kind === 'broken' || end.kind === 'stalled' || end.kind === 'failed';
+}
--- /dev/null
+++ b/packages/gateway/src/ports.ts
@@ -0,0 +1,162 @@
+/**
+ * What the gateway needs from outside: typed calls to endpoints, and what it learns of them.
+ */
+import type { GeneratedEvent } from '@fuchsiahitch/batches';
+import type { Rule } from '@fuchsiahitch/rules';
+
+/** A header's name and value, in the spelling and order of the sender. */
+export type HeaderPair = readonly [name: string, value: string];
+
+/** One start of an endpoint. A restart is another endpoint: it has another identifier. */
+export interface EndpointInfo {
+  readonly id: string;
+  /** `IP:port`. Addresses are used again by other endpoints, identifiers are not. */
+  readonly address: string;
+  readonly pool: string;
+  readonly domain: string;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  readonly isLeaving: boolean;
+  /** The weight version of each model that it has loaded, as of its last heartbeat. */
+  readonly versions: ReadonlyMap<string, number>;
+}
+
+/** The load that an endpoint states in an answer. */
+export interface EndpointLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** A request as it is sent to an endpoint. */
+export interface EndpointCall {
+  readonly endpoint: EndpointInfo;
+  readonly method: string;
+  /** Path and query. */
+  readonly target: string;
+  readonly headers: readonly HeaderPair[];
+  readonly body: Buffer | undefined;
+  /** How long the caller still waits: the endpoint stops work after it. */
+  readonly leftMs: number;
+}
+
+/** The head of an endpoint's answer. Reading `body` throws when the answer breaks off. */
+export interface EndpointAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderPair[];
+  /** True if the answer carries the endpoint's proof of origin. */
+  readonly isGenuine: boolean;
+  readonly isLeaving: boolean;
+  readonly load: EndpointLoad | undefined;
+  readonly body: AsyncIterable<Buffer>;
+}
+
+/**
+ * How a call to an endpoint began. `not-run` is proved: no connection was made, or the endpoint says that it
+ * did not run the request. `broken` proves nothing.
+ */
+export type EndpointReply =
+  | { readonly kind: 'answered'; readonly answer: EndpointAnswer }
+  | {
+      readonly kind: 'not-run';
+      readonly reason: 'unreachable' | 'refused' | 'other-instance';
+      readonly load: EndpointLoad | undefined;
+    }
+  | { readonly kind: 'broken'; readonly text: string }
+  | { readonly kind: 'cancelled' };
+
+/** An item of a batch on its way to an endpoint. */
+export interface ItemCall {
+  readonly endpoint: EndpointInfo;
+  readonly itemId: string;
+  /** The host name of the item's route. */
+  readonly host: string;
+  readonly target: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  /** The last event that is known; the endpoint goes on after it. 0 begins anew. */
+  readonly afterEvent: number;
+  readonly leftMs: number;
+}
+
+/** How an attempt at an item ended. */
+export type ItemEnd =
+  | { readonly kind: 'done' }
+  | { readonly kind: 'not-run'; readonly reason: 'unreachable' | 'refused' | 'other-instance' }
+  | { readonly kind: 'failed'; readonly status: number }
+  /** The endpoint says that the item can never be done. */
+  | { readonly kind: 'impossible' }
+  | { readonly kind: 'broken'; readonly text: string }
+  | { readonly kind: 'cancelled' };
+
+/** What an attempt at an item tells while it runs. */
+export interface ItemListener {
+  /** The answer's head came: the weight version that generates. False ends the attempt. */
+  began(version: number, load: EndpointLoad | undefined): boolean;
+  /** An event is whole. False ends the attempt. */
+  event(event: GeneratedEvent): boolean;
+}
+
+/** An order to load a version of a model's weights. */
+export interface LoadOrder {
+  readonly endpoint: EndpointInfo;
+  readonly model: string;
+  readonly version: number;
+  readonly holder: string;
+  readonly fencingToken: number;
+  /** The orders that the endpoint must have accepted before: an order that is carried out late does nothing. */
+  readonly expectedSequence: number;
+}
+
+/** How an order was answered. `unknown`: it may be carried out, also later; reading back decides. */
+export type OrderAnswer = 'accepted' | 'busy' | 'refused' | 'unknown';
+
+/** An endpoint's own word about its weights. */
+export interface WeightReport {
+  readonly versions: ReadonlyMap<string, number>;
+  /** True while it carries out an order. */
+  readonly isBusy: boolean;
+  /** Orders accepted since its start: an order that expects another number is not carried out. */
+  readonly sequence: number;
+}
+
+export interface EndpointClient {
+  send(call: EndpointCall, signal: AbortSignal): Promise<EndpointReply>;
+  runItem(call: ItemCall, listener: ItemListener, signal: AbortSignal): Promise<ItemEnd>;
+  report(endpoint: EndpointInfo, timeoutMs: number): Promise<WeightReport | undefined>;
+  order(order: LoadOrder, timeoutMs: number): Promise<OrderAnswer>;
+}
+
+/** What callers may send, and how long they may take. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** One version of the operators' configuration, as rules. */
+export interface FleetConfiguration {
+  readonly revision: number;
+  readonly rules: readonly Rule[];
+  readonly limits: CallerLimits;
+  /** The models that trainers share the pool's endpoints with, by pool. */
+  readonly models: ReadonlyMap<string, readonly string[]>;
+}
+
+/** Reads what stands in the store under the operators' and the endpoints' keys. */
+export interface RecordDecoder {
+  /** Undefined for a value that is no configuration. */
+  configuration(value: string): FleetConfiguration | undefined;
+  /** Undefined for a value that describes no endpoint. */
+  endpoint(id: string, value: string): EndpointInfo | undefined;
+  /** The newest version that a trainer named for a model. */
+  namedVersion(value: string): { readonly model: string; readonly version: number } | undefined;
+}
+
+/** Where the operators' and the endpoints' records stand. */
+export interface RecordKeys {
+  readonly operatorPrefix: string;
+  readonly configurationKey: string;
+  readonly versionPrefix: string;
+  readonly endpointPrefix: string;
+}
--- /dev/null
+++ b/packages/gateway/src/storeLease.ts
@@ -0,0 +1,112 @@
+/**
+ * A key in the store that lasts as long as this process renews its lease.
+ */
+import { Deadline, sleep } from '@fuchsiahitch/base';
+import type { RevisionedStore } from '@fuchsiahitch/clients';
+import type { GatewayContext } from './gatewayContext.js';
+
+export interface LeaseTimes {
+  readonly ttlMs: number;
+  readonly renewMs: number;
+}
+
+/** What holding the key means to the one who asked for it. */
+export interface LeaseHolder {
+  /** The key's value. */
+  value(): string;
+  /** True if it should be taken now. */
+  wants(): boolean;
+  /** Taken or renewed: `sentMs` is when the store was asked, `token` grows with each holder. */
+  held(token: number, sentMs: number): void;
+  lost(reason: string): void;
+}
+
+const CALL_TIMEOUT_MS = 800;
+/** How often a key that is not held is looked at. */
+const IDLE_MS = 150;
+
+export class StoreLease {
+  private readonly _context: GatewayContext;
+  private readonly _store: RevisionedStore;
+  private readonly _key: string;
+  private readonly _times: LeaseTimes;
+  private readonly _holder: LeaseHolder;
+  /** True if the key must not exist when it is taken; a host's own key replaces what it left behind. */
+  private readonly _isExclusive: boolean;
+  private _leaseId: string | undefined;
+  private _token = 0;
+  private _isReleased = false;
+
+  constructor(
+    context: GatewayContext,
+    store: RevisionedStore,
+    key: string,
+    times: LeaseTimes,
+    isExclusive: boolean,
+    holder: LeaseHolder,
+  ) {
+    this._context = context;
+    this._store = store;
+    this._key = key;
+    this._times = times;
+    this._isExclusive = isExclusive;
+    this._holder = holder;
+  }
+
+  start(): void {
+    void this._run();
+  }
+
+  /** Gives the key up at once, so that others need not wait for its end. */
+  async release(): Promise<void> {
+    this._isReleased = true;
+    const leaseId = this._leaseId;
+    this._leaseId = undefined;
+    if (leaseId !== undefined) await this._store.endLease(leaseId, this._deadline());
+  }
+
+  private async _run(): Promise<void> {
+    const { clock, stopped } = this._context;
+    while (!stopped.aborted && !this._isReleased) {
+      const isHeld = this._leaseId === undefined ? await this._take() : await this._renew(this._leaseId);
+      await sleep(clock, isHeld ? this._times.renewMs : IDLE_MS, stopped);
+    }
+  }
+
+  private async _take(): Promise<boolean> {
+    if (!this._holder.wants()) return false;
+    const sentMs = this._context.clock.nowMs();
+    const lease = await this._store.grantLease(this._times.ttlMs, this._deadline());
+    if (!lease.ok || this._isReleased) return false;
+    const compares = this._isExclusive ? [{ key: this._key, version: 0 }] : [];
+    const put = { kind: 'put', key: this._key, value: this._holder.value(), leaseId: lease.value } as const;
+    const done = await this._store.transact(compares, [put], this._deadline());
+    if (!done.ok || !done.value.succeeded) {
+      // An answer that was lost may hide that the key was taken: the lease is ended so that it cannot stay.
+      await this._store.endLease(lease.value, this._deadline());
+      return false;
+    }
+    this._leaseId = lease.value;
+    this._token = done.value.version;
+    this._holder.held(this._token, sentMs);
+    return true;
+  }
+
+  private async _renew(leaseId: string): Promise<boolean> {
+    const sentMs = this._context.clock.nowMs();
+    const kept = await this._store.keepLease(leaseId, this._deadline());
+    if (kept.ok && kept.value) {
+      this._holder.held(this._token, sentMs);
+      return true;
+    }
+    // No answer says nothing: the lease may still stand, and its own end guards what depends on it.
+    if (!kept.ok) return false;
+    this._leaseId = undefined;
+    this._holder.lost('the store no longer knows the lease');
+    return false;
+  }
+
+  private _deadline(): Deadline {
+    return Deadline.after(this._context.clock, CALL_TIMEOUT_MS);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/storeMirror.ts
@@ -0,0 +1,142 @@
+/**
+ * A local copy of what stands under one prefix of the store, kept up to date by watching.
+ *
+ * What goes wrong without the details: a watch falls silent and no change is heard again; history is dropped
+ * and changes are skipped; the store is away and an empty answer is taken for an empty fleet. So every watch
+ * has a time-out and starts anew, lost history leads to a whole read, and while the store is out of reach the
+ * last view stays.
+ */
+import { Deadline, sleep } from '@fuchsiahitch/base';
+import type { RevisionedStore, StoredValue } from '@fuchsiahitch/clients';
+import type { GatewayContext } from './gatewayContext.js';
+
+export interface MirrorOptions {
+  readonly prefix: string;
+  /** How long one watch waits for a change. */
+  readonly waitMs: number;
+  /** The least pause between two watches: changes that come in it are read together, in one call. */
+  readonly spacingMs: number;
+}
+
+export interface MirrorListener {
+  /** A value is new or changed. */
+  changed(value: StoredValue): void;
+  /** A key is gone. */
+  removed(key: string): void;
+}
+
+/** Beyond the watch's own wait: a round trip to a slow store. */
+const ANSWER_MS = 1500;
+const SNAPSHOT_TIMEOUT_MS = 1500;
+/** Pause after a call that failed: short against the seconds in which changes must be known. */
+const RETRY_MS = 250;
+
+export class StoreMirror {
+  private readonly _context: GatewayContext;
+  private readonly _store: RevisionedStore;
+  private readonly _options: MirrorOptions;
+  private readonly _listener: MirrorListener;
+  private readonly _known = new Map<string, StoredValue>();
+  private _revision: number | undefined;
+  private _heardMs = -Infinity;
+  private _failedMs = -Infinity;
+  private _isLost = false;
+
+  constructor(
+    context: GatewayContext,
+    store: RevisionedStore,
+    options: MirrorOptions,
+    listener: MirrorListener,
+  ) {
+    this._context = context;
+    this._store = store;
+    this._options = options;
+    this._listener = listener;
+  }
+
+  start(): void {
+    void this._run();
+  }
+
+  /** True once the prefix was read whole. */
+  isSynced(): boolean {
+    return this._revision !== undefined;
+  }
+
+  /** Milliseconds since the store last answered. */
+  ageMs(): number {
+    return this._context.clock.nowMs() - this._heardMs;
+  }
+
+  /** Milliseconds since the store last failed to answer. */
+  sinceFailureMs(): number {
+    return this._context.clock.nowMs() - this._failedMs;
+  }
+
+  private async _run(): Promise<void> {
+    const { stopped, clock } = this._context;
+    while (!stopped.aborted) {
+      const isGood = this._revision === undefined ? await this._read() : await this._watch(this._revision);
+      await sleep(clock, isGood ? this._options.spacingMs : RETRY_MS, stopped);
+    }
+  }
+
+  private async _read(): Promise<boolean> {
+    const deadline = Deadline.after(this._context.clock, SNAPSHOT_TIMEOUT_MS);
+    const snapshot = await this._store.snapshot(this._options.prefix, deadline);
+    if (!snapshot.ok) return this._failed(snapshot.error);
+    this._heard();
+    const present = new Set(snapshot.value.items.map(item => item.key));
+    for (const item of snapshot.value.items) this._take(item);
+    for (const key of [...this._known.keys()]) if (!present.has(key)) this._drop(key);
+    this._revision = snapshot.value.revision;
+    return true;
+  }
+
+  private async _watch(after: number): Promise<boolean> {
+    const { prefix, waitMs } = this._options;
+    const deadline = Deadline.after(this._context.clock, waitMs + ANSWER_MS);
+    const changes = await this._store.changes(prefix, after, waitMs, deadline);
+    if (!changes.ok) {
+      if (changes.error !== 'compacted') return this._failed(changes.error);
+      this._context.log.info('store history is gone, reading anew', { prefix, afterRevision: after });
+      this._revision = undefined;
+      return true;
+    }
+    this._heard();
+    for (const { key, value, version } of changes.value.events) {
+      if (value === undefined) this._drop(key);
+      else this._take({ key, value, version });
+    }
+    this._revision = Math.max(after, changes.value.revision);
+    return true;
+  }
+
+  private _take(value: StoredValue): void {
+    const known = this._known.get(value.key);
+    if (known && known.version >= value.version) return;
+    this._known.set(value.key, value);
+    this._listener.changed(value);
+  }
+
+  private _drop(key: string): void {
+    if (this._known.delete(key)) this._listener.removed(key);
+  }
+
+  private _heard(): void {
+    this._heardMs = this._context.clock.nowMs();
+    if (!this._isLost) return;
+    this._isLost = false;
+    this._context.log.info('dependency regained', { dependency: 'store', prefix: this._options.prefix });
+  }
+
+  private _failed(error: string): false {
+    this._failedMs = this._context.clock.nowMs();
+    if (!this._isLost) {
+      this._isLost = true;
+      const { prefix } = this._options;
+      this._context.log.warn('dependency lost', { dependency: 'store', prefix, error });
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/listener/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP listeners of the daemons. */
+export * from './listener.js';
--- a/packages/orders/src/swapPlanner.ts
+++ b/packages/orders/src/swapPlanner.ts
@@ -93,7 +93,7 @@
     const orders: WeightOrder[] = [];
     for (const endpoint of endpoints.slice(0, wanted)) {
       if (!this._needsOrder(endpoint, target)) continue;
-      if (this._swapping() >= this._maxSwapping(endpoints.length) || this._tokens < 1) break;
+      if (this.swapping() >= this._maxSwapping(endpoints.length) || this._tokens < 1) break;
       this._tokens -= 1;
       this._began(endpoint.id);
       orders.push({ endpointId: endpoint.id, version: target.version, token });
@@ -135,6 +135,13 @@
     });
   }
 
+  /** Endpoints that swap now. */
+  swapping(): number {
+    let count = 0;
+    for (const state of this._states.values()) if (state.isSwapping) count += 1;
+    return count;
+  }
+
   private _needsOrder(endpoint: SwapEndpoint, target: WeightTarget): boolean {
     const state = this._states.get(endpoint.id) ?? FRESH;
     if (!endpoint.isUsable || state.isSwapping || state.isAside) return false;
@@ -145,12 +152,6 @@
     return Math.max(1, Math.floor(this._options.maxSwappingShare * total));
   }
 
-  private _swapping(): number {
-    let count = 0;
-    for (const state of this._states.values()) if (state.isSwapping) count += 1;
-    return count;
-  }
-
   private _began(endpointId: string): void {
     const state = this._states.get(endpointId) ?? FRESH;
     this._states.set(endpointId, {
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -1,6 +1,14 @@
 /**
  * Every call between entry hosts.
  */
+import {
+  batchEndReplySchema,
+  batchEndSchema,
+  batchItemReadSchema,
+  batchItemReplySchema,
+  batchReadReplySchema,
+  batchReadSchema,
+} from '@fuchsiahitch/batches';
 import { leavingNoticeSchema, memberDocumentSchema, memberUpdateSchema } from '@fuchsiahitch/membership';
 import {
   acceptedSchema,
@@ -131,5 +139,8 @@
   sampleDone: defineCall('sampleDone', sampleDoneSchema, sampleDoneReplySchema),
   sampleFailed: defineCall('sampleFailed', sampleFailedSchema, emptySchema),
   shelfGrew: defineCall('shelfGrew', shelfGrewSchema, emptySchema),
+  batchRead: defineCall('batchRead', batchReadSchema, batchReadReplySchema),
+  batchItem: defineCall('batchItem', batchItemReadSchema, batchItemReplySchema),
+  batchEnd: defineCall('batchEnd', batchEndSchema, batchEndReplySchema),
   heldSamples: defineCall('heldSamples', heldSamplesSchema, heldSamplesReplySchema),
 } as const;
--- a/packages/requests/src/endpointStats.ts
+++ b/packages/requests/src/endpointStats.ts
@@ -19,7 +19,7 @@
 const FIRST_OPEN_MS = 1000;
 const MAX_OPEN_MS = 30_000;
 /** A report older than this says nothing any more. */
-const REPORT_VALID_MS = 15_000;
+export const REPORT_VALID_MS = 15_000;
 
 type BreakerState =
   | { readonly kind: 'closed' }
@@ -28,6 +28,7 @@
 
 export class EndpointStats {
   private readonly _clock: Clock;
+  private readonly _reportValidMs: number;
   private _inFlight = 0;
   private _rolloutInFlight = 0;
   private _report: LoadReport | undefined;
@@ -37,8 +38,10 @@
   private _answers = 0;
   private _breaker: BreakerState = { kind: 'closed' };
 
-  constructor(clock: Clock) {
+  /** `reportValidMs`: a load report that is older says nothing any more. */
+  constructor(clock: Clock, reportValidMs: number = REPORT_VALID_MS) {
     this._clock = clock;
+    this._reportValidMs = reportValidMs;
   }
 
   inFlight(): number {
@@ -90,7 +93,7 @@
    * count. Own counts don't lag, so that hosts that read the same report do not all pick one endpoint.
    */
   estimatedLoad(): number {
-    const isFresh = this._clock.nowMs() - this._reportedMs < REPORT_VALID_MS;
+    const isFresh = this._clock.nowMs() - this._reportedMs < this._reportValidMs;
     if (!this._report || !isFresh) return this._inFlight;
     const others = Math.max(0, this._report.inFlight + this._report.queued - this._ownAtReport);
     return others + this._inFlight;
--- a/packages/rules/src/check.ts
+++ b/packages/rules/src/check.ts
@@ -14,7 +14,7 @@
   readonly text: string;
 }
 
-const LIST_FIELDS = ['kind', 'caller', 'house', 'pool', 'domain', 'priority', 'version'] as const;
+const LIST_FIELDS = ['kind', 'caller', 'house', 'pool', 'domain', 'priority', 'version', 'host'] as const;
 
 /** All findings of a list of rules, in the order of the rules. */
 export function checkRules(rules: readonly Rule[]): readonly Finding[] {
@@ -47,6 +47,7 @@
 /** True when every request that `narrow` accepts is accepted by `wide` too, at any time and state. */
 function covers(wide: Condition, narrow: Condition): boolean {
   if (wide.hoursUtc !== undefined || wide.state !== undefined) return false;
+  if (!coversPaths(wide, narrow)) return false;
   return LIST_FIELDS.every(field => {
     const wideList: readonly string[] | undefined = wide[field];
     const narrowList: readonly string[] | undefined = narrow[field];
@@ -55,6 +56,12 @@
   });
 }
 
+function coversPaths(wide: Condition, narrow: Condition): boolean {
+  const widePrefixes = wide.pathPrefix;
+  if (!widePrefixes) return true;
+  return narrow.pathPrefix?.every(path => widePrefixes.some(prefix => path.startsWith(prefix))) ?? false;
+}
+
 function shadowedRules(rules: readonly Rule[]): readonly Finding[] {
   const findings: Finding[] = [];
   for (const [i, rule] of rules.entries()) {
@@ -111,6 +118,7 @@
 
 function refusesEveryCustomer(when: Condition): boolean {
   const reachesCustomers = !when.kind || when.kind.some(kind => kind !== 'sample');
-  const isNarrowed = when.caller ?? when.house ?? when.priority ?? when.state ?? when.hoursUtc;
+  const isNarrowed =
+    when.caller ?? when.house ?? when.priority ?? when.state ?? when.hoursUtc ?? when.host ?? when.pathPrefix;
   return reachesCustomers && isNarrowed === undefined;
 }
--- a/packages/rules/src/model.ts
+++ b/packages/rules/src/model.ts
@@ -44,6 +44,41 @@
 
 const hour = z.number().int().min(0).max(24);
 
+/** How often a request may run: a batch is a job of many generations that is kept and run later. */
+export const runKinds = ['idempotent', 'non-idempotent', 'stream', 'batch'] as const;
+export type RunKind = (typeof runKinds)[number];
+
+const durationMs = z.number().min(0);
+
+/** Where the requests that a rule matches go, and what they may take. */
+export const routeSchema = z
+  .strictObject({
+    run: z.enum(runKinds),
+    /** Pools that share the requests by weight. */
+    pools: z
+      .array(z.strictObject({ pool: z.string().min(1), weight: z.number().min(0) }).readonly())
+      .min(1)
+      .readonly(),
+    /** The longest time that a request may be kept waiting; 0 for no limit. */
+    timeoutMs: durationMs,
+    /** Within this time an answer is worth most to its caller. */
+    targetMs: durationMs,
+    /** Endpoints that one request may be sent to. */
+    maxAttempts: z.number().int().min(1),
+    /** 0 is the most urgent. */
+    rank: z.number().int().min(0),
+    /** A broken stream may go on at another endpoint. */
+    isResumable: z.boolean(),
+    /** All tokens of one result must come from one weight version. */
+    isSingleVersion: z.boolean(),
+    /** For a batch: its results are due so long after it was submitted. */
+    dueMs: durationMs,
+    /** For a batch: an item may be given up so long after it was submitted. */
+    keepMs: durationMs,
+  })
+  .readonly();
+export type Route = z.infer<typeof routeSchema>;
+
 /** When a rule holds: every field given must match; a list matches any of its values. */
 export const conditionSchema = z
   .strictObject({
@@ -54,6 +89,14 @@
     domain: names.optional(),
     priority: names.optional(),
     version: names.optional(),
+    /** The host name that a request was sent to. */
+    host: z.array(z.string().min(1)).min(1).readonly().optional(),
+    /** Beginnings of the request's path; each begins and ends with a slash. */
+    pathPrefix: z
+      .array(z.string().regex(/^\/(.*\/)?$/, 'a path prefix begins and ends with a slash'))
+      .min(1)
+      .readonly()
+      .optional(),
     hoursUtc: z.strictObject({ from: hour, to: hour }).readonly().optional(),
     state: stateSchema.readonly().optional(),
   })
@@ -78,6 +121,7 @@
     pinVersion: z.string().max(MAX_NAME).optional(),
     stagedShare: fraction.optional(),
     refuse: z.string().min(1).max(MAX_NOTE).optional(),
+    route: routeSchema.optional(),
   })
   .readonly();
 export type Action = z.infer<typeof actionSchema>;
@@ -119,4 +163,7 @@
   readonly domain: string;
   readonly priority: string;
   readonly version: string;
+  /** The host name and path of a call that is forwarded by name; rules on them match no other request. */
+  readonly host?: string;
+  readonly path?: string;
 }
--- a/packages/rules/src/ruleBook.ts
+++ b/packages/rules/src/ruleBook.ts
@@ -19,7 +19,7 @@
   readonly failed: readonly string[];
 }
 
-const FIELDS = ['kind', 'caller', 'house', 'pool', 'domain', 'priority', 'version'] as const;
+const FIELDS = ['kind', 'caller', 'house', 'pool', 'domain', 'priority', 'version', 'host'] as const;
 type Field = (typeof FIELDS)[number];
 const WORD_BITS = 32;
 const NO_ACTION: Action = {};
@@ -76,7 +76,7 @@
 
   /** The first rule that matches decides; none leaves the defaults. */
   decide(facts: RequestFacts): Decision {
-    const rows = this._indexes.map((index, i) => index.accepting(facts[FIELDS[i] ?? 'kind']));
+    const rows = this._indexes.map((index, i) => index.accepting(facts[FIELDS[i] ?? 'kind'] ?? ''));
     for (let word = 0; word < this._words; word++) {
       let bits = 0xffffffff;
       for (const row of rows) bits &= row[word] ?? 0;
@@ -107,13 +107,15 @@
 
   private _restHolds(rule: Rule, facts: RequestFacts): boolean {
     if (rule.when.hoursUtc && !isWithinHours(rule.when.hoursUtc, this._clock.wallMs())) return false;
+    if (!hasPrefix(rule.when, facts.path ?? '')) return false;
     return this._gates.get(rule.id)?.holds(facts.pool) ?? true;
   }
 
   private _failedConditions(rule: Rule, facts: RequestFacts): readonly string[] {
-    const failed: string[] = FIELDS.filter(field => !accepts(rule.when, field, facts[field]));
+    const failed: string[] = FIELDS.filter(field => !accepts(rule.when, field, facts[field] ?? ''));
     if (rule.when.hoursUtc && !isWithinHours(rule.when.hoursUtc, this._clock.wallMs()))
       failed.push('hoursUtc');
+    if (!hasPrefix(rule.when, facts.path ?? '')) failed.push('pathPrefix');
     if (this._gates.get(rule.id)?.holds(facts.pool) === false) failed.push('state');
     return failed;
   }
@@ -125,6 +127,10 @@
   return !list || list.includes(value);
 }
 
+function hasPrefix(condition: Condition, path: string): boolean {
+  return condition.pathPrefix?.some(prefix => path.startsWith(prefix)) ?? true;
+}
+
 const HOUR_MS = 3_600_000;
 const HOURS_A_DAY = 24;
 
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,3 @@
+/** Logs and traces of every program. */
+export * from './logger.js';
+export * from './tracing.js';
--- a/packages/testkit/src/simWorld.ts
+++ b/packages/testkit/src/simWorld.ts
@@ -26,7 +26,7 @@
   WatchEnd,
   WatchEvent,
   Write,
-} from '@fuchsiahitch/platform';
+} from '@fuchsiahitch/clients';
 import type { SimNet, SimProcess } from './simulation.js';
 
 const CALL_MS = 2000;
--- a/tests/sockets.spec.ts
+++ b/tests/sockets.spec.ts
@@ -3,7 +3,7 @@
  */
 import net from 'node:net';
 import tap from 'tap';
-import { endpointAgent, HttpEngineClient, HttpServiceClient, isUnwritten } from '@fuchsiahitch/platform';
+import { endpointAgent, HttpEngineClient, HttpServiceClient, isUnwritten } from '@fuchsiahitch/clients';
 import { eventually, TestFleet } from '@fuchsiahitch/testkit';
 
 tap.setTimeout(0);
