--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,10 +2,10 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'node_modules/**', '.tap/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', 'node_modules/**', '.tap/**'] },
   js.configs.recommended,
   {
-    files: ['packages/**/*.ts', 'tests/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts', 'tests/**/*.ts'],
     extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
     rules: {
--- a/packages/batches/src/records.ts
+++ b/packages/batches/src/records.ts
@@ -48,7 +48,8 @@
 export function splitBatch(batch: Batch): readonly string[] {
   const text = JSON.stringify(batch);
   const parts: string[] = [];
-  for (let at = 0; at < text.length; at += MAX_RECORD_UNITS) parts.push(text.slice(at, at + MAX_RECORD_UNITS));
+  for (let at = 0; at < text.length; at += MAX_RECORD_UNITS)
+    parts.push(text.slice(at, at + MAX_RECORD_UNITS));
   return parts;
 }
 
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -17,7 +17,6 @@
   .transform(text => text.split(',').filter(Boolean))
   .pipe(z.array(addressSchema));
 
-
 export const entrySettings = {
   'host-id': { schema: nameSchema, help: 'the name of this host, unique in the fleet' },
   domain: { schema: nameSchema, help: 'the failure domain of this host' },
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -336,7 +336,12 @@
     if (!route || paceMs === undefined) return false;
     return this._candidates(route).some(endpoint => {
       const otherMs = endpoint.paceMs();
-      return endpoint !== than && endpoint.freePlaces() > 0 && otherMs !== undefined && otherMs * SLOW_FACTOR < paceMs;
+      return (
+        endpoint !== than &&
+        endpoint.freePlaces() > 0 &&
+        otherMs !== undefined &&
+        otherMs * SLOW_FACTOR < paceMs
+      );
     });
   }
 
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -120,7 +120,8 @@
         return this._readStored(batchId, reply.held, after, deadline);
       case 'no-batch':
         return { kind: 'no-batch' };
-      default:
+      case 'not-owner':
+      case 'unsure':
         return { kind: 'unsure' };
     }
   }
@@ -140,7 +141,8 @@
       case 'no-item':
       case 'no-batch':
         return { kind: 'no-item' };
-      default:
+      case 'not-owner':
+      case 'unsure':
         return { kind: 'unsure' };
     }
   }
@@ -158,7 +160,8 @@
         return reply.held.claim.isEnded ? 'ended' : this._endStored(batchId, reply.held);
       case 'no-batch':
         return 'no-batch';
-      default:
+      case 'not-owner':
+      case 'unsure':
         return 'unsure';
     }
   }
@@ -250,7 +253,8 @@
     if (!held.ok) return known ? toLocated(known) : { kind: 'unsure' };
     if (!held.value) return { kind: 'no-batch' };
     this._remember(batchId, held.value);
-    if (this._isSelf(held.value.claim.owner)) return this._replaceOwner(batchId, held.value.claim.owner, true);
+    if (this._isSelf(held.value.claim.owner))
+      return this._replaceOwner(batchId, held.value.claim.owner, true);
     return toLocated(held.value);
   }
 
@@ -359,12 +363,7 @@
   }
 
   private async _endStored(batchId: string, held: HeldClaim): Promise<EndOutcome> {
-    const done = await this._ports.store.changeClaim(
-      batchId,
-      held,
-      { isEnded: true },
-      this._storeDeadline(),
-    );
+    const done = await this._ports.store.changeClaim(batchId, held, { isEnded: true }, this._storeDeadline());
     if (done.kind !== 'done') return 'unsure';
     this._remember(batchId, done.value);
     return 'ended';
--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -35,12 +35,7 @@
   private _book: RuleBook | undefined;
   private _configuration: FleetConfiguration | undefined;
 
-  constructor(
-    context: GatewayContext,
-    store: RevisionedStore,
-    keys: RecordKeys,
-    decoder: RecordDecoder,
-  ) {
+  constructor(context: GatewayContext, store: RevisionedStore, keys: RecordKeys, decoder: RecordDecoder) {
     this._context = context;
     this._keys = keys;
     this._decoder = decoder;
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -16,6 +16,8 @@
 export class Endpoint {
   readonly stats: EndpointStats;
   readonly limit: ConcurrencyLimit;
+  /** Picking by version is for items only; they ask `versionOf`. */
+  readonly version = '';
   private readonly _clock: Clock;
   private readonly _heardVersions = new Map<string, number>();
   private _info: EndpointInfo;
@@ -42,11 +44,6 @@
     return this._info.pool;
   }
 
-  /** Picking by version is for items only; they ask `versionOf`. */
-  get version(): string {
-    return '';
-  }
-
   /** Leaving is final for one start, whichever source says so first. */
   get isLeaving(): boolean {
     return this._info.isLeaving || this._saidLeaving;
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -30,12 +30,7 @@
   private readonly _endpoints = new Map<string, Endpoint>();
   private readonly _missing = new Map<string, CancelTimer>();
 
-  constructor(
-    context: GatewayContext,
-    store: RevisionedStore,
-    keys: RecordKeys,
-    decoder: RecordDecoder,
-  ) {
+  constructor(context: GatewayContext, store: RevisionedStore, keys: RecordKeys, decoder: RecordDecoder) {
     this._context = context;
     this._keys = keys;
     this._decoder = decoder;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -114,8 +114,10 @@
     );
     metrics.gauge('fuchsiahitch_open_items', 'Items that are not listed yet', () => this.batches.openItems());
     metrics.gauge('fuchsiahitch_endpoints', 'Endpoints that are known', () => this.endpoints.all().length);
-    metrics.gauge('fuchsiahitch_configuration_age_seconds', 'Time since the store last answered', () =>
-      this.configuration.ageMs() / 1000,
+    metrics.gauge(
+      'fuchsiahitch_configuration_age_seconds',
+      'Time since the store last answered',
+      () => this.configuration.ageMs() / 1000,
     );
   }
 }
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -45,19 +45,12 @@
       changed: item => this._changed(item.key, item.value),
       removed: key => this._removed(key),
     });
-    this._lease = new StoreLease(
-      context,
-      store,
-      `${HOST_PREFIX}${context.hostId}`,
-      HOST_LEASE,
-      false,
-      {
-        value: () => JSON.stringify(this.self()),
-        wants: () => true,
-        held: () => undefined,
-        lost: reason => context.log.warn('host lease lost', { reason }),
-      },
-    );
+    this._lease = new StoreLease(context, store, `${HOST_PREFIX}${context.hostId}`, HOST_LEASE, false, {
+      value: () => JSON.stringify(this.self()),
+      wants: () => true,
+      held: () => undefined,
+      lost: reason => context.log.warn('host lease lost', { reason }),
+    });
   }
 
   start(): void {
--- a/packages/testkit/src/simFleet.ts
+++ b/packages/testkit/src/simFleet.ts
@@ -16,15 +16,14 @@
   entrySettings,
   Metrics,
   startServices,
-  Tracing,
   type CallRegistry,
   type EntryServices,
   type EntrySettings,
-  type Logger,
   type PeerCaller,
 } from '@fuchsiahitch/entry';
 import type { MemberDocument } from '@fuchsiahitch/membership';
 import { encodeFrame, type CallContext, type CallDefinition, type CallError } from '@fuchsiahitch/protocol';
+import { Tracing, type Logger } from '@fuchsiahitch/telemetry';
 import { SimNet, SimProcess } from './simulation.js';
 import {
   SimEngine,
--- a/utils/checkDeps.mjs
+++ b/utils/checkDeps.mjs
@@ -30,8 +30,8 @@
   console.error(text);
 }
 
-for (const name of fs.readdirSync('packages')) {
-  const folder = path.join('packages', name);
+const folders = [...fs.readdirSync('packages').map(name => path.join('packages', name)), 'platform'];
+for (const folder of folders) {
   const allowed = readAllowed(folder);
   const used = new Set();
   for (const file of sourceFiles(path.join(folder, 'src'))) {
