Weights: load alternately on halves of a model's endpoints, one orderer a domain, own share first

Change: steps accept the version before, so half of the endpoints load each version (dueForLoad); hosts tell each other a version once it is read back; a holder of orders for each failure domain; owners ask their own model's endpoints first.

--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -32,6 +32,12 @@
 ]);
 export type BatchItemReply = z.infer<typeof batchItemReplySchema>;
 
+/** An endpoint was seen with a weight version: tells hosts at once what its next heartbeat would tell them later. */
+export const versionSeenSchema = z
+  .strictObject({ endpointId: z.string(), model: z.string(), version: count })
+  .readonly();
+export type VersionSeen = z.infer<typeof versionSeenSchema>;
+
 export const batchEndSchema = z.strictObject({ batchId: z.string() }).readonly();
 
 export const batchEndReplySchema = z.discriminatedUnion('kind', [
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -7,11 +7,13 @@
   countThatFits,
   pageFrom,
   placeItem,
+  shareEndpoints,
   SLOW_FACTOR,
   type Batch,
   type BatchItem,
   type BatchReadReply,
   type ItemResult,
+  type PlacementEndpoint,
 } from '@fuchsiahitch/batches';
 import type { Route } from '@fuchsiahitch/rules';
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
@@ -21,6 +23,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { ItemAttempt, type AttemptEnd } from './itemAttempt.js';
 import type { EndpointClient } from './ports.js';
+import { sharedView } from './weightOrders.js';
 
 /** What the owner of a batch works with. */
 export interface BatchPorts {
@@ -193,33 +196,30 @@
   private _place(): void {
     if (this._isStopped) return;
     this._placeTimer?.();
-    for (const item of this.ledger.waiting()) this._placeItem(item);
+    const waiting = this.ledger.waiting();
+    const route = waiting.length > 0 ? this._routeOf(this.ledger.batch) : undefined;
+    const tiers = route ? this._tiers(route) : [];
+    for (const item of waiting) this._placeItem(item, tiers);
     this._moveFromSlow();
     const isOver = this.ledger.waiting().length === 0 && this._attempts.size === 0;
     if (!isOver) this._placeTimer = this._context.clock.after(PLACE_INTERVAL_MS, () => this._place());
   }
 
-  private _placeItem(item: BatchItem): void {
-    const route = this._route(this.ledger.batch.host, item);
-    if (!route) return;
-    const candidates = this._candidates(route);
+  private _placeItem(item: BatchItem, tiers: readonly (readonly Endpoint[])[]): void {
     const avoid = this._avoided.get(item.id) ?? new Set<string>();
-    const views = candidates.map(endpoint => ({
-      id: endpoint.id,
-      domain: endpoint.domain,
-      freePlaces: endpoint.freePlaces(),
-      paceMs: endpoint.paceMs(),
-    }));
     const request = {
       groupEndpointId: this._groupEndpoints.get(item.group),
       ownDomain: this._context.domain,
       avoid,
     };
-    const place = placeItem(views, request);
-    const endpoint = candidates.find(candidate => candidate.id === place?.id);
-    if (endpoint) void this._run(item, endpoint);
+    for (const candidates of tiers) {
+      const place = placeItem(candidates.map(toPlacement), request);
+      const endpoint = candidates.find(candidate => candidate.id === place?.id);
+      if (endpoint) return void this._run(item, endpoint);
+    }
     // All were tried: the item may go anywhere again.
-    else if (avoid.size > 0 && avoid.size >= candidates.length) avoid.clear();
+    const tried = tiers.flat().length;
+    if (avoid.size > 0 && avoid.size >= tried) avoid.clear();
   }
 
   /** Endpoints of the route's pools whose weights are new enough. */
@@ -232,14 +232,35 @@
       .filter(endpoint => model === '' || endpoint.versionOf(model) >= minVersion);
   }
 
+  /**
+   * The endpoints in the order in which they are asked: first those that load this model's versions, then the
+   * others. Without that the owners of two trainers' batches fill the same endpoints, and neither sees it in time.
+   */
+  private _tiers(route: Route): readonly (readonly Endpoint[])[] {
+    const candidates = this._candidates(route);
+    const { model } = this.ledger.batch;
+    const pool = candidates[0]?.pool ?? '';
+    const models = this._ports.configuration.models().get(pool) ?? [];
+    if (models.length < 2) return [candidates];
+    const all = this._ports.endpoints.ofPool(pool).filter(endpoint => !endpoint.isLeaving);
+    const targets = new Map(models.map(name => [name, this._ports.configuration.namedVersion(name)]));
+    const shares = shareEndpoints(all.map(endpoint => sharedView(endpoint, models)), targets);
+    const own = new Set(shares.get(model) ?? []);
+    return [
+      candidates.filter(endpoint => own.has(endpoint.id)),
+      candidates.filter(endpoint => !own.has(endpoint.id)),
+    ];
+  }
+
   private async _run(item: BatchItem, endpoint: Endpoint): Promise<void> {
     const number = this.ledger.begin(item.id);
     this._groupEndpoints.set(item.group, endpoint.id);
     const attempt = new ItemAttempt(this._context, this._ports.client, this.ledger, item, endpoint);
     this._attempts.set(item.id, attempt);
+    const startedMs = this._context.clock.nowMs();
     const end = await attempt.run();
     this._attempts.delete(item.id);
-    this._logAttempt(item, endpoint, number, end);
+    this._logAttempt(item, endpoint, number, end, this._context.clock.nowMs() - startedMs);
     if (this._isStopped) return;
     this._settle(item, endpoint, end);
     this._place();
@@ -365,7 +386,13 @@
     return Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
   }
 
-  private _logAttempt(item: BatchItem, endpoint: Endpoint, attempt: number, end: AttemptEnd): void {
+  private _logAttempt(
+    item: BatchItem,
+    endpoint: Endpoint,
+    attempt: number,
+    end: AttemptEnd,
+    tookMs: number,
+  ): void {
     this._context.metrics.attempts.inc({ kind: 'item', end: end.kind });
     this._context.log.info('item attempt', {
       batchId: this.batchId,
@@ -376,6 +403,8 @@
       reason: 'text' in end ? end.text : 'reason' in end ? end.reason : undefined,
       status: 'status' in end ? end.status : undefined,
       events: this.ledger.progress(item.id).lastEvent(),
+      tookMs: Math.round(tookMs),
+      paceMs: Math.round(endpoint.paceMs() ?? 0),
       endpointsAgeMs: Math.round(this._ports.endpoints.ageMs()),
     });
   }
@@ -397,3 +426,13 @@
     });
   }
 }
+
+/** An endpoint as the placement sees it. */
+function toPlacement(endpoint: Endpoint): PlacementEndpoint {
+  return {
+    id: endpoint.id,
+    domain: endpoint.domain,
+    freePlaces: endpoint.freePlaces(),
+    paceMs: endpoint.paceMs(),
+  };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { HostDirectory, type HostDirectoryOptions } from './hostDirectory.js';
 import type { EndpointClient, RecordDecoder, RecordKeys } from './ports.js';
-import { WeightOrders, type WeightOrdersOptions } from './weightOrders.js';
+import { serveVersions, WeightOrders, type WeightOrdersOptions } from './weightOrders.js';
 
 export interface GatewayOptions {
   readonly store: RevisionedStore;
@@ -21,6 +21,8 @@
   readonly decoder: RecordDecoder;
   readonly hosts: HostDirectoryOptions;
   readonly orders: WeightOrdersOptions;
+  /** All failure domains of the deployment. */
+  readonly domains: readonly string[];
 }
 
 const SERVING_POLL_MS = 100;
@@ -33,7 +35,7 @@
   readonly hosts: HostDirectory;
   readonly batches: BatchService;
   readonly forwarder: Forwarder;
-  readonly orders: WeightOrders;
+  readonly orders: readonly WeightOrders[];
   private readonly _context: GatewayContext;
   private _inFlight = 0;
   private _isLeaving = false;
@@ -52,24 +54,21 @@
     };
     this.batches = new BatchService(context, ports, this.hosts);
     this.forwarder = new Forwarder(context, this.endpoints, client);
-    this.orders = new WeightOrders(
-      context,
-      store,
-      this.configuration,
-      this.endpoints,
-      this.hosts,
-      client,
-      options.orders,
+    const { configuration, endpoints, hosts } = this;
+    const orderPorts = { store, configuration, endpoints, hosts, client };
+    this.orders = options.domains.map(
+      domain => new WeightOrders(context, orderPorts, domain, options.orders),
     );
     this._registerGauges();
   }
 
   start(server: PeerServer): void {
     this.batches.serve(server);
+    serveVersions(server, this.endpoints);
     this.configuration.start();
     this.endpoints.start();
     this.hosts.start();
-    this.orders.start();
+    for (const orders of this.orders) orders.start();
   }
 
   /** True when callers may be sent here: the configuration and the endpoints are known. */
@@ -95,7 +94,7 @@
     this._isLeaving = true;
     const { clock, log } = this._context;
     log.info('shutting down', { graceMs, inFlight: this._inFlight, batches: this.batches.ownedCount() });
-    await this.orders.stop();
+    await Promise.all(this.orders.map(orders => orders.stop()));
     this.batches.stop();
     await this.hosts.leave();
     const endMs = clock.nowMs() + graceMs;
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -12,8 +12,11 @@
 /** Keys that end with the process that wrote them. */
 const LIVE_PREFIX = `${ROOT}live/`;
 const HOST_PREFIX = `${LIVE_PREFIX}host/`;
-/** The key of the one host that gives weight orders. */
-export const ORDERS_KEY = `${LIVE_PREFIX}orders`;
+
+/** The key of the one host that orders the endpoints of a failure domain. */
+export function ordersKey(domain: string): string {
+  return `${LIVE_PREFIX}orders/${domain}`;
+}
 
 /**
  * A dead host is known after this time at most. Batches wait for it; against that a host that pauses for a
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -1,21 +1,23 @@
 /**
- * Weight orders, given by one host of the fleet.
+ * Weight orders to the endpoints of one failure domain, given by one host.
  *
  * What goes wrong without the care taken here: two hosts order one endpoint in turns, because one was paused
  * past its lease or cut off from the store; endpoints that don't check tokens go back to an older version. So
  * a host orders only well inside its lease, counted from when the renewal was sent; a new holder waits until
  * any order of the former one is certainly over; and a pause of the process ends the right to order until the
- * store has renewed it.
+ * store has renewed it. Each domain has a holder of its own, so that a domain that is cut off, or a host that
+ * dies, stops the orders of one domain and not of all.
  */
 import { every, type Clock } from '@fuchsiahitch/base';
-import { shareEndpoints } from '@fuchsiahitch/batches';
+import { shareEndpoints, type SharedEndpoint } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
-import { LeaseGuard, SwapPlanner, type WeightOrder } from '@fuchsiahitch/orders';
+import { dueForLoad, LeaseGuard, SwapPlanner, type WeightOrder } from '@fuchsiahitch/orders';
+import { calls, type PeerServer } from '@fuchsiahitch/protocol';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { ORDERS_KEY, type HostDirectory } from './hostDirectory.js';
+import { ordersKey, type HostDirectory } from './hostDirectory.js';
 import type { EndpointClient } from './ports.js';
 import { StoreLease } from './storeLease.js';
 
@@ -25,6 +27,8 @@
 const ORDER_MARGIN_MS = 400;
 const ORDER_TIMEOUT_MS = 350;
 const REPORT_TIMEOUT_MS = 300;
+/** News for a peer that takes longer is old by then: its next heartbeat tells it too. */
+const PEER_TIMEOUT_MS = 500;
 const TICK_MS = 100;
 /** A tick that comes this much late by the wall clock, and not by the monotonic one: the process was paused. */
 const PAUSE_MS = 250;
@@ -32,18 +36,36 @@
 const TAKE_SPREAD_MS = 300;
 /** Of all endpoints of a pool, loading more at once slows each of them down. */
 const LOADING_SHARE = 0.29;
-const SWAP = { maxSwappingShare: 0.5, loadsPerSecond: 1000, swapTimeoutMs: 4000, maxTries: 8 };
+const SWAP = {
+  maxSwappingShare: 1,
+  loadsPerSecond: 1000,
+  swapTimeoutMs: 4000,
+  maxTries: 8,
+  readBackAfterMs: 250,
+};
+/** Trainers accept tokens of the version before the one that they named last. */
+const ALLOWED_LAG = 1;
+/** A domain without a living host of its own: hosts of other domains wait this much longer for its lease. */
+const FOREIGN_WAIT_MS = 3000;
 
 export interface WeightOrdersOptions {
   /** Orders of two holders must be further apart than this: the platform's bound. */
   readonly handoverMs: number;
 }
 
+/** What the orders of a domain work with. */
+export interface OrderPorts {
+  readonly store: RevisionedStore;
+  readonly configuration: ConfigurationService;
+  readonly endpoints: EndpointDirectory;
+  readonly hosts: HostDirectory;
+  readonly client: EndpointClient;
+}
+
 export class WeightOrders {
   private readonly _context: GatewayContext;
-  private readonly _configuration: ConfigurationService;
-  private readonly _endpoints: EndpointDirectory;
-  private readonly _client: EndpointClient;
+  private readonly _ports: OrderPorts;
+  private readonly _domain: string;
   private readonly _handoverMs: number;
   private readonly _lease: StoreLease;
   private readonly _guard: LeaseGuard;
@@ -54,31 +76,27 @@
   private _mayBeginMs = Infinity;
   private _wantsAfterMs: number | undefined;
 
-  constructor(
-    context: GatewayContext,
-    store: RevisionedStore,
-    configuration: ConfigurationService,
-    endpoints: EndpointDirectory,
-    hosts: HostDirectory,
-    client: EndpointClient,
-    options: WeightOrdersOptions,
-  ) {
+  /** Orders to the endpoints of `domain`. */
+  constructor(context: GatewayContext, ports: OrderPorts, domain: string, options: WeightOrdersOptions) {
     this._context = context;
-    this._configuration = configuration;
-    this._endpoints = endpoints;
-    this._client = client;
+    this._ports = ports;
+    this._domain = domain;
     this._handoverMs = options.handoverMs;
     this._guard = new LeaseGuard(context.clock, { leaseMs: LEASE_TTL_MS, marginMs: ORDER_MARGIN_MS });
     this._pauses = new PauseDetector(context.clock);
     const times = { ttlMs: LEASE_TTL_MS, renewMs: LEASE_RENEW_MS };
-    this._lease = new StoreLease(context, store, ORDERS_KEY, times, true, {
+    this._lease = new StoreLease(context, ports.store, ordersKey(domain), times, true, {
       value: () => context.hostId,
-      wants: () => this._wants(hosts),
+      wants: () => this._wants(),
       held: (token, sentMs) => this._held(token, sentMs),
       lost: reason => this._lost(reason),
     });
   }
 
+  get domain(): string {
+    return this._domain;
+  }
+
   start(): void {
     this._lease.start();
     every(this._context.clock, TICK_MS, this._context.stopped, () => this._tick());
@@ -96,13 +114,15 @@
   }
 
   /** Hosts that see the key gone at the same time don't all ask the store at once. */
-  private _wants(hosts: HostDirectory): boolean {
-    if (!hosts.isSynced() || hosts.isHeld(ORDERS_KEY)) {
+  private _wants(): boolean {
+    const { hosts } = this._ports;
+    if (!hosts.isSynced() || hosts.isHeld(ordersKey(this._domain))) {
       this._wantsAfterMs = undefined;
       return false;
     }
     const nowMs = this._context.clock.nowMs();
-    this._wantsAfterMs ??= nowMs + this._context.random.below(TAKE_SPREAD_MS);
+    const waitMs = this._domain === this._context.domain ? 0 : FOREIGN_WAIT_MS;
+    this._wantsAfterMs ??= nowMs + waitMs + this._context.random.below(TAKE_SPREAD_MS);
     return nowMs >= this._wantsAfterMs;
   }
 
@@ -113,13 +133,13 @@
     // The former holder's lease may have been revoked rather than run out: it may order until its own end.
     this._mayBeginMs = this._context.clock.nowMs() + this._handoverMs + LEASE_TTL_MS;
     this._planners.clear();
-    this._context.log.info('orders lease', { change: 'held', fencingToken: token });
+    this._context.log.info('orders lease', { change: 'held', of: this._domain, fencingToken: token });
   }
 
   private _lost(reason: string): void {
     this._guard.lost();
     this._token = undefined;
-    this._context.log.warn('orders lease', { change: 'lost', reason });
+    this._context.log.warn('orders lease', { change: 'lost', of: this._domain, reason });
   }
 
   private _tick(): void {
@@ -128,24 +148,21 @@
       this._context.log.warn('this process was paused: no orders until the lease is renewed');
     }
     if (this._context.clock.nowMs() < this._mayBeginMs) return;
-    for (const [pool, models] of this._configuration.models()) this._orderPool(pool, models);
+    for (const [pool, models] of this._ports.configuration.models()) this._orderPool(pool, models);
   }
 
   private _orderPool(pool: string, models: readonly string[]): void {
     const token = this._guard.token();
     if (token === undefined) return;
-    const endpoints = this._endpoints.ofPool(pool).filter(endpoint => !endpoint.isLeaving);
-    const targets = new Map(models.map(model => [model, this._configuration.namedVersion(model)]));
-    const views = endpoints.map(endpoint => ({
-      id: endpoint.id,
-      versions: new Map(models.map(model => [model, endpoint.versionOf(model)])),
-    }));
-    const shares = shareEndpoints(views, targets);
-    const limit = Math.max(1, Math.floor(LOADING_SHARE * endpoints.length));
-    for (const [model, ids] of shares) {
-      const version = targets.get(model) ?? 1;
-      const chosen = endpoints.filter(endpoint => ids.includes(endpoint.id));
-      this._orderModel(pool, model, version, chosen, limit, token);
+    const { configuration, endpoints } = this._ports;
+    const targets = new Map(models.map(model => [model, configuration.namedVersion(model)]));
+    const all = endpoints.ofPool(pool).filter(endpoint => !endpoint.isLeaving);
+    const shares = shareEndpoints(all.map(endpoint => sharedView(endpoint, models)), targets);
+    const own = all.filter(endpoint => endpoint.domain === this._domain);
+    const limit = Math.max(1, Math.floor(LOADING_SHARE * own.length));
+    for (const [model, version] of targets) {
+      const share = all.filter(endpoint => shares.get(model)?.includes(endpoint.id));
+      this._orderModel(pool, model, version, share, limit, token);
     }
   }
 
@@ -153,18 +170,27 @@
     pool: string,
     model: string,
     version: number,
-    endpoints: readonly Endpoint[],
+    share: readonly Endpoint[],
     limit: number,
     token: number,
   ): void {
     const planner = this._planner(pool, model);
     planner.setTarget({ pool, version, sequence: version, share: 1 });
-    for (const endpoint of endpoints)
+    const own = share.filter(endpoint => endpoint.domain === this._domain);
+    for (const endpoint of own)
       planner.readBack(endpoint.id, { version: endpoint.versionOf(model), startId: endpoint.id });
     for (const id of planner.toReadBack()) void this._readBack(id, model);
-    if (this._swapping() >= limit) return;
-    const usable = endpoints.map(endpoint => ({ id: endpoint.id, isUsable: !this._busy.has(endpoint.id) }));
-    for (const order of planner.next(usable, token)) void this._give(order, model, planner);
+    const candidates = share.map(endpoint => ({
+      id: endpoint.id,
+      version: endpoint.versionOf(model),
+      load: endpoint.stats.estimatedLoad(),
+    }));
+    const due = dueForLoad(candidates, version, ALLOWED_LAG);
+    for (const id of due) {
+      if (this._swapping() >= limit) return;
+      const isUsable = !this._busy.has(id) && own.some(endpoint => endpoint.id === id);
+      for (const order of planner.next([{ id, isUsable }], token)) void this._give(order, model, planner);
+    }
   }
 
   private _planner(pool: string, model: string): SwapPlanner {
@@ -184,7 +210,7 @@
 
   /** Gives one order. The endpoint's own word is asked first: it may have the version already. */
   private async _give(order: WeightOrder, model: string, planner: SwapPlanner): Promise<void> {
-    const endpoint = this._endpoints.get(order.endpointId);
+    const endpoint = this._ports.endpoints.get(order.endpointId);
     if (!endpoint || this._busy.has(endpoint.id)) return;
     this._busy.add(endpoint.id);
     const answer = await this._ask(endpoint, order, model);
@@ -200,15 +226,15 @@
     order: WeightOrder,
     model: string,
   ): Promise<'accepted' | 'busy' | 'refused' | 'unknown' | 'no-report' | 'no-lease'> {
-    const report = await this._client.report(endpoint.info(), REPORT_TIMEOUT_MS);
+    const report = await this._ports.client.report(endpoint.info(), REPORT_TIMEOUT_MS);
     if (!report) return 'no-report';
-    for (const [name, version] of report.versions) endpoint.heardVersion(name, version);
+    for (const [name, version] of report.versions) this._saw(endpoint, name, version);
     if ((report.versions.get(model) ?? 0) >= order.version) return 'accepted';
     if (report.isBusy) return 'busy';
     // The report took its time: the right to order is checked again at the very moment of the order.
     const token = this._guard.token();
     if (token !== order.token) return 'no-lease';
-    return this._client.order(
+    return this._ports.client.order(
       {
         endpoint: endpoint.info(),
         model,
@@ -222,16 +248,41 @@
   }
 
   private async _readBack(endpointId: string, model: string): Promise<void> {
-    const endpoint = this._endpoints.get(endpointId);
+    const endpoint = this._ports.endpoints.get(endpointId);
     if (!endpoint || this._busy.has(endpointId)) return;
     this._busy.add(endpointId);
-    const report = await this._client.report(endpoint.info(), REPORT_TIMEOUT_MS);
+    const report = await this._ports.client.report(endpoint.info(), REPORT_TIMEOUT_MS);
     this._busy.delete(endpointId);
     const version = report?.versions.get(model);
-    if (version !== undefined) endpoint.heardVersion(model, version);
+    if (version !== undefined) this._saw(endpoint, model, version);
+  }
+
+  /** Owners of batches must know a new version at once: until then the endpoint stays empty. */
+  private _saw(endpoint: Endpoint, model: string, version: number): void {
+    if (version <= endpoint.versionOf(model)) return;
+    endpoint.heardVersion(model, version);
+    const seen = { endpointId: endpoint.id, model, version };
+    for (const peer of this._ports.hosts.peers())
+      void this._ports.hosts.call(peer.address, calls.versionSeen, seen, PEER_TIMEOUT_MS);
   }
 }
 
+/** Takes in what the hosts that give orders tell. */
+export function serveVersions(server: PeerServer, endpoints: EndpointDirectory): void {
+  server.handle(calls.versionSeen, ({ endpointId, model, version }) => {
+    endpoints.get(endpointId)?.heardVersion(model, version);
+    return {};
+  });
+}
+
+/** An endpoint as the division among models sees it. */
+export function sharedView(endpoint: Endpoint, models: readonly string[]): SharedEndpoint {
+  return {
+    id: endpoint.id,
+    versions: new Map(models.map(model => [model, endpoint.versionOf(model)])),
+  };
+}
+
 /** Notices that the process stood still: the monotonic clock does not count such a time, the wall clock does. */
 class PauseDetector {
   private readonly _clock: Clock;
--- a/packages/orders/src/index.ts
+++ b/packages/orders/src/index.ts
@@ -1,4 +1,5 @@
 /** Decisions about weight orders to endpoints. */
 export * from './leaseGuard.js';
+export * from './loadChoice.js';
 export * from './model.js';
 export * from './swapPlanner.js';
--- a/packages/orders/src/swapPlanner.ts
+++ b/packages/orders/src/swapPlanner.ts
@@ -23,6 +23,8 @@
   readonly swapTimeoutMs: number;
   /** After so many failed swaps an endpoint is set aside until it restarts or a new version comes. */
   readonly maxTries: number;
+  /** How long after an order, and after each reading, the endpoint is read again. */
+  readonly readBackAfterMs?: number;
 }
 
 interface SwapState {
@@ -42,7 +44,7 @@
   readBack: undefined,
   readMs: -Infinity,
 };
-/** A swap takes about this long; asking sooner or more often would cost bytes and tell nothing. */
+/** A swap takes about this long; asking sooner or more often would cost bytes and tell little. */
 const READ_BACK_AFTER_MS = 500;
 const MS_A_SECOND = 1000;
 
@@ -114,7 +116,7 @@
     const due: string[] = [];
     for (const [id, state] of this._states) {
       const waitedMs = nowMs - Math.max(state.orderedMs, state.readMs);
-      if (state.isSwapping && waitedMs >= READ_BACK_AFTER_MS) due.push(id);
+      if (state.isSwapping && waitedMs >= (this._options.readBackAfterMs ?? READ_BACK_AFTER_MS)) due.push(id);
     }
     return due;
   }
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -8,6 +8,7 @@
   batchItemReplySchema,
   batchReadReplySchema,
   batchReadSchema,
+  versionSeenSchema,
 } from '@fuchsiahitch/batches';
 import { leavingNoticeSchema, memberDocumentSchema, memberUpdateSchema } from '@fuchsiahitch/membership';
 import {
@@ -141,6 +142,7 @@
   shelfGrew: defineCall('shelfGrew', shelfGrewSchema, emptySchema),
   batchRead: defineCall('batchRead', batchReadSchema, batchReadReplySchema),
   batchItem: defineCall('batchItem', batchItemReadSchema, batchItemReplySchema),
+  versionSeen: defineCall('versionSeen', versionSeenSchema, emptySchema),
   batchEnd: defineCall('batchEnd', batchEndSchema, batchEndReplySchema),
   heldSamples: defineCall('heldSamples', heldSamplesSchema, heldSamplesReplySchema),
 } as const;
