--- a/packages/batches/src/batchLedger.ts
+++ b/packages/batches/src/batchLedger.ts
@@ -79,11 +79,15 @@
     return this._entry(itemId).progress;
   }
 
-  /** The items that wait: groups in the order of the batch, so that whole groups end before new ones begin. */
+  /**
+   * The items that wait, the longest first by the trainer's estimate and what is already made. A long item takes
+   * as long as a whole step however many places are free, so that it holds its group up by every moment that it
+   * begins later; short ones fit in behind it.
+   */
   waiting(): readonly BatchItem[] {
-    const items: BatchItem[] = [];
-    for (const entry of this._entries.values()) if (entry.state === 'waiting') items.push(entry.item);
-    return items;
+    const entries = [...this._entries.values()].filter(entry => entry.state === 'waiting');
+    entries.sort((a, b) => compare(urgency(b), urgency(a)));
+    return entries.map(entry => entry.item);
   }
 
   countRunning(): number {
@@ -150,3 +154,14 @@
     return entry;
   }
 }
+
+/** An item that was interrupted goes before all that have not begun: its group has waited for it already. */
+function urgency(entry: Entry): number {
+  return entry.attempts > 0 ? Infinity : entry.item.expectedTokens;
+}
+
+/** Orders numbers, infinite ones too. */
+function compare(a: number, b: number): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
--- a/packages/batches/src/itemPlacement.ts
+++ b/packages/batches/src/itemPlacement.ts
@@ -18,6 +18,9 @@
 
 /** An endpoint with this many times the median pace is slow. Endpoints of one pool differ by up to 1.3. */
 export const SLOW_FACTOR = 2;
+const PACE_TOLERANCE = 1.1;
+/** A run moves only away from an endpoint that is clearly slow: a measured pace swings by a quarter. */
+export const MOVE_FACTOR = 2;
 
 /** The median pace of the endpoints that have one; undefined when none has. */
 export function medianPaceMs(endpoints: readonly PlacementEndpoint[]): number | undefined {
@@ -34,6 +37,8 @@
 export interface PlacementRequest {
   /** The endpoint that runs other items of the group, if any. */
   readonly groupEndpointId: string | undefined;
+  /** True for an item that is expected to be among the longest: pace counts more for it than company. */
+  readonly isLong: boolean;
   readonly ownDomain: string;
   /** Endpoints at which this item was refused or broke a moment ago. */
   readonly avoid: ReadonlySet<string>;
@@ -48,7 +53,8 @@
   const open = endpoints.filter(endpoint => endpoint.freePlaces > 0 && !request.avoid.has(endpoint.id));
   const quick = open.filter(endpoint => !isSlow(endpoint, medianMs));
   const together = quick.find(endpoint => endpoint.id === request.groupEndpointId);
-  if (together) return together;
+  if (together && !request.isLong) return together;
+  if (request.isLong) return quickest(quick) ?? (hasQuick(endpoints, medianMs) ? undefined : best(open, ''));
   return best(quick, request.ownDomain) ?? (hasQuick(endpoints, medianMs) ? undefined : best(open, ''));
 }
 
@@ -57,6 +63,24 @@
   return endpoints.some(endpoint => !isSlow(endpoint, medianMs));
 }
 
+/** The endpoint with the best pace; among equals, and where paces are not known, the one with the most places. */
+function quickest(endpoints: readonly PlacementEndpoint[]): PlacementEndpoint | undefined {
+  let found: PlacementEndpoint | undefined;
+  for (const endpoint of endpoints) {
+    if (!found || isQuicker(endpoint, found)) found = endpoint;
+  }
+  return found;
+}
+
+function isQuicker(a: PlacementEndpoint, b: PlacementEndpoint): boolean {
+  const aPaceMs = a.paceMs ?? 0;
+  const bPaceMs = b.paceMs ?? 0;
+  // Paces are measured: a tenth is no difference.
+  if (aPaceMs * PACE_TOLERANCE < bPaceMs) return true;
+  if (bPaceMs * PACE_TOLERANCE < aPaceMs) return false;
+  return a.freePlaces > b.freePlaces;
+}
+
 /** The endpoint with the most free places; among equals one of the own failure domain. */
 function best(endpoints: readonly PlacementEndpoint[], ownDomain: string): PlacementEndpoint | undefined {
   let found: PlacementEndpoint | undefined;
--- a/packages/batches/src/model.ts
+++ b/packages/batches/src/model.ts
@@ -16,6 +16,8 @@
     bodyBase64: z.string(),
     /** Prompt tokens and the maximum of output tokens together. */
     tokens: z.number().min(0),
+    /** The trainer's estimate of output tokens: right at the median, often far off. 0 for none. */
+    expectedTokens: z.number().min(0),
     /** Items of one group share their prompt, and count for the trainer only when all are listed. */
     group: z.string(),
     /** Names the part of the prompt that other items share; empty for none. */
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -8,7 +8,7 @@
   pageFrom,
   placeItem,
   shareEndpoints,
-  SLOW_FACTOR,
+  MOVE_FACTOR,
   type Batch,
   type BatchItem,
   type BatchReadReply,
@@ -34,7 +34,7 @@
 }
 
 /** Results that end within this time share one write: trainers read twice a second. */
-const LIST_INTERVAL_MS = 200;
+const LIST_INTERVAL_MS = 150;
 const LIST_RETRY_MS = 250;
 const STORE_TIMEOUT_MS = 1000;
 /** How often items that found no place look again. */
@@ -45,7 +45,9 @@
  */
 const SURE_MS = 600;
 /** An endpoint that refused an item gets none for this long: it is full or loads weights. */
-const REFUSED_PAUSE_MS = 100;
+const REFUSED_PAUSE_MS = 250;
+/** Lengths have a long tail: about a tenth of the items is several times as long as the rest, and estimates err. */
+const LONG_SHARE = 0.25;
 /** Wall clocks of hosts are near true time; a generous bound for the difference of two. */
 const CLOCK_SKEW_MS = 5000;
 
@@ -60,6 +62,8 @@
   private readonly _startedMs: number;
   private _held: HeldClaim;
   private _confirmedMs: number;
+  /** Items of this many expected tokens and more are long. */
+  private readonly _longTokens: number;
   private _isStopped = false;
   private _isLost = false;
   private _isListing = false;
@@ -82,6 +86,7 @@
     this._startedMs = context.clock.nowMs();
     this._confirmedMs = this._startedMs;
     const route = this._routeOf(stored.batch);
+    this._longTokens = longTokens(stored.batch);
     this.ledger = new BatchLedger(stored.batch, stored.results, {
       maxAttempts: route?.maxAttempts ?? 1,
       isSingleVersion: route?.isSingleVersion ?? false,
@@ -209,6 +214,7 @@
     const avoid = this._avoided.get(item.id) ?? new Set<string>();
     const request = {
       groupEndpointId: this._groupEndpoints.get(item.group),
+      isLong: item.expectedTokens >= this._longTokens,
       ownDomain: this._context.domain,
       avoid,
     };
@@ -361,7 +367,7 @@
         endpoint !== than &&
         endpoint.freePlaces() > 0 &&
         otherMs !== undefined &&
-        otherMs * SLOW_FACTOR < paceMs
+        otherMs * MOVE_FACTOR < paceMs
       );
     });
   }
@@ -436,3 +442,10 @@
     paceMs: endpoint.paceMs(),
   };
 }
+
+/** The longest quarter of the items by their estimates; Infinity when there are none. */
+function longTokens(batch: Batch): number {
+  const estimates = batch.items.map(item => item.expectedTokens).sort((a, b) => b - a);
+  const limit = estimates[Math.floor(estimates.length * LONG_SHARE)] ?? 0;
+  return limit > 0 ? limit : Infinity;
+}
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -22,10 +22,13 @@
 import { StoreLease } from './storeLease.js';
 
 const LEASE_TTL_MS = 1500;
-const LEASE_RENEW_MS = 400;
+const LEASE_RENEW_MS = 300;
+/** The holder counts on its lease for this long from a renewal: what a successor must wait out. */
+const RIGHT_MS = 1000;
+const ASK_AGAIN_MS = 250;
 /** An order is on its way for at most this long before the lease can end. */
-const ORDER_MARGIN_MS = 400;
-const ORDER_TIMEOUT_MS = 350;
+const ORDER_MARGIN_MS = 350;
+const ORDER_TIMEOUT_MS = 300;
 const REPORT_TIMEOUT_MS = 300;
 /** News for a peer that takes longer is old by then: its next heartbeat tells it too. */
 const PEER_TIMEOUT_MS = 500;
@@ -82,7 +85,7 @@
     this._ports = ports;
     this._domain = domain;
     this._handoverMs = options.handoverMs;
-    this._guard = new LeaseGuard(context.clock, { leaseMs: LEASE_TTL_MS, marginMs: ORDER_MARGIN_MS });
+    this._guard = new LeaseGuard(context.clock, { leaseMs: RIGHT_MS, marginMs: ORDER_MARGIN_MS });
     this._pauses = new PauseDetector(context.clock);
     const times = { ttlMs: LEASE_TTL_MS, renewMs: LEASE_RENEW_MS };
     this._lease = new StoreLease(context, ports.store, ordersKey(domain), times, true, {
@@ -131,7 +134,7 @@
     if (this._token === token) return;
     this._token = token;
     // The former holder's lease may have been revoked rather than run out: it may order until its own end.
-    this._mayBeginMs = this._context.clock.nowMs() + this._handoverMs + LEASE_TTL_MS;
+    this._mayBeginMs = this._context.clock.nowMs() + this._handoverMs + RIGHT_MS;
     this._planners.clear();
     this._context.log.info('orders lease', { change: 'held', of: this._domain, fencingToken: token });
   }
@@ -215,10 +218,19 @@
     this._busy.add(endpoint.id);
     const answer = await this._ask(endpoint, order, model);
     this._busy.delete(endpoint.id);
+    const isGiven = answer === 'accepted' || answer === 'unknown' || answer === 'refused';
+    if (!isGiven) this._pauseOrders(endpoint.id);
     this._context.metrics.orders.inc({ answer });
     const { endpointId, version, token } = order;
     this._context.log.info('weight order', { endpointId, model, version, fencingToken: token, answer });
-    planner.ended(endpointId, answer === 'accepted' || answer === 'unknown' ? answer : 'failed');
+    if (!isGiven) planner.postponed(endpointId);
+    else planner.ended(endpointId, answer === 'refused' ? 'failed' : answer);
+  }
+
+  /** An endpoint that loads, or does not answer, is asked again after a moment and not at every turn. */
+  private _pauseOrders(endpointId: string): void {
+    this._busy.add(endpointId);
+    this._context.clock.after(ASK_AGAIN_MS, () => this._busy.delete(endpointId));
   }
 
   private async _ask(
--- a/packages/orders/src/swapPlanner.ts
+++ b/packages/orders/src/swapPlanner.ts
@@ -121,6 +121,13 @@
     return due;
   }
 
+  /** The order was not given after all: it does not count as a try. */
+  postponed(endpointId: string): void {
+    const state = this._states.get(endpointId);
+    if (!state?.isSwapping) return;
+    this._states.set(endpointId, { ...state, isSwapping: false, tries: Math.max(0, state.tries - 1) });
+  }
+
   /** Endpoints that carry traffic although they could not be brought to the version are for the operator. */
   setAside(): readonly string[] {
     return [...this._states].filter(([, state]) => state.isAside).map(([id]) => id);
