Store through peers, readiness of a cut-off domain, owners without a lease are replaced

In a cut-off domain every read of a trainer was refused until the cut ended, since its hosts still called themselves ready. Change: RelayedStore sends store calls through a peer while the direct way fails; ReachMonitor makes a host not ready when neither the store nor another domain answers; an unsure owner whose lease is gone is replaced.

--- a/packages/batches/src/model.ts
+++ b/packages/batches/src/model.ts
@@ -57,9 +57,8 @@
 export type ItemResult = z.infer<typeof itemResultSchema>;
 
 /** One process of a host, and where its peers reach it. */
-export const ownerSchema = z
-  .strictObject({ hostId: z.string(), incarnation: z.string(), address: z.string() })
-  .readonly();
+export const ownerFields = { hostId: z.string(), incarnation: z.string(), address: z.string() } as const;
+export const ownerSchema = z.strictObject(ownerFields).readonly();
 export type Owner = z.infer<typeof ownerSchema>;
 
 export function isSameOwner(a: Owner, b: Owner): boolean {
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -250,7 +250,10 @@
     if (models.length < 2) return [candidates];
     const all = this._ports.endpoints.ofPool(pool).filter(endpoint => !endpoint.isLeaving);
     const targets = new Map(models.map(name => [name, this._ports.configuration.namedVersion(name)]));
-    const shares = shareEndpoints(all.map(endpoint => sharedView(endpoint, models)), targets);
+    const shares = shareEndpoints(
+      all.map(endpoint => sharedView(endpoint, models)),
+      targets,
+    );
     const own = new Set(shares.get(model) ?? []);
     return [
       candidates.filter(endpoint => own.has(endpoint.id)),
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -235,10 +235,14 @@
         continue;
       }
       if (located.kind !== 'peer') return located;
-      const reply = await there(located.held.claim.owner.address);
-      if (reply.ok && reply.value.kind !== 'not-owner') return reply.value;
+      const { owner } = located.held.claim;
+      const reply = await there(owner.address);
+      // An owner that is unsure may have lost its lease while it could not reach the store.
+      const isOpen = reply.ok && reply.value.kind === 'unsure' && !this._hosts.isAlive(owner);
+      if (reply.ok && reply.value.kind !== 'not-owner' && !isOpen) return reply.value;
       this._claims.delete(batchId);
-      const next = await this._replaceOwner(batchId, located.held.claim.owner, reply.ok);
+      const deniedIt = reply.ok && reply.value.kind === 'not-owner';
+      const next = await this._replaceOwner(batchId, owner, deniedIt);
       if (next.kind !== 'here' && next.kind !== 'peer') return next;
     }
     return { kind: 'unsure' };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,9 @@
 import { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { HostDirectory, type HostDirectoryOptions } from './hostDirectory.js';
+import { ReachMonitor } from './reachMonitor.js';
+import { RelayedStore } from './relayedStore.js';
+import { storeRelayCall } from './storeRelayMessages.js';
 import type { EndpointClient, RecordDecoder, RecordKeys } from './ports.js';
 import { serveVersions, WeightOrders, type WeightOrdersOptions } from './weightOrders.js';
 
@@ -37,15 +40,25 @@
   readonly forwarder: Forwarder;
   readonly orders: readonly WeightOrders[];
   private readonly _context: GatewayContext;
+  private readonly _store: RelayedStore;
+  private readonly _reach: ReachMonitor;
   private _inFlight = 0;
   private _isLeaving = false;
 
   constructor(context: GatewayContext, options: GatewayOptions) {
-    const { store, client, keys, decoder } = options;
+    const { client, keys, decoder } = options;
+    const store = new RelayedStore(context, options.store);
     this._context = context;
+    this._store = store;
     this.configuration = new ConfigurationService(context, store, keys, decoder);
     this.endpoints = new EndpointDirectory(context, store, keys, decoder);
     this.hosts = new HostDirectory(context, store, options.hosts);
+    const { hosts: peers } = this;
+    store.usePeers({
+      addresses: () => peers.peers().map(peer => peer.address),
+      relay: (address, request, timeoutMs) => peers.call(address, storeRelayCall, request, timeoutMs),
+    });
+    this._reach = new ReachMonitor(context, store, this.hosts);
     const ports = {
       store: new BatchStore(context, store),
       endpoints: this.endpoints,
@@ -63,16 +76,24 @@
   }
 
   start(server: PeerServer): void {
+    this._store.serve(server);
     this.batches.serve(server);
     serveVersions(server, this.endpoints);
     this.configuration.start();
     this.endpoints.start();
     this.hosts.start();
+    this._reach.start();
     for (const orders of this.orders) orders.start();
   }
 
-  /** True when callers may be sent here: the configuration and the endpoints are known. */
+  /** True if this host reaches neither the store nor another failure domain. */
+  isCutOff(): boolean {
+    return this._reach.isCutOff();
+  }
+
+  /** True when callers may be sent here: the configuration and the endpoints are known, and others are in reach. */
   isReady(): boolean {
+    if (this.isCutOff()) return false;
     return !this._isLeaving && this.configuration.isKnown() && this.endpoints.isSynced();
   }
 
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -2,9 +2,10 @@
  * The hosts that live, by keys in the store that end with their leases, and calls to them.
  */
 import { Deadline, err, type Result } from '@fuchsiahitch/base';
-import { isSameOwner, ownerSchema, ROOT, type Owner } from '@fuchsiahitch/batches';
+import { isSameOwner, ownerFields, ROOT, type Owner } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import { PeerLink, type CallDefinition, type CallError, type PeerIdentity } from '@fuchsiahitch/protocol';
+import { z } from 'zod';
 import type { GatewayContext } from './gatewayContext.js';
 import { StoreLease } from './storeLease.js';
 import { StoreMirror } from './storeMirror.js';
@@ -38,6 +39,7 @@
   private readonly _mirror: StoreMirror;
   private readonly _lease: StoreLease;
   private readonly _owners = new Map<string, Owner>();
+  private readonly _domains = new Map<string, string>();
   private readonly _keys = new Set<string>();
   private readonly _links = new Map<string, PeerLink>();
 
@@ -49,7 +51,7 @@
       removed: key => this._removed(key),
     });
     this._lease = new StoreLease(context, store, `${HOST_PREFIX}${context.hostId}`, HOST_LEASE, false, {
-      value: () => JSON.stringify(this.self()),
+      value: () => JSON.stringify({ ...this.self(), domain: context.domain }),
       wants: () => true,
       held: () => undefined,
       lost: reason => context.log.warn('host lease lost', { reason }),
@@ -95,6 +97,11 @@
     return [...this._owners.values()].filter(owner => owner.hostId !== this._context.hostId);
   }
 
+  /** True for a host of this host's failure domain. */
+  isOwnDomain(hostId: string): boolean {
+    return this._domains.get(hostId) === this._context.domain;
+  }
+
   async call<Q, A>(
     address: string,
     call: CallDefinition<Q, A>,
@@ -125,7 +132,8 @@
       return;
     }
     const known = this._owners.get(owner.hostId);
-    this._owners.set(owner.hostId, owner);
+    this._owners.set(owner.hostId, toOwner(owner));
+    this._domains.set(owner.hostId, owner.domain);
     if (known && isSameOwner(known, owner)) return;
     this._context.log.info('host', { change: 'new', peer: owner.hostId, peerIncarnation: owner.incarnation });
   }
@@ -139,9 +147,17 @@
   }
 }
 
-function readOwner(value: string): Owner | undefined {
+/** What a host writes of itself. */
+const hostRecordSchema = z.object({ ...ownerFields, domain: z.string() }).readonly();
+type HostRecord = z.infer<typeof hostRecordSchema>;
+
+function toOwner({ hostId, incarnation, address }: HostRecord): Owner {
+  return { hostId, incarnation, address };
+}
+
+function readOwner(value: string): HostRecord | undefined {
   try {
-    const parsed = ownerSchema.safeParse(JSON.parse(value));
+    const parsed = hostRecordSchema.safeParse(JSON.parse(value));
     return parsed.success ? parsed.data : undefined;
   } catch {
     return undefined;
--- /dev/null
+++ b/packages/gateway/src/reachMonitor.ts
@@ -0,0 +1,65 @@
+/**
+ * Whether this host is cut off: from the store, and from the hosts of every other failure domain.
+ *
+ * What goes wrong without it: the balancer goes on sending trainers to a domain that can neither read nor write
+ * their batches, and every read is refused until the cut ends. A host that says that it is not ready sends its
+ * callers to other domains, whose hosts take the batches over. When only the store is away, other domains answer
+ * and the host stays ready: elsewhere it would be no better.
+ */
+import { every } from '@fuchsiahitch/base';
+import type { GatewayContext } from './gatewayContext.js';
+import type { HostDirectory } from './hostDirectory.js';
+import type { RelayedStore } from './relayedStore.js';
+import { reachCall } from './storeRelayMessages.js';
+
+const CHECK_INTERVAL_MS = 300;
+/** Hosts of other domains are asked once the store was silent for so long. */
+const SUSPECT_MS = 900;
+const ASK_TIMEOUT_MS = 400;
+/** Rounds without any answer until the host takes itself for cut off. */
+const ROUNDS = 2;
+/** Hosts that are asked in one round. */
+const ASKED = 3;
+
+export class ReachMonitor {
+  private readonly _context: GatewayContext;
+  private readonly _store: RelayedStore;
+  private readonly _hosts: HostDirectory;
+  private _silentRounds = 0;
+
+  constructor(context: GatewayContext, store: RelayedStore, hosts: HostDirectory) {
+    this._context = context;
+    this._store = store;
+    this._hosts = hosts;
+  }
+
+  start(): void {
+    every(this._context.clock, CHECK_INTERVAL_MS, this._context.stopped, () => this._check());
+  }
+
+  isCutOff(): boolean {
+    return this._silentRounds >= ROUNDS;
+  }
+
+  private async _check(): Promise<void> {
+    const sinceReachedMs = this._store.sinceReachedMs();
+    const isReached = sinceReachedMs < SUSPECT_MS || (await this._someoneAnswers());
+    const wasCutOff = this.isCutOff();
+    this._silentRounds = isReached ? 0 : this._silentRounds + 1;
+    if (this.isCutOff() === wasCutOff) return;
+    const change = this.isCutOff() ? 'cut off' : 'connected';
+    this._context.log.warn('reach', { change, sinceStoreMs: Math.round(sinceReachedMs) });
+  }
+
+  /** True if a host of another domain answers, or there is none to ask. */
+  private async _someoneAnswers(): Promise<boolean> {
+    const others = this._hosts.peers().filter(peer => !this._hosts.isOwnDomain(peer.hostId));
+    if (others.length === 0) return true;
+    const start = this._context.random.below(others.length);
+    const asked = [...others.slice(start), ...others.slice(0, start)].slice(0, ASKED);
+    const replies = await Promise.all(
+      asked.map(peer => this._hosts.call(peer.address, reachCall, {}, ASK_TIMEOUT_MS)),
+    );
+    return replies.some(reply => reply.ok);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/relayedStore.ts
@@ -0,0 +1,252 @@
+/**
+ * The store, through another host when this one cannot reach it.
+ *
+ * What goes wrong without it: the store turns one host away, or the network cuts it off from the store alone. Its
+ * batches can neither be listed nor ended, and its configuration grows old, while its neighbours reach the store
+ * well. One sees "dependency lost" on one host only. A write that went astray may still be carried out later;
+ * every write names what it depends on, so that sending it once more by another way is safe.
+ */
+import { Deadline, err, type Result } from '@fuchsiahitch/base';
+import type {
+  Changes,
+  Compare,
+  RevisionedStore,
+  Snapshot,
+  StoredValue,
+  StoreError,
+  TransactionResult,
+  WatchEnd,
+  WatchEvent,
+  Write,
+} from '@fuchsiahitch/clients';
+import type { CallError, PeerServer } from '@fuchsiahitch/protocol';
+import type { GatewayContext } from './gatewayContext.js';
+import { reachCall, storeRelayCall, type StoreReply, type StoreRequest } from './storeRelayMessages.js';
+
+/** While the direct way fails it is tried again this often. */
+const PROBE_INTERVAL_MS = 1000;
+const PROBE_TIMEOUT_MS = 800;
+const PROBE_KEY = 'fuchsiahitch/probe';
+/** A peer answers a relayed call this much later than the store would. */
+const RELAY_SLACK_MS = 300;
+/** Of a call's time the direct way gets at most this much before it counts as failing. */
+const DIRECT_TIMEOUT_MS = 900;
+/** A peer that could not help is not asked again for a while. */
+const PEER_PAUSE_MS = 2000;
+
+/** The hosts that may help. */
+export interface RelayPeers {
+  /** Their addresses, in no order. */
+  addresses(): readonly string[];
+  relay(address: string, request: StoreRequest, timeoutMs: number): Promise<Result<StoreReply, CallError>>;
+}
+
+type Direct<T, E> = (deadline: Deadline) => Promise<Result<T, E>>;
+
+export class RelayedStore implements RevisionedStore {
+  private readonly _context: GatewayContext;
+  private readonly _direct: RevisionedStore;
+  private readonly _pausedUntilMs = new Map<string, number>();
+  private _peers: RelayPeers | undefined;
+  private _isFailing = false;
+  private _reachedMs: number;
+
+  constructor(context: GatewayContext, direct: RevisionedStore) {
+    this._context = context;
+    this._direct = direct;
+    this._reachedMs = context.clock.nowMs();
+  }
+
+  /** Peers are known only once the store has named them. */
+  usePeers(peers: RelayPeers): void {
+    this._peers = peers;
+  }
+
+  /** Makes store calls for peers, by the direct way only: a relayed call is never relayed again. */
+  serve(server: PeerServer): void {
+    server.handle(storeRelayCall, async request => this._serveRelay(request));
+    server.handle(reachCall, () => ({ isStoreReachable: !this._isFailing }));
+  }
+
+  /** Milliseconds since the store was last reached, by any way. */
+  sinceReachedMs(): number {
+    return this._context.clock.nowMs() - this._reachedMs;
+  }
+
+  async get(key: string, deadline: Deadline): Promise<Result<StoredValue | undefined, StoreError>> {
+    const direct = (limit: Deadline): ReturnType<RevisionedStore['get']> => this._direct.get(key, limit);
+    return this._call(direct, deadline, timeoutMs => ({ call: 'get', key, timeoutMs }), 0);
+  }
+
+  async list(prefix: string, deadline: Deadline): Promise<Result<readonly StoredValue[], StoreError>> {
+    const snapshot = await this.snapshot(prefix, deadline);
+    return snapshot.ok ? { ok: true, value: snapshot.value.items } : snapshot;
+  }
+
+  async snapshot(prefix: string, deadline: Deadline): Promise<Result<Snapshot, StoreError>> {
+    const direct = (limit: Deadline): ReturnType<RevisionedStore['snapshot']> =>
+      this._direct.snapshot(prefix, limit);
+    return this._call(direct, deadline, timeoutMs => ({ call: 'snapshot', prefix, timeoutMs }), 0);
+  }
+
+  async changes(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    deadline: Deadline,
+  ): Promise<Result<Changes, StoreError | 'compacted'>> {
+    const direct = (limit: Deadline): ReturnType<RevisionedStore['changes']> =>
+      this._direct.changes(prefix, afterRevision, waitMs, limit);
+    return this._call(
+      direct,
+      deadline,
+      timeoutMs => ({ call: 'changes', prefix, afterRevision, waitMs, timeoutMs }),
+      waitMs,
+    );
+  }
+
+  async transact(
+    compares: readonly Compare[],
+    writes: readonly Write[],
+    deadline: Deadline,
+  ): Promise<Result<TransactionResult, StoreError>> {
+    const direct = (limit: Deadline): ReturnType<RevisionedStore['transact']> =>
+      this._direct.transact(compares, writes, limit);
+    return this._call(direct, deadline, timeoutMs => ({ call: 'transact', compares, writes, timeoutMs }), 0);
+  }
+
+  async grantLease(ttlMs: number, deadline: Deadline): Promise<Result<string, StoreError>> {
+    const direct = (limit: Deadline): ReturnType<RevisionedStore['grantLease']> =>
+      this._direct.grantLease(ttlMs, limit);
+    return this._call(direct, deadline, timeoutMs => ({ call: 'grantLease', ttlMs, timeoutMs }), 0);
+  }
+
+  async keepLease(leaseId: string, deadline: Deadline): Promise<Result<boolean, StoreError>> {
+    const direct = (limit: Deadline): ReturnType<RevisionedStore['keepLease']> =>
+      this._direct.keepLease(leaseId, limit);
+    return this._call(direct, deadline, timeoutMs => ({ call: 'keepLease', leaseId, timeoutMs }), 0);
+  }
+
+  async endLease(leaseId: string, deadline: Deadline): Promise<Result<void, StoreError>> {
+    const direct = (limit: Deadline): ReturnType<RevisionedStore['endLease']> =>
+      this._direct.endLease(leaseId, limit);
+    return this._call(direct, deadline, timeoutMs => ({ call: 'endLease', leaseId, timeoutMs }), 0);
+  }
+
+  async watch(
+    prefix: string,
+    onEvents: (events: readonly WatchEvent[]) => void,
+    signal: AbortSignal,
+  ): Promise<WatchEnd> {
+    return this._direct.watch(prefix, onEvents, signal);
+  }
+
+  /** `waitMs`: how long the call itself waits at the store before it answers. */
+  private async _call<T, E extends StoreError | 'compacted'>(
+    direct: Direct<T, E>,
+    deadline: Deadline,
+    toRequest: (timeoutMs: number) => StoreRequest,
+    waitMs: number,
+  ): Promise<Result<T, E | StoreError>> {
+    if (this._isFailing) return this._relay<T>(toRequest, deadline, waitMs);
+    const result = await direct(deadline.atMost(DIRECT_TIMEOUT_MS + waitMs));
+    if (result.ok || result.error === 'compacted') {
+      this._reachedMs = this._context.clock.nowMs();
+      return result;
+    }
+    this._startFailing(result.error);
+    // Only a call that was certainly not done may go another way at once; for any other the caller decides.
+    if (result.error === 'unknown') return result;
+    return this._relay<T>(toRequest, deadline, waitMs);
+  }
+
+  private async _relay<T>(
+    toRequest: (timeoutMs: number) => StoreRequest,
+    deadline: Deadline,
+    waitMs: number,
+  ): Promise<Result<T, StoreError>> {
+    const address = this._choosePeer();
+    if (address === undefined || !this._peers || deadline.isOver()) return err('not-done');
+    const timeoutMs = Math.min(deadline.leftMs(), DIRECT_TIMEOUT_MS + waitMs);
+    const reply = await this._peers.relay(address, toRequest(timeoutMs), timeoutMs + RELAY_SLACK_MS);
+    if (!reply.ok) {
+      this._pause(address);
+      return err(reply.error.kind === 'not-sent' ? 'not-done' : 'unknown');
+    }
+    if (reply.value.ok) {
+      this._reachedMs = this._context.clock.nowMs();
+      // The peer is a host of this fleet that made the very call: the value has the call's own form.
+      return { ok: true, value: reply.value.value as T };
+    }
+    if (reply.value.error !== 'compacted') this._pause(address);
+    return err(reply.value.error as StoreError);
+  }
+
+  private _choosePeer(): string | undefined {
+    const nowMs = this._context.clock.nowMs();
+    const open = (this._peers?.addresses() ?? []).filter(
+      address => (this._pausedUntilMs.get(address) ?? -Infinity) <= nowMs,
+    );
+    return open[this._context.random.below(Math.max(1, open.length))];
+  }
+
+  private _pause(address: string): void {
+    this._pausedUntilMs.set(address, this._context.clock.nowMs() + PEER_PAUSE_MS);
+  }
+
+  private _startFailing(error: string): void {
+    if (this._isFailing) return;
+    this._isFailing = true;
+    this._context.log.warn('store out of direct reach, calls go through peers', { error });
+    this._probe();
+  }
+
+  private _probe(): void {
+    const { clock, stopped } = this._context;
+    clock.after(PROBE_INTERVAL_MS, () => {
+      if (stopped.aborted) return;
+      void this._direct.get(PROBE_KEY, Deadline.after(clock, PROBE_TIMEOUT_MS)).then(result => {
+        if (!result.ok) return this._probe();
+        this._isFailing = false;
+        this._reachedMs = clock.nowMs();
+        this._context.log.info('store in direct reach again');
+      });
+    });
+  }
+
+  private async _serveRelay(request: StoreRequest): Promise<StoreReply> {
+    const deadline = Deadline.after(this._context.clock, request.timeoutMs);
+    const result = await runDirect(this._direct, request, deadline);
+    return result.ok ? { ok: true, value: result.value } : { ok: false, error: result.error };
+  }
+}
+
+async function runDirect(
+  store: RevisionedStore,
+  request: StoreRequest,
+  deadline: Deadline,
+): Promise<Result<unknown, StoreError | 'compacted'>> {
+  switch (request.call) {
+    case 'get':
+      return store.get(request.key, deadline);
+    case 'snapshot':
+      return store.snapshot(request.prefix, deadline);
+    case 'changes':
+      return store.changes(request.prefix, request.afterRevision, request.waitMs, deadline);
+    case 'transact':
+      return store.transact(request.compares, request.writes.map(toWrite), deadline);
+    case 'grantLease':
+      return store.grantLease(request.ttlMs, deadline);
+    case 'keepLease':
+      return store.keepLease(request.leaseId, deadline);
+    case 'endLease':
+      return store.endLease(request.leaseId, deadline);
+  }
+}
+
+type RelayedWrite = Extract<StoreRequest, { readonly call: 'transact' }>['writes'][number];
+
+function toWrite(write: RelayedWrite): Write {
+  if (write.kind !== 'put' || write.leaseId === undefined) return write as Write;
+  return { kind: 'put', key: write.key, value: write.value, leaseId: write.leaseId };
+}
--- /dev/null
+++ b/packages/gateway/src/storeRelayMessages.ts
@@ -0,0 +1,64 @@
+/**
+ * Store calls that one host makes for another.
+ */
+import { defineCall } from '@fuchsiahitch/protocol';
+import { z } from 'zod';
+
+const count = z.number().int().min(0);
+
+const compareSchema = z.strictObject({ key: z.string(), version: count }).readonly();
+const writeSchema = z.discriminatedUnion('kind', [
+  z
+    .strictObject({
+      kind: z.literal('put'),
+      key: z.string(),
+      value: z.string(),
+      leaseId: z.string().optional(),
+    })
+    .readonly(),
+  z.strictObject({ kind: z.literal('delete'), key: z.string() }).readonly(),
+  z.strictObject({ kind: z.literal('delete-prefix'), prefix: z.string() }).readonly(),
+]);
+
+const timeoutMs = z.number().min(0);
+
+export const storeRequestSchema = z.discriminatedUnion('call', [
+  z.strictObject({ call: z.literal('get'), key: z.string(), timeoutMs }),
+  z.strictObject({ call: z.literal('snapshot'), prefix: z.string(), timeoutMs }),
+  z.strictObject({
+    call: z.literal('changes'),
+    prefix: z.string(),
+    afterRevision: count,
+    waitMs: z.number(),
+    timeoutMs,
+  }),
+  z.strictObject({
+    call: z.literal('transact'),
+    compares: z.array(compareSchema).readonly(),
+    writes: z.array(writeSchema).readonly(),
+    timeoutMs,
+  }),
+  z.strictObject({ call: z.literal('grantLease'), ttlMs: z.number(), timeoutMs }),
+  z.strictObject({ call: z.literal('keepLease'), leaseId: z.string(), timeoutMs }),
+  z.strictObject({ call: z.literal('endLease'), leaseId: z.string(), timeoutMs }),
+]);
+export type StoreRequest = z.infer<typeof storeRequestSchema>;
+
+/** The result as the caller of the store would get it; the value's form depends on the call. */
+export const storeReplySchema = z.discriminatedUnion('ok', [
+  z.strictObject({ ok: z.literal(true), value: z.unknown() }),
+  z.strictObject({
+    ok: z.literal(false),
+    error: z.enum(['not-done', 'unknown', 'over-budget', 'compacted']),
+  }),
+]);
+export type StoreReply = z.infer<typeof storeReplySchema>;
+
+export const storeRelayCall = defineCall('storeRelay', storeRequestSchema, storeReplySchema);
+
+/** Asks whether a host can be reached, and whether it reaches the store. */
+export const reachCall = defineCall(
+  'reach',
+  z.strictObject({}).readonly(),
+  z.strictObject({ isStoreReachable: z.boolean() }).readonly(),
+);
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -160,7 +160,10 @@
     const { configuration, endpoints } = this._ports;
     const targets = new Map(models.map(model => [model, configuration.namedVersion(model)]));
     const all = endpoints.ofPool(pool).filter(endpoint => !endpoint.isLeaving);
-    const shares = shareEndpoints(all.map(endpoint => sharedView(endpoint, models)), targets);
+    const shares = shareEndpoints(
+      all.map(endpoint => sharedView(endpoint, models)),
+      targets,
+    );
     const own = all.filter(endpoint => endpoint.domain === this._domain);
     const limit = Math.max(1, Math.floor(LOADING_SHARE * own.length));
     for (const [model, version] of targets) {
