--- a/packages/gateway/src/relayedStore.ts
+++ b/packages/gateway/src/relayedStore.ts
@@ -247,6 +247,6 @@
 type RelayedWrite = Extract<StoreRequest, { readonly call: 'transact' }>['writes'][number];
 
 function toWrite(write: RelayedWrite): Write {
-  if (write.kind !== 'put' || write.leaseId === undefined) return write as Write;
+  if (write.kind !== 'put' || write.leaseId === undefined) return write;
   return { kind: 'put', key: write.key, value: write.value, leaseId: write.leaseId };
 }
--- /dev/null
+++ b/tests/batchStore.spec.ts
@@ -0,0 +1,149 @@
+/**
+ * Batches in a store that loses answers, carries writes out late, and goes away.
+ */
+import tap from 'tap';
+import { Deadline, VirtualClock } from '@fuchsiahitch/base';
+import { claimKey, type ItemResult, type Owner } from '@fuchsiahitch/batches';
+import { BatchStore } from '@fuchsiahitch/gateway';
+import { FakeStore } from './fakeStore.js';
+import { batch, item, testContext } from './gatewayWorld.js';
+
+const A: Owner = { hostId: 'a', incarnation: '1', address: '10.0.0.1:1' };
+const B: Owner = { hostId: 'b', incarnation: '1', address: '10.0.0.2:1' };
+const ONE: ItemResult = { id: 'x', state: 'completed', text: 'one', versions: [1] };
+const TWO: ItemResult = { id: 'y', state: 'completed', text: 'two', versions: [1] };
+const BATCH = batch('b1', [item('x'), item('y')]);
+
+interface World {
+  readonly clock: VirtualClock;
+  readonly store: FakeStore;
+  readonly batches: BatchStore;
+  readonly deadline: (ms?: number) => Deadline;
+}
+
+function world(): World {
+  const clock = new VirtualClock();
+  const store = new FakeStore(clock);
+  const batches = new BatchStore(testContext(clock), store.client());
+  return { clock, store, batches, deadline: (ms = 1000) => Deadline.after(clock, ms) };
+}
+
+async function within<T>(clock: VirtualClock, promise: Promise<T>, ms: number): Promise<T> {
+  await clock.advance(ms);
+  return promise;
+}
+
+await tap.test('should accept a batch once, at whichever host it arrives', async t => {
+  const { batches, deadline } = world();
+  const first = await batches.accept(BATCH, A, deadline());
+  const again = await batches.accept(BATCH, B, deadline());
+  t.equal(first.kind, 'accepted');
+  t.ok(again.kind === 'known' && again.held.claim.owner.hostId === 'a');
+});
+
+await tap.test('should find its own acceptance when the answer was lost', async t => {
+  // Symptom: a batch that runs at no host, or is refused though it runs. Sequence: the store writes it, the answer
+  // is lost, the host tries again and meets its own claim. Cause: a failed condition taken for another's batch.
+  const { clock, store, batches, deadline } = world();
+  store.loseAnswers = 1;
+  const outcome = await within(clock, batches.accept(BATCH, A, deadline(2000)), 2000);
+  t.equal(outcome.kind, 'accepted');
+});
+
+await tap.test('should not promise "not run" once a write may be carried out', async t => {
+  // Symptom: a batch that was refused at every try runs. Sequence: the write gets no answer, the store goes away,
+  // and carries it out seconds later. Cause: "no answer" reported as "not done".
+  const { clock, store, deadline } = world();
+  const client = store.client();
+  const batches = new BatchStore(testContext(clock), client);
+  store.lateMs = 3000;
+  const pending = batches.accept(BATCH, A, deadline(1000));
+  client.mode = 'well';
+  await clock.advance(50);
+  client.mode = 'away';
+  const outcome = await within(clock, pending, 1500);
+  t.equal(outcome.kind, 'unknown');
+  await clock.advance(3000);
+  t.ok(store.value(claimKey('b1')), 'the write was carried out late');
+});
+
+await tap.test('should refuse with a promise when the store did nothing', async t => {
+  const { clock, store, deadline } = world();
+  const client = store.client();
+  client.mode = 'away';
+  const batches = new BatchStore(testContext(clock), client);
+  const outcome = await within(clock, batches.accept(BATCH, A, deadline(1000)), 1500);
+  t.equal(outcome.kind, 'not-done');
+  t.same(store.keys(''), []);
+});
+
+await tap.test('should accept when the store returns in time', async t => {
+  const { clock, store, deadline } = world();
+  const client = store.client();
+  client.mode = 'away';
+  const batches = new BatchStore(testContext(clock), client);
+  const pending = batches.accept(BATCH, A, deadline(6000));
+  await clock.advance(4500);
+  client.mode = 'well';
+  t.equal((await within(clock, pending, 500)).kind, 'accepted');
+});
+
+await tap.test('should refuse an append of a host that has lost the batch', async t => {
+  // Symptom: a position shows two results. Sequence: the owner is paused, another host takes the batch over and
+  // lists a result, the owner wakes and lists its own at the same position. Cause: writes without the claim.
+  const { batches, deadline } = world();
+  const accepted = await batches.accept(BATCH, A, deadline());
+  if (accepted.kind !== 'accepted') return t.fail('accepted');
+  const taken = await batches.changeClaim('b1', accepted.held, { owner: B, takeovers: 1 }, deadline());
+  if (taken.kind !== 'done') return t.fail('taken over');
+  t.equal((await batches.append('b1', taken.value, 0, [TWO], deadline())).kind, 'done');
+  t.equal((await batches.append('b1', accepted.held, 0, [ONE], deadline())).kind, 'lost');
+  t.equal((await batches.append('b1', accepted.held, 1, [ONE], deadline())).kind, 'lost');
+  const results = await batches.results('b1', deadline());
+  t.ok(results.ok && results.value.length === 1 && results.value[0]?.id === 'y');
+});
+
+await tap.test('should not let a late append of a former owner in', async t => {
+  // Symptom: results change after a takeover. Sequence: the append gets no answer, the batch changes hands, the
+  // store carries the append out. Cause: an unconditional write.
+  const { clock, store, batches, deadline } = world();
+  const accepted = await batches.accept(BATCH, A, deadline());
+  if (accepted.kind !== 'accepted') return t.fail('accepted');
+  store.lateMs = 2000;
+  t.equal((await batches.append('b1', accepted.held, 0, [ONE], deadline())).kind, 'out-of-reach');
+  await batches.changeClaim('b1', accepted.held, { owner: B, takeovers: 1 }, deadline());
+  await clock.advance(3000);
+  const results = await batches.results('b1', deadline());
+  t.same(results.ok && results.value, []);
+});
+
+await tap.test('should find its own append when the answer was lost', async t => {
+  const { store, batches, deadline } = world();
+  const accepted = await batches.accept(BATCH, A, deadline());
+  if (accepted.kind !== 'accepted') return t.fail('accepted');
+  store.loseAnswers = 1;
+  t.equal((await batches.append('b1', accepted.held, 0, [ONE], deadline())).kind, 'out-of-reach');
+  t.equal((await batches.append('b1', accepted.held, 0, [ONE], deadline())).kind, 'done');
+});
+
+await tap.test('should let one of two hosts take a batch over', async t => {
+  const { batches, deadline } = world();
+  const accepted = await batches.accept(BATCH, A, deadline());
+  if (accepted.kind !== 'accepted') return t.fail('accepted');
+  const [one, two] = await Promise.all([
+    batches.changeClaim('b1', accepted.held, { owner: B, takeovers: 1 }, deadline()),
+    batches.changeClaim('b1', accepted.held, { owner: { ...B, hostId: 'c' }, takeovers: 1 }, deadline()),
+  ]);
+  t.same([one.kind, two.kind].sort(), ['done', 'lost']);
+});
+
+await tap.test('should load what was written, and remove it whole', async t => {
+  const { store, batches, deadline } = world();
+  const accepted = await batches.accept(BATCH, A, deadline());
+  if (accepted.kind !== 'accepted') return t.fail('accepted');
+  await batches.append('b1', accepted.held, 0, [ONE, TWO], deadline());
+  const loaded = await batches.load('b1', deadline());
+  t.ok(loaded.ok && loaded.value.batch.items.length === 2 && loaded.value.results.length === 2);
+  t.ok(await batches.remove('b1', deadline()));
+  t.same(store.keys(''), []);
+});
--- /dev/null
+++ b/tests/batches.spec.ts
@@ -0,0 +1,260 @@
+/**
+ * Decisions about batches: what is listed, what is resumed, where items go, which endpoints load.
+ */
+import tap from 'tap';
+import {
+  BatchLedger,
+  countThatFits,
+  ItemProgress,
+  joinBatch,
+  MAX_RECORD_UNITS,
+  pageFrom,
+  placeItem,
+  positionOf,
+  readClaim,
+  readResults,
+  resultKey,
+  shareEndpoints,
+  splitBatch,
+  type ItemResult,
+  type PlacementEndpoint,
+} from '@fuchsiahitch/batches';
+import { dueForLoad, SwapPlanner } from '@fuchsiahitch/orders';
+import { VirtualClock } from '@fuchsiahitch/base';
+import { batch, item } from './gatewayWorld.js';
+
+const RULES = { maxAttempts: 3, isSingleVersion: false };
+
+function place(id: string, freePlaces: number, paceMs?: number, domain = 'tekapo'): PlacementEndpoint {
+  return { id, domain, freePlaces, paceMs };
+}
+
+const REQUEST = { groupEndpointId: undefined, isLong: false, ownDomain: 'tekapo', avoid: new Set<string>() };
+
+await tap.test('should join the events of two attempts without a gap or a repetition', t => {
+  // Symptom: a text with doubled or missing pieces. Sequence: the stream breaks after event 2, the next attempt
+  // goes on after it, and the endpoint sends event 2 once more. Cause: events counted by arrival.
+  const progress = new ItemProgress({ minVersion: 1, isSingleVersion: false });
+  t.equal(progress.add({ number: 1, text: 'a', version: 1 }), 'added');
+  t.equal(progress.add({ number: 2, text: 'b', version: 1 }), 'added');
+  t.equal(progress.add({ number: 2, text: 'b', version: 1 }), 'repeated');
+  t.equal(progress.add({ number: 4, text: 'd', version: 1 }), 'gap');
+  t.equal(progress.add({ number: 3, text: 'c', version: 2 }), 'added');
+  t.equal(progress.text(), 'a\nb\nc');
+  t.same(progress.versions(), [1, 2]);
+  t.end();
+});
+
+await tap.test('should drop a text when an event has a version that is too old', t => {
+  // Symptom: a result that names a version below the batch's bound. Sequence: the endpoint was restarted with
+  // older weights between two attempts. Cause: freshness checked once, at the start.
+  const progress = new ItemProgress({ minVersion: 3, isSingleVersion: false });
+  t.equal(progress.add({ number: 1, text: 'a', version: 3 }), 'added');
+  t.equal(progress.add({ number: 2, text: 'b', version: 2 }), 'restart');
+  t.equal(progress.lastEvent(), 0);
+  t.same(progress.versions(), []);
+  t.end();
+});
+
+await tap.test('should begin anew rather than mix versions where one is demanded', t => {
+  const progress = new ItemProgress({ minVersion: 1, isSingleVersion: true });
+  progress.add({ number: 1, text: 'a', version: 1 });
+  t.notOk(progress.mayContinueWith(2));
+  t.equal(progress.add({ number: 2, text: 'b', version: 2 }), 'restart');
+  t.end();
+});
+
+await tap.test('should show a result only once its position is confirmed', t => {
+  // Symptom: two readers see different results at one position. Sequence: the owner shows a result, dies before
+  // the store has it, and the next owner lists another one there. Cause: results shown before they are stored.
+  const ledger = new BatchLedger(batch('b', [item('x'), item('y')]), [], RULES);
+  ledger.begin('x');
+  ledger.event('x', { number: 1, text: 'one', version: 1 });
+  ledger.completed('x');
+  t.same(ledger.listed(), []);
+  t.equal(ledger.unconfirmed().length, 1);
+  ledger.confirm(1);
+  t.same(ledger.listed(), [{ id: 'x', state: 'completed', text: 'one', versions: [1] }]);
+  t.notOk(ledger.isDone());
+  t.end();
+});
+
+await tap.test('should not run again what a former owner has listed', t => {
+  const listed: ItemResult[] = [{ id: 'x', state: 'completed', text: 'one', versions: [1] }];
+  const ledger = new BatchLedger(batch('b', [item('x'), item('y')]), listed, RULES);
+  t.same(
+    ledger.waiting().map(waiting => waiting.id),
+    ['y'],
+  );
+  t.end();
+});
+
+await tap.test('should give up an item that fails at each run, and not before', t => {
+  // Symptom: a step hangs, or an item is given up too soon. Cause: failures counted with refusals and breaks.
+  const ledger = new BatchLedger(batch('b', [item('x')]), [], RULES);
+  for (const end of ['interrupted', 'failed', 'interrupted', 'failed'] as const) {
+    ledger.begin('x');
+    ledger[end]('x');
+    t.equal(ledger.waiting().length, 1, end);
+  }
+  ledger.begin('x');
+  ledger.failed('x');
+  t.equal(ledger.unconfirmed()[0]?.state, 'terminated');
+  t.end();
+});
+
+await tap.test('should list an item once, whatever comes after its end', t => {
+  const ledger = new BatchLedger(batch('b', [item('x')]), [], RULES);
+  ledger.begin('x');
+  ledger.completed('x');
+  ledger.impossible('x');
+  ledger.terminateRest();
+  t.equal(ledger.unconfirmed().length, 1);
+  t.end();
+});
+
+await tap.test('should run interrupted items first, then the longest', t => {
+  const items = [
+    item('short', { expectedTokens: 10 }),
+    item('long', { expectedTokens: 900 }),
+    item('broken', { expectedTokens: 20 }),
+  ];
+  const ledger = new BatchLedger(batch('b', items), [], RULES);
+  ledger.begin('broken');
+  ledger.interrupted('broken');
+  t.same(
+    ledger.waiting().map(waiting => waiting.id),
+    ['broken', 'long', 'short'],
+  );
+  t.end();
+});
+
+await tap.test('should keep a group together, unless its endpoint is full or slow', t => {
+  const endpoints = [place('a', 2, 40), place('b', 9, 40), place('c', 9, 200)];
+  t.equal(placeItem(endpoints, { ...REQUEST, groupEndpointId: 'a' })?.id, 'a');
+  t.equal(
+    placeItem([place('a', 0, 40), ...endpoints.slice(1)], { ...REQUEST, groupEndpointId: 'a' })?.id,
+    'b',
+  );
+  t.equal(placeItem(endpoints, { ...REQUEST, groupEndpointId: 'c' })?.id, 'b');
+  t.end();
+});
+
+await tap.test('should wait for a quick endpoint rather than use a slow one', t => {
+  // Symptom: a group is held up for seconds by one item. Sequence: every quick endpoint is full for a moment, the
+  // slow one is free. Cause: free places counted without pace.
+  const endpoints = [place('quick', 0, 40), place('other', 0, 45), place('slow', 12, 160)];
+  t.equal(placeItem(endpoints, REQUEST), undefined);
+  t.equal(placeItem([place('slow', 12, 160)], REQUEST)?.id, 'slow', 'the only one serves');
+  t.end();
+});
+
+await tap.test('should send long items to the best pace', t => {
+  const endpoints = [place('a', 9, 53), place('b', 3, 40)];
+  t.equal(placeItem(endpoints, { ...REQUEST, isLong: true })?.id, 'b');
+  t.equal(placeItem(endpoints, REQUEST)?.id, 'a');
+  t.end();
+});
+
+await tap.test('should not send an item back to where it just failed', t => {
+  t.equal(placeItem([place('a', 4), place('b', 1)], { ...REQUEST, avoid: new Set(['a']) })?.id, 'b');
+  t.equal(placeItem([place('a', 4)], { ...REQUEST, avoid: new Set(['a']) }), undefined);
+  t.end();
+});
+
+await tap.test('should share endpoints evenly and keep them with their model', t => {
+  const endpoint = (id: string, a: number, b: number): Parameters<typeof shareEndpoints>[0][number] => ({
+    id,
+    versions: new Map([
+      ['a', a],
+      ['b', b],
+    ]),
+  });
+  const targets = new Map([
+    ['a', 5],
+    ['b', 9],
+  ]);
+  const settled = [endpoint('1', 5, 2), endpoint('2', 4, 2), endpoint('3', 1, 9), endpoint('4', 1, 8)];
+  const shares = shareEndpoints(settled, targets);
+  t.same(shares.get('a'), ['1', '2']);
+  t.same(shares.get('b'), ['3', '4']);
+  // An endpoint of `a` is gone and a fresh one comes: only the fresh one changes hands.
+  const changed = shareEndpoints([endpoint('0', 5, 9), ...settled.slice(1)], targets);
+  t.same(changed.get('a'), ['2', '0']);
+  t.same(changed.get('b'), ['3', '4']);
+  t.end();
+});
+
+await tap.test('should load a version on half of the endpoints, the stale ones first', t => {
+  // Symptom: a step begins while all its endpoints load. Sequence: each named version is ordered everywhere at
+  // once. Cause: no use made of the version that a step accepts besides the newest.
+  const at = (id: string, version: number, load = 0): Parameters<typeof dueForLoad>[0][number] => ({
+    id,
+    version,
+    load,
+  });
+  t.same(dueForLoad([at('1', 1, 5), at('2', 1, 0), at('3', 1, 2), at('4', 1, 1)], 2, 1), ['2', '4']);
+  t.same(dueForLoad([at('1', 1), at('2', 2), at('3', 1), at('4', 2)], 3, 1), ['1', '3']);
+  t.same(dueForLoad([at('1', 2), at('2', 3), at('3', 2), at('4', 3)], 3, 1), []);
+  t.same(dueForLoad([at('1', 1)], 2, 1), ['1'], 'a single endpoint loads each version');
+  t.same(dueForLoad([at('1', 0), at('2', 0), at('3', 0)], 5, 1), ['1', '2', '3'], 'all are too old');
+  t.end();
+});
+
+await tap.test('should not set an endpoint aside for orders that were not given', async t => {
+  // Symptom: an endpoint never gets new weights again. Sequence: it loads one version while the next is named, and
+  // answers 'busy' each time. Cause: postponed orders counted as failed tries.
+  const clock = new VirtualClock();
+  const planner = new SwapPlanner(clock, {
+    maxSwappingShare: 1,
+    loadsPerSecond: 1000,
+    swapTimeoutMs: 4000,
+    maxTries: 3,
+  });
+  planner.setTarget({ pool: 'p', version: 2, sequence: 2, share: 1 });
+  for (let i = 0; i < 10; i++) {
+    t.equal(planner.next([{ id: 'e', isUsable: true }], 1).length, 1, `turn ${i}`);
+    planner.postponed('e');
+    await clock.advance(100);
+  }
+  t.same(planner.setAside(), []);
+});
+
+await tap.test('should cut results into pages that end with what fits', t => {
+  const results = Array.from({ length: 30 }, (_, i): ItemResult => ({
+    id: `${i}`,
+    state: 'completed',
+    text: 'x'.repeat(50_000),
+    versions: [1],
+  }));
+  const first = pageFrom(results, 40, 0);
+  t.ok(first.results.length > 0 && first.results.length < 30);
+  t.equal(first.next, first.results.length);
+  t.equal(first.total, 40);
+  const huge: ItemResult = { id: 'h', state: 'completed', text: 'x'.repeat(900_000), versions: [1] };
+  t.equal(pageFrom([huge], 1, 0).results.length, 1, 'at least one');
+  t.same(pageFrom(results, 40, 99), { total: 40, results: [], next: 99 });
+  t.equal(countThatFits([huge, huge]), 1);
+  t.end();
+});
+
+await tap.test('should read back a batch that was written in parts', t => {
+  const large = batch(
+    'b',
+    Array.from({ length: 20 }, (_, i) => item(`i${i}`, { bodyBase64: 'é'.repeat(40_000) })),
+  );
+  const parts = splitBatch(large);
+  t.ok(parts.length > 1);
+  t.ok(parts.every(part => part.length <= MAX_RECORD_UNITS));
+  const joined = joinBatch('k', parts);
+  t.ok(joined.ok && joined.value.items.length === 20);
+  t.equal(positionOf(resultKey('b', 42)), 42);
+  t.end();
+});
+
+await tap.test('should refuse records that are damaged', t => {
+  t.notOk(readClaim('k', '{"owner":').ok);
+  t.notOk(readResults('k', '[{"id":1}]').ok);
+  t.notOk(joinBatch('k', ['{}']).ok);
+  t.end();
+});
--- /dev/null
+++ b/tests/fakeStore.ts
@@ -0,0 +1,242 @@
+/**
+ * The store in memory, with the faults of the platform's: away, silent, answers lost, writes done late,
+ * history dropped, keys revoked.
+ */
+import { err, ok, sleep, type Clock, type Deadline, type Result } from '@fuchsiahitch/base';
+import type {
+  Changes,
+  Compare,
+  RevisionedStore,
+  Snapshot,
+  StoredValue,
+  StoreError,
+  TransactionResult,
+  WatchEnd,
+  WatchEvent,
+  Write,
+} from '@fuchsiahitch/clients';
+
+interface Entry {
+  readonly value: string;
+  readonly version: number;
+  readonly leaseId: string | undefined;
+}
+
+/** `away`: refuses with certainty. `silent`: never answers. */
+export type StoreMode = 'well' | 'away' | 'silent';
+
+const WATCH_STEP_MS = 10;
+
+export class FakeStore {
+  readonly calls: string[] = [];
+  private readonly _clock: Clock;
+  private readonly _entries = new Map<string, Entry>();
+  private readonly _leases = new Map<string, { ttlMs: number; untilMs: number }>();
+  private _events: WatchEvent[] = [];
+  private _revision = 1;
+  private _nextLease = 1;
+  /** The next transactions take effect, and their answers are lost. */
+  loseAnswers = 0;
+  /** The next transactions get no answer and are carried out so much later. */
+  lateMs: number | undefined;
+
+  constructor(clock: Clock) {
+    this._clock = clock;
+  }
+
+  value(key: string): string | undefined {
+    this._expire();
+    return this._entries.get(key)?.value;
+  }
+
+  keys(prefix: string): readonly string[] {
+    this._expire();
+    return [...this._entries.keys()].filter(key => key.startsWith(prefix)).sort();
+  }
+
+  put(key: string, value: string, leaseId?: string): void {
+    this._revision += 1;
+    this._entries.set(key, { value, version: this._revision, leaseId });
+    this._events.push({ key, value, version: this._revision });
+  }
+
+  remove(key: string): void {
+    if (!this._entries.delete(key)) return;
+    this._revision += 1;
+    this._events.push({ key, value: undefined, version: this._revision });
+  }
+
+  /** Drops the history: watches from before get no answer but `compacted`. */
+  compact(): void {
+    this._events = [];
+    this._compactedAt = this._revision;
+  }
+  private _compactedAt = 0;
+
+  /** One host's way to the store. */
+  client(): FakeStoreClient {
+    return new FakeStoreClient(this, this._clock);
+  }
+
+  read(key: string): StoredValue | undefined {
+    this._expire();
+    const entry = this._entries.get(key);
+    return entry && { key, value: entry.value, version: entry.version };
+  }
+
+  snapshot(prefix: string): Snapshot {
+    const items = this.keys(prefix)
+      .map(key => this.read(key))
+      .filter(item => item !== undefined);
+    return { items, revision: this._revision };
+  }
+
+  eventsAfter(prefix: string, revision: number): Changes | 'compacted' {
+    this._expire();
+    if (revision < this._compactedAt) return 'compacted';
+    const events = this._events.filter(event => event.version > revision && event.key.startsWith(prefix));
+    return { events, revision: this._revision };
+  }
+
+  transact(compares: readonly Compare[], writes: readonly Write[]): TransactionResult {
+    this._expire();
+    const holds = compares.every(({ key, version }) => (this._entries.get(key)?.version ?? 0) === version);
+    if (!holds) return { succeeded: false, version: 0 };
+    this._revision += 1;
+    const version = this._revision;
+    for (const write of writes) this._write(write, version);
+    return { succeeded: true, version };
+  }
+
+  grant(ttlMs: number): string {
+    const id = String(this._nextLease++);
+    this._leases.set(id, { ttlMs, untilMs: this._clock.nowMs() + ttlMs });
+    return id;
+  }
+
+  keep(leaseId: string): boolean {
+    this._expire();
+    const lease = this._leases.get(leaseId);
+    if (!lease) return false;
+    lease.untilMs = this._clock.nowMs() + lease.ttlMs;
+    return true;
+  }
+
+  end(leaseId: string): void {
+    this._leases.delete(leaseId);
+    for (const [key, entry] of this._entries) if (entry.leaseId === leaseId) this.remove(key);
+  }
+
+  private _write(write: Write, version: number): void {
+    if (write.kind === 'put') {
+      const { key, value, leaseId } = write;
+      this._entries.set(key, { value, version, leaseId });
+      this._events.push({ key, value, version });
+    } else if (write.kind === 'delete' && this._entries.delete(write.key)) {
+      this._events.push({ key: write.key, value: undefined, version });
+    }
+  }
+
+  private _expire(): void {
+    const nowMs = this._clock.nowMs();
+    for (const [id, lease] of this._leases) if (lease.untilMs <= nowMs) this.end(id);
+  }
+}
+
+export class FakeStoreClient implements RevisionedStore {
+  mode: StoreMode = 'well';
+  calls = 0;
+  private readonly _store: FakeStore;
+  private readonly _clock: Clock;
+
+  constructor(store: FakeStore, clock: Clock) {
+    this._store = store;
+    this._clock = clock;
+  }
+
+  async get(key: string, deadline: Deadline): Promise<Result<StoredValue | undefined, StoreError>> {
+    return this._run('get', deadline, () => ok(this._store.read(key)));
+  }
+
+  async list(prefix: string, deadline: Deadline): Promise<Result<readonly StoredValue[], StoreError>> {
+    return this._run('list', deadline, () => ok(this._store.snapshot(prefix).items));
+  }
+
+  async snapshot(prefix: string, deadline: Deadline): Promise<Result<Snapshot, StoreError>> {
+    return this._run('snapshot', deadline, () => ok(this._store.snapshot(prefix)));
+  }
+
+  async changes(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    deadline: Deadline,
+  ): Promise<Result<Changes, StoreError | 'compacted'>> {
+    const endMs = this._clock.nowMs() + waitMs;
+    for (;;) {
+      const reach = await this._reach('changes', deadline);
+      if (reach) return err(reach);
+      const changes = this._store.eventsAfter(prefix, afterRevision);
+      if (changes === 'compacted') return err('compacted');
+      if (changes.events.length > 0 || this._clock.nowMs() >= endMs) return ok(changes);
+      await sleep(this._clock, WATCH_STEP_MS);
+    }
+  }
+
+  async transact(
+    compares: readonly Compare[],
+    writes: readonly Write[],
+    deadline: Deadline,
+  ): Promise<Result<TransactionResult, StoreError>> {
+    const reach = await this._reach('transact', deadline);
+    if (reach) return err(reach);
+    const { lateMs } = this._store;
+    if (lateMs !== undefined) {
+      this._store.lateMs = undefined;
+      this._clock.after(lateMs, () => void this._store.transact(compares, writes));
+      return err('unknown');
+    }
+    const result = this._store.transact(compares, writes);
+    if (this._store.loseAnswers === 0) return ok(result);
+    this._store.loseAnswers -= 1;
+    return err('unknown');
+  }
+
+  async grantLease(ttlMs: number, deadline: Deadline): Promise<Result<string, StoreError>> {
+    return this._run('grantLease', deadline, () => ok(this._store.grant(ttlMs)));
+  }
+
+  async keepLease(leaseId: string, deadline: Deadline): Promise<Result<boolean, StoreError>> {
+    return this._run('keepLease', deadline, () => ok(this._store.keep(leaseId)));
+  }
+
+  async endLease(leaseId: string, deadline: Deadline): Promise<Result<void, StoreError>> {
+    return this._run('endLease', deadline, () => {
+      this._store.end(leaseId);
+      return ok(undefined);
+    });
+  }
+
+  async watch(): Promise<WatchEnd> {
+    return Promise.resolve('failed');
+  }
+
+  private async _run<T>(
+    call: string,
+    deadline: Deadline,
+    act: () => Result<T, StoreError>,
+  ): Promise<Result<T, StoreError>> {
+    const reach = await this._reach(call, deadline);
+    return reach ? err(reach) : act();
+  }
+
+  /** Why the store can't be reached, if it can't. */
+  private async _reach(call: string, deadline: Deadline): Promise<StoreError | undefined> {
+    this.calls += 1;
+    this._store.calls.push(call);
+    if (this.mode === 'away') return 'not-done';
+    if (this.mode !== 'silent') return undefined;
+    await sleep(this._clock, deadline.leftMs());
+    return 'unknown';
+  }
+}
--- /dev/null
+++ b/tests/gatewayWorld.ts
@@ -0,0 +1,270 @@
+/**
+ * What the gateway's tests share: a context on a virtual clock, and endpoints that a test scripts.
+ */
+import { SeededRandom, VirtualClock } from '@fuchsiahitch/base';
+import type { Batch, BatchItem } from '@fuchsiahitch/batches';
+import {
+  GatewayMetrics,
+  type EndpointAnswer,
+  type EndpointCall,
+  type EndpointClient,
+  type EndpointInfo,
+  type EndpointReply,
+  type FleetConfiguration,
+  type GatewayContext,
+  type ItemCall,
+  type ItemEnd,
+  type ItemListener,
+  type LoadOrder,
+  type OrderAnswer,
+  type RecordDecoder,
+  type RecordKeys,
+  type WeightReport,
+} from '@fuchsiahitch/gateway';
+import type { Route } from '@fuchsiahitch/rules';
+import { Tracing, type LogDetails, type Logger } from '@fuchsiahitch/telemetry';
+
+export interface LogLine {
+  readonly text: string;
+  readonly details: LogDetails;
+}
+
+export class TestLog implements Logger {
+  readonly lines: LogLine[] = [];
+
+  debug(text: string, details: LogDetails = {}): void {
+    this.lines.push({ text, details });
+  }
+  info(text: string, details: LogDetails = {}): void {
+    this.lines.push({ text, details });
+  }
+  warn(text: string, details: LogDetails = {}): void {
+    this.lines.push({ text, details });
+  }
+  error(text: string, details: LogDetails = {}): void {
+    this.lines.push({ text, details });
+  }
+
+  has(text: string): boolean {
+    return this.lines.some(line => line.text === text);
+  }
+}
+
+export interface TestContext extends GatewayContext {
+  readonly log: TestLog;
+  readonly stop: AbortController;
+}
+
+export function testContext(clock: VirtualClock, hostId = 'host-a', incarnation = 'i1'): TestContext {
+  const stop = new AbortController();
+  return {
+    hostId,
+    incarnation,
+    domain: 'tekapo',
+    clock,
+    random: new SeededRandom(7),
+    log: new TestLog(),
+    metrics: new GatewayMetrics(),
+    tracing: new Tracing('', hostId),
+    stopped: stop.signal,
+    stop,
+  };
+}
+
+export const keys: RecordKeys = {
+  operatorPrefix: 'conf/',
+  configurationKey: 'conf/main',
+  versionPrefix: 'conf/named/',
+  endpointPrefix: 'endpoints/',
+};
+
+export function route(overrides: Partial<Route> = {}): Route {
+  return {
+    run: 'batch',
+    pools: [{ pool: 'gen-pool', weight: 1 }],
+    timeoutMs: 10_000,
+    targetMs: 400,
+    maxAttempts: 3,
+    rank: 1,
+    isResumable: true,
+    isSingleVersion: false,
+    dueMs: 7500,
+    keepMs: 40_000,
+    ...overrides,
+  };
+}
+
+/** Records as plain JSON of the product's own types. */
+export class PlainRecords implements RecordDecoder {
+  configuration(value: string): FleetConfiguration | undefined {
+    const {
+      revision,
+      route: given,
+      models,
+    } = JSON.parse(value) as {
+      revision: number;
+      route: Route;
+      models: string[];
+    };
+    return {
+      revision,
+      rules: [
+        {
+          id: 'all',
+          team: 'platform',
+          when: { host: ['quests'], pathPrefix: ['/run/'] },
+          then: { route: given },
+        },
+      ],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1_000_000,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15_000,
+      },
+      models: new Map([['gen-pool', models]]),
+    };
+  }
+
+  endpoint(id: string, value: string): EndpointInfo | undefined {
+    const record = JSON.parse(value) as Omit<EndpointInfo, 'id' | 'versions'> & {
+      versions: Record<string, number>;
+    };
+    return { ...record, id, versions: new Map(Object.entries(record.versions)) };
+  }
+
+  namedVersion(value: string): { readonly model: string; readonly version: number } | undefined {
+    return JSON.parse(value) as { readonly model: string; readonly version: number };
+  }
+}
+
+export function endpointRecord(overrides: Partial<Omit<EndpointInfo, 'versions'>> = {}, version = 1): string {
+  return JSON.stringify({
+    address: '10.0.0.1:1',
+    pool: 'gen-pool',
+    domain: 'tekapo',
+    slots: 4,
+    isLeaving: false,
+    versions: { m: version },
+    ...overrides,
+  });
+}
+
+export function item(id: string, overrides: Partial<BatchItem> = {}): BatchItem {
+  return {
+    id,
+    path: `/run/${id}`,
+    headers: {},
+    bodyBase64: Buffer.from(id).toString('base64'),
+    tokens: 100,
+    expectedTokens: 0,
+    group: 'g1',
+    promptKey: '',
+    ...overrides,
+  };
+}
+
+export function batch(id: string, items: readonly BatchItem[], overrides: Partial<Batch> = {}): Batch {
+  return { id, host: 'quests', step: 1, model: 'm', minVersion: 1, groupsWanted: 1, items, ...overrides };
+}
+
+/** What a scripted endpoint does with an item: events to send, how it ends, and how long an event takes. */
+export interface ItemScript {
+  readonly events: number;
+  readonly end: ItemEnd;
+  readonly version?: number;
+  readonly eventMs?: number;
+}
+
+/** Endpoints that follow a script; everything else they do is remembered. */
+export class ScriptedClient implements EndpointClient {
+  readonly items: ItemCall[] = [];
+  readonly sends: EndpointCall[] = [];
+  readonly orders: (LoadOrder & { readonly atMs: number })[] = [];
+  readonly cancelled: string[] = [];
+  script: (call: ItemCall) => ItemScript = () => ({ events: 2, end: { kind: 'done' } });
+  reply: (call: EndpointCall, signal: AbortSignal) => Promise<EndpointReply> = () =>
+    Promise.resolve({ kind: 'answered', answer: answer(200, 'whole') });
+  weights: (endpoint: EndpointInfo) => WeightReport | undefined = endpoint => ({
+    versions: endpoint.versions,
+    isBusy: false,
+    sequence: 0,
+  });
+  orderAnswer: OrderAnswer = 'accepted';
+  private readonly _clock: VirtualClock;
+
+  constructor(clock: VirtualClock) {
+    this._clock = clock;
+  }
+
+  async send(call: EndpointCall, signal: AbortSignal): Promise<EndpointReply> {
+    this.sends.push(call);
+    return this.reply(call, signal);
+  }
+
+  async runItem(call: ItemCall, listener: ItemListener, signal: AbortSignal): Promise<ItemEnd> {
+    this.items.push(call);
+    const { events, end, version = 1, eventMs = 1 } = this.script(call);
+    if (end.kind === 'not-run') return end;
+    if (!listener.began(version, undefined)) return { kind: 'cancelled' };
+    for (let i = 1; i <= events; i++) {
+      await this._pause(eventMs, signal);
+      if (signal.aborted) {
+        this.cancelled.push(call.itemId);
+        return { kind: 'cancelled' };
+      }
+      const number = call.afterEvent + i;
+      if (!listener.event({ number, text: `${call.itemId}-${number}`, version }))
+        return { kind: 'cancelled' };
+    }
+    if (end.kind !== 'cancelled') return end;
+    // A silent endpoint: nothing more comes until this side gives up.
+    await new Promise<void>(resolve => signal.addEventListener('abort', () => resolve()));
+    this.cancelled.push(call.itemId);
+    return { kind: 'cancelled' };
+  }
+
+  async report(endpoint: EndpointInfo): Promise<WeightReport | undefined> {
+    return Promise.resolve(this.weights(endpoint));
+  }
+
+  async order(order: LoadOrder): Promise<OrderAnswer> {
+    this.orders.push({ ...order, atMs: this._clock.nowMs() });
+    return Promise.resolve(this.orderAnswer);
+  }
+
+  private async _pause(ms: number, signal: AbortSignal): Promise<void> {
+    await new Promise<void>(resolve => {
+      this._clock.after(ms, resolve);
+      signal.addEventListener('abort', () => resolve());
+    });
+  }
+}
+
+export function answer(
+  status: number,
+  text: string,
+  overrides: Partial<EndpointAnswer> = {},
+): EndpointAnswer {
+  return {
+    status,
+    headers: [],
+    isGenuine: true,
+    isLeaving: false,
+    load: undefined,
+    body: bodyOf(text),
+    ...overrides,
+  };
+}
+
+// eslint-disable-next-line @typescript-eslint/require-await -- an async iterable is what a body is
+export async function* bodyOf(text: string): AsyncIterable<Buffer> {
+  yield Buffer.from(text);
+}
+
+/** A body that breaks off after its beginning. */
+// eslint-disable-next-line @typescript-eslint/require-await -- an async iterable is what a body is
+export async function* brokenBody(text: string): AsyncIterable<Buffer> {
+  yield Buffer.from(text);
+  throw new Error('connection reset');
+}
