--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -14,11 +14,11 @@
   type Owner,
   type ResultPage,
 } from '@fuchsiahitch/batches';
-import { calls, type PeerServer } from '@fuchsiahitch/protocol';
+import { calls } from '@fuchsiahitch/protocol';
 import { BatchOwner, type BatchPorts } from './batchOwner.js';
 import type { HeldClaim, StoredBatch } from './batchStore.js';
 import type { GatewayContext } from './gatewayContext.js';
-import type { HostDirectory } from './hostDirectory.js';
+import type { CallRegistry, Hosts } from './hostDirectory.js';
 
 export type SubmitOutcome =
   | { readonly kind: 'accepted' }
@@ -62,7 +62,7 @@
 export class BatchService {
   private readonly _context: GatewayContext;
   private readonly _ports: BatchPorts;
-  private readonly _hosts: HostDirectory;
+  private readonly _hosts: Hosts;
   private readonly _owned = new Map<string, BatchOwner>();
   private readonly _submits = new Map<string, Promise<SubmitOutcome>>();
   private readonly _takeovers = new Map<string, Promise<Located>>();
@@ -70,13 +70,13 @@
   private readonly _claims = new Map<string, HeldClaim>();
   private readonly _stored = new Map<string, StoredBatch>();
 
-  constructor(context: GatewayContext, ports: BatchPorts, hosts: HostDirectory) {
+  constructor(context: GatewayContext, ports: BatchPorts, hosts: Hosts) {
     this._context = context;
     this._ports = ports;
     this._hosts = hosts;
   }
 
-  serve(server: PeerServer): void {
+  serve(server: CallRegistry): void {
     server.handle(calls.batchRead, request => this._readHere(request));
     server.handle(calls.batchItem, request => this._itemHere(request));
     server.handle(calls.batchEnd, request => this._endHere(request.batchId));
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -4,7 +4,13 @@
 import { Deadline, err, type Result } from '@fuchsiahitch/base';
 import { isSameOwner, ownerFields, ROOT, type Owner } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
-import { PeerLink, type CallDefinition, type CallError, type PeerIdentity } from '@fuchsiahitch/protocol';
+import {
+  PeerLink,
+  type CallDefinition,
+  type CallError,
+  type PeerIdentity,
+  type PeerServer,
+} from '@fuchsiahitch/protocol';
 import { z } from 'zod';
 import type { GatewayContext } from './gatewayContext.js';
 import { StoreLease } from './storeLease.js';
@@ -33,7 +39,31 @@
   readonly address: string;
 }
 
-export class HostDirectory {
+/** What services ask about the other hosts. */
+export interface Hosts {
+  self(): Owner;
+  /** False until the store has named the hosts that live. */
+  isSynced(): boolean;
+  /** True if the process that owns something lives, as far as the store's last word goes. */
+  isAlive(owner: Owner): boolean;
+  /** True for a host of this host's failure domain. */
+  isOwnDomain(hostId: string): boolean;
+  /** True if some host holds the key. */
+  isHeld(key: string): boolean;
+  /** The other hosts that live. */
+  peers(): readonly Owner[];
+  call<Q, A>(
+    address: string,
+    call: CallDefinition<Q, A>,
+    request: Q,
+    timeoutMs: number,
+  ): Promise<Result<A, CallError>>;
+}
+
+/** Takes the handlers of calls from peers. */
+export type CallRegistry = Pick<PeerServer, 'handle'>;
+
+export class HostDirectory implements Hosts {
   private readonly _context: GatewayContext;
   private readonly _options: HostDirectoryOptions;
   private readonly _mirror: StoreMirror;
@@ -81,23 +111,19 @@
     return { hostId, incarnation, address: this._options.address };
   }
 
-  /** True if the process that owns something lives, as far as the store's last word goes. */
   isAlive(owner: Owner): boolean {
     const known = this._owners.get(owner.hostId);
     return known !== undefined && isSameOwner(known, owner);
   }
 
-  /** True if some host holds the key. */
   isHeld(key: string): boolean {
     return this._keys.has(key);
   }
 
-  /** The other hosts. */
   peers(): readonly Owner[] {
     return [...this._owners.values()].filter(owner => owner.hostId !== this._context.hostId);
   }
 
-  /** True for a host of this host's failure domain. */
   isOwnDomain(hostId: string): boolean {
     return this._domains.get(hostId) === this._context.domain;
   }
--- a/packages/gateway/src/reachMonitor.ts
+++ b/packages/gateway/src/reachMonitor.ts
@@ -8,7 +8,7 @@
  */
 import { every } from '@fuchsiahitch/base';
 import type { GatewayContext } from './gatewayContext.js';
-import type { HostDirectory } from './hostDirectory.js';
+import type { Hosts } from './hostDirectory.js';
 import type { RelayedStore } from './relayedStore.js';
 import { reachCall } from './storeRelayMessages.js';
 
@@ -24,10 +24,10 @@
 export class ReachMonitor {
   private readonly _context: GatewayContext;
   private readonly _store: RelayedStore;
-  private readonly _hosts: HostDirectory;
+  private readonly _hosts: Hosts;
   private _silentRounds = 0;
 
-  constructor(context: GatewayContext, store: RelayedStore, hosts: HostDirectory) {
+  constructor(context: GatewayContext, store: RelayedStore, hosts: Hosts) {
     this._context = context;
     this._store = store;
     this._hosts = hosts;
--- a/packages/gateway/src/relayedStore.ts
+++ b/packages/gateway/src/relayedStore.ts
@@ -19,8 +19,9 @@
   WatchEvent,
   Write,
 } from '@fuchsiahitch/clients';
-import type { CallError, PeerServer } from '@fuchsiahitch/protocol';
+import type { CallError } from '@fuchsiahitch/protocol';
 import type { GatewayContext } from './gatewayContext.js';
+import type { CallRegistry } from './hostDirectory.js';
 import { reachCall, storeRelayCall, type StoreReply, type StoreRequest } from './storeRelayMessages.js';
 
 /** While the direct way fails it is tried again this often. */
@@ -63,7 +64,7 @@
   }
 
   /** Makes store calls for peers, by the direct way only: a relayed call is never relayed again. */
-  serve(server: PeerServer): void {
+  serve(server: CallRegistry): void {
     server.handle(storeRelayCall, async request => this._serveRelay(request));
     server.handle(reachCall, () => ({ isStoreReachable: !this._isFailing }));
   }
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -12,12 +12,12 @@
 import { shareEndpoints, type SharedEndpoint } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import { dueForLoad, LeaseGuard, SwapPlanner, type WeightOrder } from '@fuchsiahitch/orders';
-import { calls, type PeerServer } from '@fuchsiahitch/protocol';
+import { calls } from '@fuchsiahitch/protocol';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { ordersKey, type HostDirectory } from './hostDirectory.js';
+import { ordersKey, type CallRegistry, type Hosts } from './hostDirectory.js';
 import type { EndpointClient } from './ports.js';
 import { StoreLease } from './storeLease.js';
 
@@ -61,7 +61,7 @@
   readonly store: RevisionedStore;
   readonly configuration: ConfigurationService;
   readonly endpoints: EndpointDirectory;
-  readonly hosts: HostDirectory;
+  readonly hosts: Hosts;
   readonly client: EndpointClient;
 }
 
@@ -283,7 +283,7 @@
 }
 
 /** Takes in what the hosts that give orders tell. */
-export function serveVersions(server: PeerServer, endpoints: EndpointDirectory): void {
+export function serveVersions(server: CallRegistry, endpoints: EndpointDirectory): void {
   server.handle(calls.versionSeen, ({ endpointId, model, version }) => {
     endpoints.get(endpointId)?.heardVersion(model, version);
     return {};
--- /dev/null
+++ b/tests/gatewayHosts.ts
@@ -0,0 +1,150 @@
+/**
+ * Hosts of the gateway in one process, on a virtual clock: calls between them can be cut.
+ */
+import { err, ok, VirtualClock, type Result } from '@fuchsiahitch/base';
+import { isSameOwner, type Owner } from '@fuchsiahitch/batches';
+import {
+  BatchService,
+  BatchStore,
+  ConfigurationService,
+  EndpointDirectory,
+  type CallRegistry,
+  type Hosts,
+} from '@fuchsiahitch/gateway';
+import type { CallDefinition, CallError } from '@fuchsiahitch/protocol';
+import { FakeStore, FakeStoreClient } from './fakeStore.js';
+import { endpointRecord, keys, PlainRecords, route, ScriptedClient, testContext } from './gatewayWorld.js';
+import type { TestContext } from './gatewayWorld.js';
+
+const STEP_MS = 10;
+
+type Handler = (request: never) => unknown;
+
+/** One host with its services. */
+export class GatewayHost implements Hosts {
+  readonly context: TestContext;
+  readonly storeClient: FakeStoreClient;
+  readonly batches: BatchService;
+  readonly configuration: ConfigurationService;
+  readonly endpoints: EndpointDirectory;
+  readonly handlers = new Map<string, Handler>();
+  isRunning = true;
+  private readonly _world: GatewayWorld;
+
+  constructor(world: GatewayWorld, hostId: string, incarnation: string) {
+    this._world = world;
+    this.context = testContext(world.clock, hostId, incarnation);
+    this.storeClient = world.store.client();
+    const records = new PlainRecords();
+    this.configuration = new ConfigurationService(this.context, this.storeClient, keys, records);
+    this.endpoints = new EndpointDirectory(this.context, this.storeClient, keys, records);
+    const ports = {
+      store: new BatchStore(this.context, this.storeClient),
+      endpoints: this.endpoints,
+      configuration: this.configuration,
+      client: world.client,
+    };
+    this.batches = new BatchService(this.context, ports, this);
+    const registry: CallRegistry = {
+      handle: (call, handler) => {
+        this.handlers.set(call.name, handler as unknown as Handler);
+      },
+    };
+    this.batches.serve(registry);
+    this.configuration.start();
+    this.endpoints.start();
+  }
+
+  /** Ends the process at once: nothing of it goes on. */
+  kill(): void {
+    this.isRunning = false;
+    this.batches.stop();
+    this.context.stop.abort();
+  }
+
+  self(): Owner {
+    const { hostId, incarnation } = this.context;
+    return { hostId, incarnation, address: hostId };
+  }
+
+  isSynced(): boolean {
+    return true;
+  }
+
+  isAlive(owner: Owner): boolean {
+    return this._world.leases.some(lease => isSameOwner(lease, owner));
+  }
+
+  isOwnDomain(): boolean {
+    return true;
+  }
+
+  isHeld(): boolean {
+    return false;
+  }
+
+  peers(): readonly Owner[] {
+    return this._world.leases.filter(lease => lease.hostId !== this.context.hostId);
+  }
+
+  async call<Q, A>(
+    address: string,
+    call: CallDefinition<Q, A>,
+    request: Q,
+    timeoutMs: number,
+  ): Promise<Result<A, CallError>> {
+    const host = this._world.hosts.get(address);
+    const isCut = this._world.cuts.has(`${this.context.hostId}-${address}`);
+    if (!host?.isRunning || isCut) {
+      await new Promise<void>(resolve => void this._world.clock.after(Math.min(timeoutMs, 50), resolve));
+      return err({ kind: 'timed-out' });
+    }
+    const handler = host.handlers.get(call.name);
+    const reply = call.reply.parse(await handler?.(request as never));
+    return ok(reply);
+  }
+}
+
+export class GatewayWorld {
+  readonly clock = new VirtualClock();
+  readonly store = new FakeStore(this.clock);
+  readonly client = new ScriptedClient(this.clock);
+  readonly hosts = new Map<string, GatewayHost>();
+  /** The processes whose leases stand. */
+  leases: Owner[] = [];
+  /** Pairs `from-to` whose calls get no answer. */
+  readonly cuts = new Set<string>();
+
+  constructor() {
+    this.store.put(keys.configurationKey, JSON.stringify({ revision: 1, route: route(), models: ['m'] }));
+    this.store.put(`${keys.endpointPrefix}e1`, endpointRecord());
+    this.store.put(`${keys.endpointPrefix}e2`, endpointRecord({ address: '10.0.0.2:1' }));
+  }
+
+  start(hostId: string, incarnation = '1'): GatewayHost {
+    const host = new GatewayHost(this, hostId, incarnation);
+    this.hosts.set(hostId, host);
+    this.leases = this.leases.filter(lease => lease.hostId !== hostId);
+    this.leases.push(host.self());
+    return host;
+  }
+
+  /** The lease of a host's process has ended. */
+  expire(hostId: string): void {
+    this.leases = this.leases.filter(lease => lease.hostId !== hostId);
+  }
+
+  /** Moves time on until the promise has settled. */
+  async until<T>(promise: Promise<T>, limitMs = 10_000): Promise<T> {
+    const state = { isSettled: false };
+    const settled = promise.finally(() => {
+      state.isSettled = true;
+    });
+    for (let ms = 0; ms < limitMs && !state.isSettled; ms += STEP_MS) await this.clock.advance(STEP_MS);
+    return settled;
+  }
+
+  stop(): void {
+    for (const host of this.hosts.values()) host.kill();
+  }
+}
