Orders: a load is read back when it should be done, not at the next heartbeat

Cause: the planner was told each endpoint's version at every turn, which counts as a reading and put the next one off for ever: loads were noticed by heartbeats, or after the time-out of 4 s. Change: only news is told.

--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -183,8 +183,7 @@
     const planner = this._planner(pool, model);
     planner.setTarget({ pool, version, sequence: version, share: 1 });
     const own = share.filter(endpoint => endpoint.domain === this._domain);
-    for (const endpoint of own)
-      planner.readBack(endpoint.id, { version: endpoint.versionOf(model), startId: endpoint.id });
+    for (const endpoint of own) this._tell(planner, endpoint, model);
     for (const id of planner.toReadBack()) void this._readBack(id, model);
     const candidates = share.map(endpoint => ({
       id: endpoint.id,
@@ -199,6 +198,13 @@
     }
   }
 
+  /** Tells the planner a version that is news: each word counts as a reading, and puts the next one off. */
+  private _tell(planner: SwapPlanner, endpoint: Endpoint, model: string): void {
+    const version = endpoint.versionOf(model);
+    if (planner.versionOf(endpoint.id) === version) return;
+    planner.readBack(endpoint.id, { version, startId: endpoint.id });
+  }
+
   private _planner(pool: string, model: string): SwapPlanner {
     const key = `${pool}\n${model}`;
     const known = this._planners.get(key);
--- a/packages/orders/src/swapPlanner.ts
+++ b/packages/orders/src/swapPlanner.ts
@@ -85,6 +85,11 @@
     this._states.set(endpointId, { ...base, readBack, readMs, isSwapping: base.isSwapping && !isDone });
   }
 
+  /** The version that an endpoint was last read back with. */
+  versionOf(endpointId: string): number | undefined {
+    return this._states.get(endpointId)?.readBack?.version;
+  }
+
   /** Orders to give now. The caller holds the lease whose token they carry. */
   next(endpoints: readonly SwapEndpoint[], token: number): readonly WeightOrder[] {
     const target = this._target;
--- /dev/null
+++ b/tests/forwarder.spec.ts
@@ -0,0 +1,219 @@
+/**
+ * How requests are forwarded: attempts, promises, time, leaving callers; and bounded logs.
+ */
+import tap from 'tap';
+import { VirtualClock } from '@fuchsiahitch/base';
+import { EndpointDirectory, Forwarder, type CallerRequest, type EndpointReply } from '@fuchsiahitch/gateway';
+import { BoundedWriter } from '@fuchsiahitch/telemetry';
+import { FakeStore } from './fakeStore.js';
+import {
+  answer,
+  brokenBody,
+  endpointRecord,
+  keys,
+  PlainRecords,
+  route,
+  ScriptedClient,
+  testContext,
+} from './gatewayWorld.js';
+
+interface Forwarding {
+  readonly clock: VirtualClock;
+  readonly client: ScriptedClient;
+  readonly forwarder: Forwarder;
+  readonly stop: AbortController;
+}
+
+async function forwarding(): Promise<Forwarding> {
+  const clock = new VirtualClock();
+  const store = new FakeStore(clock);
+  const context = testContext(clock);
+  const endpoints = new EndpointDirectory(context, store.client(), keys, new PlainRecords());
+  for (const id of ['e1', 'e2', 'e3']) store.put(`${keys.endpointPrefix}${id}`, endpointRecord());
+  endpoints.start();
+  await clock.advance(100);
+  const client = new ScriptedClient(clock);
+  return { clock, client, forwarder: new Forwarder(context, endpoints, client), stop: context.stop };
+}
+
+const REQUEST: CallerRequest = {
+  id: 'r1',
+  host: 'quests',
+  method: 'POST',
+  target: '/run/1',
+  headers: [],
+  body: Buffer.from('seat 4'),
+  waitMs: 1500,
+};
+
+const SAFE = route({ run: 'idempotent', maxAttempts: 2, targetMs: 200, timeoutMs: 1500 });
+const ONCE = route({ run: 'non-idempotent', maxAttempts: 3, targetMs: 200, timeoutMs: 1500 });
+const NOBODY_LEFT = new AbortController().signal;
+
+/** Answers in turn; the last one stays. */
+function inTurn(...replies: readonly EndpointReply[]): () => Promise<EndpointReply> {
+  let turn = 0;
+  return () => Promise.resolve(replies[Math.min(turn++, replies.length - 1)] ?? { kind: 'cancelled' });
+}
+
+const REFUSED: EndpointReply = { kind: 'not-run', reason: 'refused', load: undefined };
+const BROKEN: EndpointReply = { kind: 'broken', text: 'reset' };
+
+function whole(text = 'whole'): EndpointReply {
+  return { kind: 'answered', answer: answer(200, text) };
+}
+
+await tap.test('should send an idempotent request again after any failure, elsewhere', async t => {
+  const { client, forwarder, stop } = await forwarding();
+  const halved = answer(200, '', { body: brokenBody('ha') });
+  for (const failure of [
+    BROKEN,
+    REFUSED,
+    { kind: 'answered', answer: answer(500, 'no') },
+    { kind: 'answered', answer: halved },
+    { kind: 'answered', answer: answer(200, 'not the endpoint’s', { isGenuine: false }) },
+  ] as const) {
+    client.sends.length = 0;
+    client.reply = inTurn(failure, whole());
+    const outcome = await forwarder.forward(REQUEST, SAFE, NOBODY_LEFT);
+    t.ok(outcome.kind === 'answered' && outcome.answer.body.toString() === 'whole');
+    t.equal(client.sends.length, 2);
+    t.not(client.sends[0]?.endpoint.id, client.sends[1]?.endpoint.id);
+  }
+  stop.abort();
+});
+
+await tap.test('should never send another request again without proof that it did not run', async t => {
+  // Symptom: two families at one telescope. Sequence: the hold is written, the connection breaks, it is sent again.
+  // Cause: a broken connection taken for "not run".
+  const { client, forwarder, stop } = await forwarding();
+  client.reply = inTurn(BROKEN, whole());
+  t.same(await forwarder.forward(REQUEST, ONCE, NOBODY_LEFT), { kind: 'unknown', reason: 'broken' });
+  t.equal(client.sends.length, 1);
+  client.sends.length = 0;
+  client.reply = inTurn(REFUSED, whole());
+  t.equal((await forwarder.forward(REQUEST, ONCE, NOBODY_LEFT)).kind, 'answered');
+  t.equal(client.sends.length, 2);
+  stop.abort();
+});
+
+await tap.test('should promise "not run" only when every endpoint proved it', async t => {
+  const { client, forwarder, stop } = await forwarding();
+  client.reply = inTurn(REFUSED);
+  const refused = await forwarder.forward(REQUEST, ONCE, NOBODY_LEFT);
+  t.ok(refused.kind === 'not-run' && refused.retryAfterMs > 0);
+  client.reply = inTurn(BROKEN, REFUSED);
+  t.equal((await forwarder.forward(REQUEST, SAFE, NOBODY_LEFT)).kind, 'unknown');
+  stop.abort();
+});
+
+await tap.test('should send a late idempotent request to a second endpoint', async t => {
+  // Symptom: a lookup waits for one stuck endpoint until its deadline. Cause: no second attempt before a failure.
+  const { clock, client, forwarder, stop } = await forwarding();
+  client.reply = (_call, signal) =>
+    client.sends.length === 1
+      ? new Promise(resolve => signal.addEventListener('abort', () => resolve({ kind: 'cancelled' })))
+      : Promise.resolve(whole('second'));
+  const pending = forwarder.forward(REQUEST, SAFE, NOBODY_LEFT);
+  await clock.advance(200);
+  const outcome = await pending;
+  t.ok(outcome.kind === 'answered' && outcome.answer.body.toString() === 'second');
+  t.equal(client.sends.length, 2);
+  stop.abort();
+});
+
+await tap.test('should end at the route’s time, not at the caller’s', async t => {
+  const { clock, client, forwarder, stop } = await forwarding();
+  const aborted: boolean[] = [];
+  client.reply = (_call, signal) =>
+    new Promise(resolve =>
+      signal.addEventListener('abort', () => {
+        aborted.push(true);
+        resolve({ kind: 'cancelled' });
+      }),
+    );
+  const pending = forwarder.forward({ ...REQUEST, waitMs: 60_000 }, ONCE, NOBODY_LEFT);
+  await clock.advance(1600);
+  t.same(await pending, { kind: 'unknown', reason: 'late' });
+  t.same(aborted, [true], 'the endpoint was told');
+  stop.abort();
+});
+
+await tap.test('should pass on what is left of the caller’s time and no more', async t => {
+  const { client, forwarder, stop } = await forwarding();
+  await forwarder.forward({ ...REQUEST, waitMs: 700 }, ONCE, NOBODY_LEFT);
+  t.ok((client.sends[0]?.leftMs ?? Infinity) <= 700);
+  stop.abort();
+});
+
+await tap.test('should tell the endpoint when the caller leaves', async t => {
+  const { clock, client, forwarder, stop } = await forwarding();
+  const left = new AbortController();
+  const aborted: boolean[] = [];
+  client.reply = (_call, signal) =>
+    new Promise(resolve =>
+      signal.addEventListener('abort', () => {
+        aborted.push(true);
+        resolve({ kind: 'cancelled' });
+      }),
+    );
+  const pending = forwarder.forward(REQUEST, SAFE, left.signal);
+  await clock.advance(20);
+  left.abort();
+  t.equal((await pending).kind, 'caller-left');
+  t.same(aborted, [true]);
+  stop.abort();
+});
+
+await tap.test('should refuse at once where there is no endpoint', async t => {
+  const { forwarder, stop } = await forwarding();
+  const nowhere = route({ run: 'idempotent', pools: [{ pool: 'none', weight: 1 }] });
+  t.equal((await forwarder.forward(REQUEST, nowhere, NOBODY_LEFT)).kind, 'not-run');
+  stop.abort();
+});
+
+await tap.test('should break a stream off visibly when its endpoint does', async t => {
+  // Symptom: half a stream looks whole. Cause: an end written in a catch-all.
+  const { client, forwarder, stop } = await forwarding();
+  client.reply = inTurn({ kind: 'answered', answer: answer(200, '', { body: brokenBody('data: 1\n\n') }) });
+  const seen: string[] = [];
+  const outcome = await forwarder.stream(
+    REQUEST,
+    ONCE,
+    {
+      begin: () => void seen.push('begin'),
+      write: chunk => {
+        seen.push(chunk.toString());
+        return Promise.resolve();
+      },
+      end: () => void seen.push('end'),
+      abort: () => void seen.push('abort'),
+    },
+    NOBODY_LEFT,
+  );
+  t.equal(outcome.kind, 'streamed');
+  t.same(seen, ['begin', 'data: 1\n\n', 'abort']);
+  stop.abort();
+});
+
+await tap.test('should drop and count log lines over the rate, and while nobody reads', t => {
+  // Symptom: a process stands still or grows without bound. Sequence: the collector stalls, or a fault makes every
+  // request log. Cause: lines without a bound.
+  const lines: string[] = [];
+  const sink = { write: (text: string) => void lines.push(text), waitingBytes: () => waitingBytes };
+  let waitingBytes = 0;
+  let nowMs = 0;
+  const limits = { maxWaitingBytes: 100, linesPerSecond: 10, burstLines: 5 };
+  const writer = new BoundedWriter(sink, limits, () => nowMs);
+  for (let i = 0; i < 20; i++) writer.write(`${i}`);
+  t.equal(lines.length, 5);
+  t.equal(writer.dropped(), 15);
+  nowMs = 1000;
+  writer.write('later');
+  t.match(lines[5], /"lines":15/);
+  t.equal(lines[6], 'later\n');
+  waitingBytes = 101;
+  writer.write('stuck');
+  t.equal(writer.dropped(), 1);
+  t.end();
+});
