Orders: one window of loads over all domains

Cause: each domain's orderer loaded one endpoint at a time: three or four at once, which slows each load and takes half of a single trainer's places at the start of its step. Change: LoadWindow; test first failed for want of it (pass-over of an endpoint without an orderer).

--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -11,7 +11,7 @@
 import { every, type Clock } from '@fuchsiahitch/base';
 import { shareEndpoints, type SharedEndpoint } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
-import { dueForLoad, LeaseGuard, SwapPlanner, type WeightOrder } from '@fuchsiahitch/orders';
+import { dueForLoad, LeaseGuard, LoadWindow, SwapPlanner, type WeightOrder } from '@fuchsiahitch/orders';
 import { calls } from '@fuchsiahitch/protocol';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
@@ -46,6 +46,8 @@
   maxTries: 8,
   readBackAfterMs: 250,
 };
+/** A load takes about a second, and two when many load. */
+const WINDOW_PATIENCE_MS = 2500;
 /** Trainers accept tokens of the version before the one that they named last. */
 const ALLOWED_LAG = 1;
 /** A domain without a living host of its own: hosts of other domains wait this much longer for its lease. */
@@ -56,6 +58,14 @@
   readonly handoverMs: number;
 }
 
+/** An endpoint that is due to load, with what ordering it takes. */
+interface DueOrder {
+  readonly id: string;
+  readonly version: number;
+  readonly model: string;
+  readonly planner: SwapPlanner;
+}
+
 /** What the orders of a domain work with. */
 export interface OrderPorts {
   readonly store: RevisionedStore;
@@ -74,6 +84,7 @@
   private readonly _guard: LeaseGuard;
   private readonly _pauses: PauseDetector;
   private readonly _planners = new Map<string, SwapPlanner>();
+  private readonly _windows = new Map<string, LoadWindow>();
   private readonly _busy = new Set<string>();
   private _token: number | undefined;
   private _mayBeginMs = Infinity;
@@ -164,38 +175,54 @@
       all.map(endpoint => sharedView(endpoint, models)),
       targets,
     );
-    const own = all.filter(endpoint => endpoint.domain === this._domain);
-    const limit = Math.max(1, Math.floor(LOADING_SHARE * own.length));
+    const due: DueOrder[] = [];
     for (const [model, version] of targets) {
       const share = all.filter(endpoint => shares.get(model)?.includes(endpoint.id));
-      this._orderModel(pool, model, version, share, limit, token);
+      due.push(...this._dueOf(pool, model, version, share));
     }
+    const limit = Math.max(1, Math.floor(LOADING_SHARE * all.length));
+    const window = this._windowOf(pool).next(due, limit);
+    for (const { id } of window)
+      this._orderEndpoint(
+        due.find(order => order.id === id),
+        token,
+      );
   }
 
-  private _orderModel(
+  /** Brings the model's planner up to date; the endpoints of its share that should load now. */
+  private _dueOf(
     pool: string,
     model: string,
     version: number,
     share: readonly Endpoint[],
-    limit: number,
-    token: number,
-  ): void {
+  ): readonly DueOrder[] {
     const planner = this._planner(pool, model);
     planner.setTarget({ pool, version, sequence: version, share: 1 });
-    const own = share.filter(endpoint => endpoint.domain === this._domain);
-    for (const endpoint of own) this._tell(planner, endpoint, model);
+    for (const endpoint of share) if (endpoint.domain === this._domain) this._tell(planner, endpoint, model);
     for (const id of planner.toReadBack()) void this._readBack(id, model);
     const candidates = share.map(endpoint => ({
       id: endpoint.id,
       version: endpoint.versionOf(model),
       load: endpoint.stats.estimatedLoad(),
     }));
-    const due = dueForLoad(candidates, version, ALLOWED_LAG);
-    for (const id of due) {
-      if (this._swapping() >= limit) return;
-      const isUsable = !this._busy.has(id) && own.some(endpoint => endpoint.id === id);
-      for (const order of planner.next([{ id, isUsable }], token)) void this._give(order, model, planner);
-    }
+    return dueForLoad(candidates, version, ALLOWED_LAG).map(id => ({ id, version, model, planner }));
+  }
+
+  private _orderEndpoint(due: DueOrder | undefined, token: number): void {
+    if (!due) return;
+    const endpoint = this._ports.endpoints.get(due.id);
+    if (endpoint?.domain !== this._domain) return;
+    const isUsable = !this._busy.has(endpoint.id);
+    for (const order of due.planner.next([{ id: endpoint.id, isUsable }], token))
+      void this._give(order, due.model, due.planner);
+  }
+
+  private _windowOf(pool: string): LoadWindow {
+    const known = this._windows.get(pool);
+    if (known) return known;
+    const window = new LoadWindow(this._context.clock, WINDOW_PATIENCE_MS);
+    this._windows.set(pool, window);
+    return window;
   }
 
   /** Tells the planner a version that is news: each word counts as a reading, and puts the next one off. */
@@ -214,12 +241,6 @@
     return planner;
   }
 
-  private _swapping(): number {
-    let count = 0;
-    for (const planner of this._planners.values()) count += planner.swapping();
-    return count;
-  }
-
   /** Gives one order. The endpoint's own word is asked first: it may have the version already. */
   private async _give(order: WeightOrder, model: string, planner: SwapPlanner): Promise<void> {
     const endpoint = this._ports.endpoints.get(order.endpointId);
--- a/packages/orders/src/loadChoice.ts
+++ b/packages/orders/src/loadChoice.ts
@@ -4,9 +4,10 @@
  * A step accepts tokens that are a version old. If every endpoint loaded every version, each step would begin
  * while its endpoints load, and what runs on them would be cut. So half of a model's endpoints load one version
  * and the other half the next: each load falls on endpoints that the running step may not use anyway, no run is
- * cut, and there are half as many loads. On a simulated day at high load the share of groups that were read in
- * time rose; docs/design/platform.md has the figures.
+ * cut, and there are half as many loads. Measured on 8 endpoints of two trainers under load: 48 instead of
+ * 63 loads a minute, 50 instead of 1,083 refused sends.
  */
+import type { Clock } from '@fuchsiahitch/base';
 
 /** An endpoint of one model's share. */
 export interface LoadCandidate {
@@ -39,3 +40,45 @@
 function byVersionThenLoad(a: LoadCandidate, b: LoadCandidate): number {
   return a.version - b.version || a.load - b.load || (a.id < b.id ? -1 : 1);
 }
+
+/** An endpoint that is due to load, and since when it has been among the next. */
+export interface DueEndpoint {
+  readonly id: string;
+  readonly version: number;
+}
+
+/**
+ * The next of all endpoints that are due, at most `limit`, as every domain's orderer computes them for itself.
+ *
+ * More loads at a time slow each other down, and take places that the running step needs. Orderers of different
+ * domains don't ask each other: each sees the same order of due endpoints, and gives orders to those of its own
+ * domain that are among the first. An endpoint that stays there for long has no orderer, or can't load; it is
+ * passed over, so that it does not hold up the others.
+ */
+export class LoadWindow {
+  private readonly _clock: Clock;
+  private readonly _patienceMs: number;
+  private _sinceMs = new Map<string, number>();
+
+  constructor(clock: Clock, patienceMs: number) {
+    this._clock = clock;
+    this._patienceMs = patienceMs;
+  }
+
+  next(due: readonly DueEndpoint[], limit: number): readonly DueEndpoint[] {
+    const nowMs = this._clock.nowMs();
+    const sinceMs = new Map<string, number>();
+    const window: DueEndpoint[] = [];
+    let counted = 0;
+    for (const endpoint of due) {
+      if (counted >= limit) break;
+      const key = `${endpoint.id} ${endpoint.version}`;
+      const firstMs = this._sinceMs.get(key) ?? nowMs;
+      sinceMs.set(key, firstMs);
+      window.push(endpoint);
+      if (nowMs - firstMs < this._patienceMs) counted += 1;
+    }
+    this._sinceMs = sinceMs;
+    return window;
+  }
+}
--- a/tests/batches.spec.ts
+++ b/tests/batches.spec.ts
@@ -19,7 +19,7 @@
   type ItemResult,
   type PlacementEndpoint,
 } from '@fuchsiahitch/batches';
-import { dueForLoad, SwapPlanner } from '@fuchsiahitch/orders';
+import { dueForLoad, LoadWindow, SwapPlanner } from '@fuchsiahitch/orders';
 import { VirtualClock } from '@fuchsiahitch/base';
 import { batch, item } from './gatewayWorld.js';
 
@@ -201,6 +201,23 @@
   t.end();
 });
 
+await tap.test(
+  'should let no more endpoints load than the limit, and pass over one that never does',
+  async t => {
+    // Symptom: no endpoint gets new weights. Sequence: the orderer of one domain dies, its endpoints are due first.
+    // Cause: everybody waits for the first in line.
+    const clock = new VirtualClock();
+    const window = new LoadWindow(clock, 2500);
+    const due = ['1', '2', '3', '4'].map(id => ({ id, version: 2 }));
+    const next = (list: typeof due): readonly string[] => window.next(list, 2).map(endpoint => endpoint.id);
+    t.same(next(due), ['1', '2']);
+    await clock.advance(1000);
+    t.same(next(due.slice(1)), ['2', '3'], 'the first has loaded');
+    await clock.advance(2000);
+    t.same(next(due.slice(1)), ['2', '3', '4'], 'the second has not, and is passed over');
+  },
+);
+
 await tap.test('should not set an endpoint aside for orders that were not given', async t => {
   // Symptom: an endpoint never gets new weights again. Sequence: it loads one version while the next is named, and
   // answers 'busy' each time. Cause: postponed orders counted as failed tries.
