Planned restarts and restarts of all: batches are handed over, the last orderer orders at once, faster reach

Change: a host that shuts down gives its open batches, with the events that it has, to other hosts; a key that outlives the lease names the last orderer, which need not wait for its own orders; reach is judged after 0.75 s.

--- a/packages/batches/src/batchLedger.ts
+++ b/packages/batches/src/batchLedger.ts
@@ -6,6 +6,7 @@
  */
 import { invariant } from '@fuchsiahitch/base';
 import { ItemProgress, type EventEffect, type GeneratedEvent } from './itemProgress.js';
+import type { ItemEvents } from './batchMessages.js';
 import type { Batch, BatchItem, ItemResult } from './model.js';
 
 /** The rules of the route for the items of a batch. */
@@ -79,6 +80,22 @@
     return this._entry(itemId).progress;
   }
 
+  /** What was generated of the items that are not finished: a next owner may go on with it. */
+  unfinished(): readonly ItemEvents[] {
+    return [...this._entries.values()]
+      .filter(entry => entry.state !== 'finished' && entry.progress.lastEvent() > 0)
+      .map(entry => ({ itemId: entry.item.id, events: entry.progress.events() }));
+  }
+
+  /** Takes in what a former owner had of items that wait. Events that don't fit are left out. */
+  resume(unfinished: readonly ItemEvents[]): void {
+    for (const { itemId, events } of unfinished) {
+      const entry = this._entries.get(itemId);
+      if (entry?.state !== 'waiting') continue;
+      for (const event of events) if (entry.progress.add(event) !== 'added') break;
+    }
+  }
+
   /**
    * The items that wait, the longest first by the trainer's estimate and what is already made. A long item takes
    * as long as a whole step however many places are free, so that it holds its group up by every moment that it
--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -2,7 +2,8 @@
  * What hosts ask the owner of a batch.
  */
 import { z } from 'zod';
-import { itemResultSchema } from './model.js';
+import { generatedEventSchema } from './itemProgress.js';
+import { itemResultSchema, ownerSchema } from './model.js';
 
 const count = z.number().int().min(0);
 
@@ -32,6 +33,20 @@
 ]);
 export type BatchItemReply = z.infer<typeof batchItemReplySchema>;
 
+/** What was generated of one item. */
+export const itemEventsSchema = z
+  .strictObject({ itemId: z.string(), events: z.array(generatedEventSchema).readonly() })
+  .readonly();
+export type ItemEvents = z.infer<typeof itemEventsSchema>;
+
+/** A host that shuts down asks another to go on with a batch, and gives it what it had of the items. */
+export const batchAdoptSchema = z
+  .strictObject({ batchId: z.string(), from: ownerSchema, unfinished: z.array(itemEventsSchema).readonly() })
+  .readonly();
+export type BatchAdopt = z.infer<typeof batchAdoptSchema>;
+
+export const batchAdoptReplySchema = z.strictObject({ isAdopted: z.boolean() }).readonly();
+
 /** An endpoint was seen with a weight version: tells hosts at once what its next heartbeat would tell them later. */
 export const versionSeenSchema = z
   .strictObject({ endpointId: z.string(), model: z.string(), version: count })
--- a/packages/batches/src/itemProgress.ts
+++ b/packages/batches/src/itemProgress.ts
@@ -6,14 +6,19 @@
  * goes on after the last whole one; versions come from the streams alone, never from what was ordered.
  */
 
+import { z } from 'zod';
+
 /** One whole event of a stream. */
-export interface GeneratedEvent {
-  /** Number of the event, from 1. */
-  readonly number: number;
-  readonly text: string;
-  /** The weight version that generated it. */
-  readonly version: number;
-}
+export const generatedEventSchema = z
+  .strictObject({
+    /** Number of the event, from 1. */
+    number: z.number().int().min(1),
+    text: z.string(),
+    /** The weight version that generated it. */
+    version: z.number().int(),
+  })
+  .readonly();
+export type GeneratedEvent = z.infer<typeof generatedEventSchema>;
 
 /** What an event did. `restart`: the attempt must end, and the item begins anew. */
 export type EventEffect = 'added' | 'repeated' | 'gap' | 'restart';
@@ -25,8 +30,7 @@
 
 export class ItemProgress {
   private readonly _demand: VersionDemand;
-  private _texts: string[] = [];
-  private _versions: number[] = [];
+  private _events: GeneratedEvent[] = [];
 
   constructor(demand: VersionDemand) {
     this._demand = demand;
@@ -34,43 +38,47 @@
 
   /** The number of the last whole event; 0 for none. */
   lastEvent(): number {
-    return this._texts.length;
+    return this._events.length;
   }
 
   text(): string {
-    return this._texts.join('\n');
+    return this._events.map(event => event.text).join('\n');
+  }
+
+  /** The whole events, in order. */
+  events(): readonly GeneratedEvent[] {
+    return this._events;
   }
 
+  /** Every version of the text, in the order of their use. */
   versions(): readonly number[] {
-    return this._versions;
+    return [...new Set(this._events.map(event => event.version))];
   }
 
   add(event: GeneratedEvent): EventEffect {
-    if (event.number <= this._texts.length) return 'repeated';
-    if (event.number !== this._texts.length + 1) return 'gap';
+    if (event.number <= this._events.length) return 'repeated';
+    if (event.number !== this._events.length + 1) return 'gap';
     if (!this._allows(event.version)) {
       this.clear();
       return 'restart';
     }
-    this._texts.push(event.text);
-    if (!this._versions.includes(event.version)) this._versions.push(event.version);
+    this._events.push(event);
     return 'added';
   }
 
   /** True if a text that goes on under the version is what the batch asked for. */
   mayContinueWith(version: number): boolean {
-    return this._texts.length === 0 || this._allows(version);
+    return this._events.length === 0 || this._allows(version);
   }
 
   /** Forgets the text: it cannot be part of an allowed result any more. */
   clear(): void {
-    this._texts = [];
-    this._versions = [];
+    this._events = [];
   }
 
   private _allows(version: number): boolean {
     if (version < this._demand.minVersion) return false;
     if (!this._demand.isSingleVersion) return true;
-    return this._versions.every(known => known === version);
+    return this._events.every(known => known.version === version);
   }
 }
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -8,9 +8,11 @@
 import {
   pageFrom,
   type Batch,
+  type BatchAdopt,
   type BatchEndReply,
   type BatchItemReply,
   type BatchReadReply,
+  type ItemEvents,
   type Owner,
   type ResultPage,
 } from '@fuchsiahitch/batches';
@@ -49,6 +51,9 @@
 const STORE_TIMEOUT_MS = 1000;
 /** A peer that does not answer a call, beyond the time that the call itself waits. */
 const PEER_TIMEOUT_MS = 700;
+/** Taking a batch over is two calls to the store and one read of it. */
+const ADOPT_TIMEOUT_MS = 1500;
+const MAX_HEIRS = 3;
 /** How often a batch whose owner can't be reached is read from the store while a reader waits. */
 const STORED_POLL_MS = 400;
 /** A refused batch may come back after this: an outage of the store lasts seconds. */
@@ -69,6 +74,7 @@
   /** Claims as last read: where to ask first. The owner itself says if it is one no more. */
   private readonly _claims = new Map<string, HeldClaim>();
   private readonly _stored = new Map<string, StoredBatch>();
+  private _isLeaving = false;
 
   constructor(context: GatewayContext, ports: BatchPorts, hosts: Hosts) {
     this._context = context;
@@ -79,6 +85,7 @@
   serve(server: CallRegistry): void {
     server.handle(calls.batchRead, request => this._readHere(request));
     server.handle(calls.batchItem, request => this._itemHere(request));
+    server.handle(calls.batchAdopt, request => this._adopt(request));
     server.handle(calls.batchEnd, request => this._endHere(request.batchId));
   }
 
@@ -166,9 +173,52 @@
     }
   }
 
-  /** Stops every run; the batches stay in the store for their next owners. */
-  stop(): void {
-    for (const owner of this._owned.values()) owner.stop('this host shuts down');
+  /** Stops every run where it is, as the end of the process does. */
+  halt(): void {
+    for (const owner of this._owned.values()) owner.stop('this process ends');
+  }
+
+  /**
+   * Gives every open batch to another host. A batch that merely stops here would stand still until its trainer
+   * happens to read it at another host, and what runs would be generated anew.
+   */
+  async handOver(): Promise<void> {
+    this._isLeaving = true;
+    const owners = [...this._owned.values()];
+    this._owned.clear();
+    await Promise.all(owners.map(owner => this._handOver(owner)));
+  }
+
+  private async _handOver(owner: BatchOwner): Promise<void> {
+    owner.stop('this host shuts down');
+    const { batchId } = owner;
+    this._claims.delete(batchId);
+    if (owner.isEnded()) return;
+    const from = this._hosts.self();
+    const unfinished = owner.ledger.unfinished();
+    for (const peer of this._heirs()) {
+      const request = { batchId, from, unfinished };
+      const reply = await this._hosts.call(peer.address, calls.batchAdopt, request, ADOPT_TIMEOUT_MS);
+      const isAdopted = reply.ok && reply.value.isAdopted;
+      this._context.log.info('batch handed over', { batchId, to: peer.hostId, isAdopted });
+      if (isAdopted) return;
+    }
+  }
+
+  /** Hosts that are asked to take a batch: a few, drawn at random, so that one does not get all. */
+  private _heirs(): readonly Owner[] {
+    const peers = [...this._hosts.peers()];
+    const heirs: Owner[] = [];
+    while (peers.length > 0 && heirs.length < MAX_HEIRS)
+      heirs.push(...peers.splice(this._context.random.below(peers.length), 1));
+    return heirs;
+  }
+
+  private async _adopt(request: BatchAdopt): Promise<{ readonly isAdopted: boolean }> {
+    const { batchId, from, unfinished } = request;
+    if (this._isLeaving) return { isAdopted: false };
+    const located = await this._replaceOwner(batchId, from, true, unfinished);
+    return { isAdopted: located.kind === 'here' };
   }
 
   private async _accept(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
@@ -189,7 +239,7 @@
     });
     switch (outcome.kind) {
       case 'accepted':
-        this._own(outcome.held, { batch, results: [] });
+        this._ownOrPassOn(this._own(outcome.held, { batch, results: [] }));
         return { kind: 'accepted' };
       case 'known':
         this._claims.set(batch.id, outcome.held);
@@ -203,7 +253,14 @@
     }
   }
 
-  private _own(held: HeldClaim, stored: StoredBatch): BatchOwner {
+  /** A host that shuts down still takes what arrives, and passes it on at once. */
+  private _ownOrPassOn(owner: BatchOwner): void {
+    if (!this._isLeaving) return;
+    this._owned.delete(owner.batchId);
+    void this._handOver(owner);
+  }
+
+  private _own(held: HeldClaim, stored: StoredBatch, unfinished: readonly ItemEvents[] = []): BatchOwner {
     const { id } = stored.batch;
     this._forgetEnded();
     const owner = new BatchOwner(this._context, this._ports, held, stored, () => {
@@ -211,6 +268,7 @@
       this._claims.delete(id);
     });
     this._owned.set(id, owner);
+    owner.ledger.resume(unfinished);
     owner.start();
     return owner;
   }
@@ -266,15 +324,25 @@
    * Takes over a batch whose owner is gone. `deniedIt`: the process itself said that it does not run the batch.
    * An owner that merely can't be reached from here, and whose lease stands, keeps the batch.
    */
-  private async _replaceOwner(batchId: string, owner: Owner, deniedIt: boolean): Promise<Located> {
-    const running = this._takeovers.get(batchId) ?? this._takeOver(batchId, owner, deniedIt);
+  private async _replaceOwner(
+    batchId: string,
+    owner: Owner,
+    deniedIt: boolean,
+    unfinished: readonly ItemEvents[] = [],
+  ): Promise<Located> {
+    const running = this._takeovers.get(batchId) ?? this._takeOver(batchId, owner, deniedIt, unfinished);
     this._takeovers.set(batchId, running);
     const located = await running;
     this._takeovers.delete(batchId);
     return located;
   }
 
-  private async _takeOver(batchId: string, from: Owner, deniedIt: boolean): Promise<Located> {
+  private async _takeOver(
+    batchId: string,
+    from: Owner,
+    deniedIt: boolean,
+    unfinished: readonly ItemEvents[],
+  ): Promise<Located> {
     const { store } = this._ports;
     const held = await store.readClaim(batchId, this._storeDeadline());
     if (!held.ok) return { kind: 'unsure' };
@@ -283,6 +351,7 @@
     if (claim.isEnded) return { kind: 'stored', held: held.value };
     const isSame = claim.owner.hostId === from.hostId && claim.owner.incarnation === from.incarnation;
     if (!isSame) return this._follow(batchId, held.value);
+    if (this._isLeaving) return { kind: 'unsure' };
     const isGone = deniedIt || (this._hosts.isSynced() && !this._hosts.isAlive(claim.owner));
     if (!isGone) return { kind: 'stored', held: held.value };
     const change = { owner: this._hosts.self(), takeovers: claim.takeovers + 1 };
@@ -295,7 +364,7 @@
       this._context.log.error('batch could not be loaded', { batchId, error: stored.error.kind });
       return { kind: 'unsure' };
     }
-    return { kind: 'here', owner: this._own(done.value, stored.value) };
+    return { kind: 'here', owner: this._own(done.value, stored.value, unfinished) };
   }
 
   private _follow(batchId: string, held: HeldClaim): Located {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -116,7 +116,7 @@
     const { clock, log } = this._context;
     log.info('shutting down', { graceMs, inFlight: this._inFlight, batches: this.batches.ownedCount() });
     await Promise.all(this.orders.map(orders => orders.stop()));
-    this.batches.stop();
+    await this.batches.handOver();
     await this.hosts.leave();
     const endMs = clock.nowMs() + graceMs;
     const quietMs = Math.min(ARRIVAL_MS, graceMs / 2);
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -20,6 +20,11 @@
 const LIVE_PREFIX = `${ROOT}live/`;
 const HOST_PREFIX = `${LIVE_PREFIX}host/`;
 
+/** The key that names the last holder of a domain's orders. It outlives the holder's lease. */
+export function lastOrdererKey(domain: string): string {
+  return `${LIVE_PREFIX}last-orders/${domain}`;
+}
+
 /** The key of the one host that orders the endpoints of a failure domain. */
 export function ordersKey(domain: string): string {
   return `${LIVE_PREFIX}orders/${domain}`;
@@ -50,6 +55,8 @@
   isOwnDomain(hostId: string): boolean;
   /** True if some host holds the key. */
   isHeld(key: string): boolean;
+  /** The host that held the orders of a domain last, also when nobody does now. */
+  lastOrderer(domain: string): string | undefined;
   /** The other hosts that live. */
   peers(): readonly Owner[];
   call<Q, A>(
@@ -70,7 +77,7 @@
   private readonly _lease: StoreLease;
   private readonly _owners = new Map<string, Owner>();
   private readonly _domains = new Map<string, string>();
-  private readonly _keys = new Set<string>();
+  private readonly _values = new Map<string, string>();
   private readonly _links = new Map<string, PeerLink>();
 
   constructor(context: GatewayContext, store: RevisionedStore, options: HostDirectoryOptions) {
@@ -117,7 +124,11 @@
   }
 
   isHeld(key: string): boolean {
-    return this._keys.has(key);
+    return this._values.has(key);
+  }
+
+  lastOrderer(domain: string): string | undefined {
+    return this._values.get(lastOrdererKey(domain));
   }
 
   peers(): readonly Owner[] {
@@ -150,7 +161,7 @@
   }
 
   private _changed(key: string, value: string): void {
-    this._keys.add(key);
+    this._values.set(key, value);
     if (!key.startsWith(HOST_PREFIX)) return;
     const owner = readOwner(value);
     if (!owner) {
@@ -165,7 +176,7 @@
   }
 
   private _removed(key: string): void {
-    this._keys.delete(key);
+    this._values.delete(key);
     if (!key.startsWith(HOST_PREFIX)) return;
     const hostId = key.slice(HOST_PREFIX.length);
     this._owners.delete(hostId);
--- a/packages/gateway/src/reachMonitor.ts
+++ b/packages/gateway/src/reachMonitor.ts
@@ -12,10 +12,10 @@
 import type { RelayedStore } from './relayedStore.js';
 import { reachCall } from './storeRelayMessages.js';
 
-const CHECK_INTERVAL_MS = 300;
+const CHECK_INTERVAL_MS = 200;
 /** Hosts of other domains are asked once the store was silent for so long. */
-const SUSPECT_MS = 900;
-const ASK_TIMEOUT_MS = 400;
+const SUSPECT_MS = 750;
+const ASK_TIMEOUT_MS = 300;
 /** Rounds without any answer until the host takes itself for cut off. */
 const ROUNDS = 2;
 /** Hosts that are asked in one round. */
--- a/packages/gateway/src/storeLease.ts
+++ b/packages/gateway/src/storeLease.ts
@@ -2,7 +2,7 @@
  * A key in the store that lasts as long as this process renews its lease.
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
-import type { RevisionedStore } from '@fuchsiahitch/clients';
+import type { RevisionedStore, Write } from '@fuchsiahitch/clients';
 import type { GatewayContext } from './gatewayContext.js';
 
 export interface LeaseTimes {
@@ -19,6 +19,8 @@
   /** Taken or renewed: `sentMs` is when the store was asked, `token` grows with each holder. */
   held(token: number, sentMs: number): void;
   lost(reason: string): void;
+  /** Written together with the key, and kept when it ends. */
+  alsoWrites?(): readonly Write[];
 }
 
 const CALL_TIMEOUT_MS = 800;
@@ -80,7 +82,8 @@
     if (!lease.ok || this._isReleased) return false;
     const compares = this._isExclusive ? [{ key: this._key, version: 0 }] : [];
     const put = { kind: 'put', key: this._key, value: this._holder.value(), leaseId: lease.value } as const;
-    const done = await this._store.transact(compares, [put], this._deadline());
+    const writes = [put, ...(this._holder.alsoWrites?.() ?? [])];
+    const done = await this._store.transact(compares, writes, this._deadline());
     if (!done.ok || !done.value.succeeded) {
       // An answer that was lost may hide that the key was taken: the lease is ended so that it cannot stay.
       await this._store.endLease(lease.value, this._deadline());
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -17,7 +17,7 @@
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { ordersKey, type CallRegistry, type Hosts } from './hostDirectory.js';
+import { lastOrdererKey, ordersKey, type CallRegistry, type Hosts } from './hostDirectory.js';
 import type { EndpointClient } from './ports.js';
 import { StoreLease } from './storeLease.js';
 
@@ -35,6 +35,8 @@
 const TICK_MS = 100;
 /** A tick that comes this much late by the wall clock, and not by the monotonic one: the process was paused. */
 const PAUSE_MS = 250;
+/** The last holder's host may be back within a second after a restart, and then needs no wait. */
+const LAST_HOLDER_MS = 700;
 /** Spreads the hosts that want the orders lease. */
 const TAKE_SPREAD_MS = 300;
 /** Of all endpoints of a pool, loading more at once slows each of them down. */
@@ -88,6 +90,7 @@
   private readonly _busy = new Set<string>();
   private _token: number | undefined;
   private _mayBeginMs = Infinity;
+  private _wasLast = false;
   private _wantsAfterMs: number | undefined;
 
   /** Orders to the endpoints of `domain`. */
@@ -104,6 +107,7 @@
       wants: () => this._wants(),
       held: (token, sentMs) => this._held(token, sentMs),
       lost: reason => this._lost(reason),
+      alsoWrites: () => [{ kind: 'put', key: lastOrdererKey(domain), value: context.hostId }],
     });
   }
 
@@ -135,19 +139,36 @@
       return false;
     }
     const nowMs = this._context.clock.nowMs();
+    this._wantsAfterMs ??= nowMs + this._takeAfterMs();
+    if (nowMs < this._wantsAfterMs) return false;
+    this._wasLast = hosts.lastOrderer(this._domain) === this._context.hostId;
+    return true;
+  }
+
+  /** How long this host leaves a free key to others: the last holder need not wait for its own orders. */
+  private _takeAfterMs(): number {
+    const last = this._ports.hosts.lastOrderer(this._domain);
+    if (last === this._context.hostId) return 0;
     const waitMs = this._domain === this._context.domain ? 0 : FOREIGN_WAIT_MS;
-    this._wantsAfterMs ??= nowMs + waitMs + this._context.random.below(TAKE_SPREAD_MS);
-    return nowMs >= this._wantsAfterMs;
+    const forLastMs = last === undefined ? 0 : LAST_HOLDER_MS;
+    return waitMs + forLastMs + this._context.random.below(TAKE_SPREAD_MS);
   }
 
   private _held(token: number, sentMs: number): void {
     this._guard.renewed(token, sentMs);
     if (this._token === token) return;
     this._token = token;
-    // The former holder's lease may have been revoked rather than run out: it may order until its own end.
-    this._mayBeginMs = this._context.clock.nowMs() + this._handoverMs + RIGHT_MS;
+    // The former holder's lease may have been revoked rather than run out: it may order until its own end. Where
+    // the former holder was this host, there is nobody to wait for.
+    const waitMs = this._wasLast ? 0 : this._handoverMs + RIGHT_MS;
+    this._mayBeginMs = this._context.clock.nowMs() + waitMs;
     this._planners.clear();
-    this._context.log.info('orders lease', { change: 'held', of: this._domain, fencingToken: token });
+    this._context.log.info('orders lease', {
+      change: 'held',
+      of: this._domain,
+      fencingToken: token,
+      waitMs,
+    });
   }
 
   private _lost(reason: string): void {
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -2,6 +2,8 @@
  * Every call between entry hosts.
  */
 import {
+  batchAdoptReplySchema,
+  batchAdoptSchema,
   batchEndReplySchema,
   batchEndSchema,
   batchItemReadSchema,
@@ -143,6 +145,7 @@
   batchRead: defineCall('batchRead', batchReadSchema, batchReadReplySchema),
   batchItem: defineCall('batchItem', batchItemReadSchema, batchItemReplySchema),
   versionSeen: defineCall('versionSeen', versionSeenSchema, emptySchema),
+  batchAdopt: defineCall('batchAdopt', batchAdoptSchema, batchAdoptReplySchema),
   batchEnd: defineCall('batchEnd', batchEndSchema, batchEndReplySchema),
   heldSamples: defineCall('heldSamples', heldSamplesSchema, heldSamplesReplySchema),
 } as const;
--- a/tests/batchService.spec.ts
+++ b/tests/batchService.spec.ts
@@ -307,3 +307,28 @@
   t.equal((await world.until(b.batches.item('b2', 'y'))).kind, 'no-item');
   world.stop();
 });
+
+await tap.test('should give its batches to another host when it shuts down, with what it has', async t => {
+  // Symptom: a step stands still for seconds at each planned restart. Sequence: the owner gets the signal to end,
+  // stops its runs, and answers reads with empty pages until it is gone. Cause: nobody was asked to go on.
+  const [world, a, b] = await started('a', 'b');
+  if (!a || !b) return;
+  world.client.script = () => ({ events: 60, end: { kind: 'done' }, eventMs: 20 });
+  await submit(world, a);
+  await world.clock.advance(600);
+  const leaving = a.batches.handOver();
+  await world.clock.advance(100);
+  await leaving;
+  t.same([a.batches.ownedCount(), b.batches.ownedCount()], [0, 1]);
+  const resumed = world.client.items.filter(call => call.afterEvent > 0);
+  t.equal(resumed.length, 3, 'no event is generated again');
+  await world.clock.advance(2000);
+  const page = await read(world, a);
+  t.ok(page.kind === 'page' && page.page.results.length === 3, 'the leaving host asks the new owner');
+  t.ok(page.kind === 'page' && page.page.results[0]?.text.startsWith('x-1\nx-2\n'));
+  const late = batch('b2', [item('late')]);
+  await world.until(a.batches.submit(late, Deadline.after(world.clock, 1000)));
+  await world.clock.advance(200);
+  t.equal(b.batches.ownedCount(), 2, 'what still arrives is passed on');
+  world.stop();
+});
--- a/tests/gatewayWorld.ts
+++ b/tests/gatewayWorld.ts
@@ -1,6 +1,7 @@
 /**
  * What the gateway's tests share: a context on a virtual clock, and endpoints that a test scripts.
  */
+import { setMaxListeners } from 'node:events';
 import { SeededRandom, VirtualClock } from '@fuchsiahitch/base';
 import type { Batch, BatchItem } from '@fuchsiahitch/batches';
 import {
@@ -57,6 +58,7 @@
 
 export function testContext(clock: VirtualClock, hostId = 'host-a', incarnation = 'i1'): TestContext {
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   return {
     hostId,
     incarnation,
