--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -9,7 +9,7 @@
 import { StoreMirror } from './storeMirror.js';
 
 /** A change must be in force within two seconds: a watch that fell silent is given up well before. */
-const WAIT_MS = 1500;
+const WAIT_MS = 3000;
 const noSignals = (): number => 0;
 
 /** Where a request goes, by the rule that decided it. */
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -19,7 +19,7 @@
  * A change takes up to this long to be read, and one watch for all changes of that time is one call to the
  * store. Endpoints write every second or so; a leaving one must be known within two seconds.
  */
-const SPACING_MS = 600;
+const SPACING_MS = 900;
 const WAIT_MS = 2500;
 
 export class EndpointDirectory {
