Answers without a length: a reset is no end

Ruled out: our own end of the answer, a length that was passed on. Test first: 'should not take an answer without a length for whole when its connection is reset' failed before.

--- a/tests/platformWire.spec.ts
+++ b/tests/platformWire.spec.ts
@@ -237,6 +237,37 @@
   }),
 );
 
+await tap.test('should not take an answer without a length for whole when its connection is reset', t =>
+  withServer(async (server, endpoint, client) => {
+    // Symptom: a caller gets half an answer that looks complete. Sequence: the answer has no length and ends with its
+    // connection; the server crashes in the middle of it. Cause: the library takes a reset for the end.
+    let isReset = false;
+    server.answer = (_request, socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nServer-Stamp: p\r\nConnection: close\r\n\r\nhalf');
+      waitForReader.then(
+        () => socket.resetAndDestroy(),
+        () => undefined,
+      );
+    };
+    let begin: () => void = () => undefined;
+    const waitForReader = new Promise<void>(resolve => {
+      begin = resolve;
+    });
+    const reply = await client.send(call(endpoint), NOT_ABORTED);
+    t.equal(reply.kind, 'answered');
+    if (reply.kind !== 'answered') return;
+    try {
+      for await (const part of reply.answer.body) {
+        t.equal(part.toString(), 'half');
+        begin();
+      }
+    } catch {
+      isReset = true;
+    }
+    t.ok(isReset);
+  }),
+);
+
 await tap.test('should close the connection of a request that is given up', t =>
   withServer(async (server, endpoint, client) => {
     // Symptom: servers work for callers that are gone. Cause: the request is forgotten, its connection kept.
