Inner protocol: a connection that fell silent is given up

Change: a connection that brought nothing for a second and since the call was written is closed. Test first: 'should leave a connection that fell silent for a fresh one' failed before (29 s without an answer).

--- a/platform/src/endpointPools.ts
+++ b/packages/clients/src/endpointPools.ts
@@ -1,7 +1,7 @@
 /**
  * Kept connections to servers, a pool for each address.
  */
-import { codeOf } from '@fuchsiahitch/clients';
+import { codeOf } from './etcdStore.js';
 import { buildConnector, Pool } from 'undici';
 
 const CONNECT_TIMEOUT_MS = 600;
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -1,5 +1,6 @@
 /** Adapters to the platform, the endpoints and the scorers. */
 export * from './engine.js';
+export * from './endpointPools.js';
 export * from './etcdStore.js';
 export * from './httpEngineClient.js';
 export * from './httpTools.js';
@@ -7,3 +8,4 @@
 export * from './memberList.js';
 export * from './scorer.js';
 export * from './serviceClient.js';
+export * from './watchByChanges.js';
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -20,6 +20,8 @@
 /** After a failed connect, calls fail at once for this long: a dead peer must not hold up every request. */
 const RECONNECT_PAUSE_MS = 300;
 const CONNECT_TIMEOUT_MS = 1500;
+/** A connection that brings nothing for so long while a call waits is given up; a busy peer answers sooner. */
+const SILENT_MS = 1000;
 /** Calls written and not yet answered on one link; more are refused as not sent. */
 const MAX_PENDING_CALLS = 20_000;
 
@@ -49,6 +51,7 @@
   private _socket: net.Socket | undefined;
   private _nextId = 1;
   private _pausedUntilMs = 0;
+  private _readMs = -Infinity;
   private _isClosed = false;
 
   constructor(options: PeerLinkOptions) {
@@ -90,15 +93,28 @@
     const id = this._nextId++;
     const frame = encodeFrame({ t: 'call', id, name, body, ...(trace === undefined ? {} : { trace }) });
     return new Promise(resolve => {
-      const cancelTimer = this._options.clock.after(deadline.leftMs(), () =>
-        this._settle(id, err({ kind: 'timed-out' })),
-      );
+      const sentMs = this._options.clock.nowMs();
+      const cancelTimer = this._options.clock.after(deadline.leftMs(), () => {
+        this._settle(id, err({ kind: 'timed-out' }));
+        this._dropIfSilent(socket, sentMs);
+      });
       this._pending.set(id, { settle: resolve, cancelTimer });
       this._options.counters.sent(frame.length);
       socket.write(frame);
     });
   }
 
+  /**
+   * Ends a connection on which nothing has come since a call that got no reply. A connection can fall silent for good
+   * without a reset while new ones work; every later call on it would wait out its deadline too.
+   */
+  private _dropIfSilent(socket: net.Socket, sentMs: number): void {
+    const silentMs = this._options.clock.nowMs() - this._readMs;
+    if (this._readMs >= sentMs || silentMs < SILENT_MS || socket !== this._socket) return;
+    this._drop(socket, 'silent');
+    this._lost(socket);
+  }
+
   private _settle(id: number, result: Result<unknown, CallError>): void {
     const pending = this._pending.get(id);
     if (!pending) return;
@@ -142,6 +158,7 @@
 
   private _read(socket: net.Socket, reader: FrameReader, handshake: ClientHandshake, chunk: Buffer): void {
     this._options.counters.received(chunk.length);
+    this._readMs = this._options.clock.nowMs();
     reader.push(chunk);
     for (;;) {
       if (socket.destroyed) return;
--- a/tests/protocol.spec.ts
+++ b/tests/protocol.spec.ts
@@ -201,3 +201,44 @@
   t.equal(process.env.UV_USE_IO_URING ?? '0', '0');
   await eventually('nothing', () => true);
 });
+
+await tap.test('should leave a connection that fell silent for a fresh one', async t => {
+  // Symptom: calls to one host time out for ever, while others reach it. Sequence: the connection falls silent
+  // without a reset; new connections work. Cause: a time-out that ends the call and keeps the connection.
+  const { server, address, counters } = await pair();
+  let isSilent = false;
+  const sockets: net.Socket[] = [];
+  const proxy = net.createServer(socket => {
+    const [ip = '', port = ''] = address.split(':');
+    const onward = net.connect({ host: ip, port: Number(port) });
+    const isDead = (): boolean => isSilent && sockets.indexOf(socket) === 0;
+    sockets.push(socket);
+    socket.on('data', chunk => isDead() || onward.write(chunk));
+    onward.on('data', chunk => isDead() || socket.write(chunk));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => onward.destroy());
+    onward.on('error', () => onward.destroy());
+  });
+  await new Promise<void>(resolve => proxy.listen(0, '127.0.0.1', resolve));
+  const bound = proxy.address();
+  const port = typeof bound === 'object' && bound ? bound.port : 0;
+  const through = new PeerLink({
+    address: `127.0.0.1:${port}`,
+    fleetKey: KEY,
+    identity: identity('b'),
+    clock,
+    counters,
+  });
+  t.ok((await through.call(echo, { text: 'one' }, Deadline.after(clock, 2000))).ok);
+  isSilent = true;
+  const lost = await through.call(echo, { text: 'two' }, Deadline.after(clock, 100));
+  t.ok(!lost.ok && lost.error.kind === 'timed-out');
+  await eventually('a fresh connection answers', async () => {
+    const reply = await through.call(echo, { text: 'three' }, Deadline.after(clock, 500));
+    return reply.ok;
+  });
+  t.equal(sockets.length, 2);
+  through.close();
+  proxy.close();
+  await server.close();
+});
