--- /dev/null
+++ b/packages/gateway/src/batchSweeper.ts
@@ -0,0 +1,80 @@
+/**
+ * Removes the records of old batches.
+ *
+ * What goes wrong without it: the store holds every batch that was ever submitted, and one day refuses writes. Every
+ * host sweeps at its own time, so that it needs no agreement; removing a record twice does no harm.
+ */
+import { Deadline, sleep } from '@fuchsiahitch/base';
+import { CLAIMS, readClaim } from '@fuchsiahitch/batches';
+import type { RevisionedStore } from '@fuchsiahitch/clients';
+import type { BatchStore } from './batchStore.js';
+import type { GatewayContext } from './gatewayContext.js';
+
+/** The pause between two sweeps of one host: a listing of the claims is one call. */
+const SWEEP_INTERVAL_MS = 120_000;
+const CALL_TIMEOUT_MS = 3000;
+/** Removals of one sweep: each is a few calls, and the rest waits for the next. */
+const MAX_REMOVALS = 50;
+/** Results are read for the promised time after the submission; hosts' clocks and slow trainers get as much again. */
+const MARGIN_FACTOR = 2;
+/** A batch that was never ended may still run; no route keeps items for longer than this. */
+const OPEN_FACTOR = 10;
+
+export class BatchSweeper {
+  private readonly _context: GatewayContext;
+  private readonly _store: RevisionedStore;
+  private readonly _batches: BatchStore;
+  private readonly _readableMs: number;
+
+  /** `readableMs`: how long after its submission a batch must be readable. */
+  constructor(context: GatewayContext, store: RevisionedStore, batches: BatchStore, readableMs: number) {
+    this._context = context;
+    this._store = store;
+    this._batches = batches;
+    this._readableMs = readableMs;
+  }
+
+  start(): void {
+    void this._run();
+  }
+
+  private async _run(): Promise<void> {
+    const { stopped } = this._context;
+    await this._pause();
+    while (!stopped.aborted) {
+      await this._sweep();
+      await this._pause();
+    }
+  }
+
+  private async _pause(): Promise<void> {
+    const { clock, random, stopped } = this._context;
+    await sleep(clock, SWEEP_INTERVAL_MS / 2 + random.below(SWEEP_INTERVAL_MS), stopped);
+  }
+
+  private async _sweep(): Promise<void> {
+    const claims = await this._store.list(CLAIMS, this._deadline());
+    if (!claims.ok) return;
+    let removed = 0;
+    for (const { key, value } of claims.value) {
+      if (removed >= MAX_REMOVALS || !this._isOld(key, value)) continue;
+      removed += 1;
+      await this._batches.remove(key.slice(CLAIMS.length), this._deadline());
+    }
+    this._context.log.info('old batches swept', { claims: claims.value.length, removed });
+  }
+
+  private _isOld(key: string, value: string): boolean {
+    const claim = readClaim(key, value);
+    if (!claim.ok) {
+      this._context.log.warn('unreadable claim', { key });
+      return false;
+    }
+    const ageMs = this._context.clock.wallMs() - claim.value.acceptedWallMs;
+    return ageMs > this._readableMs * (claim.value.isEnded ? MARGIN_FACTOR : OPEN_FACTOR);
+  }
+
+  private _deadline(): Deadline {
+    return Deadline.after(this._context.clock, CALL_TIMEOUT_MS);
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import type { PeerServer } from '@fuchsiahitch/protocol';
 import { BatchService } from './batchService.js';
 import { BatchStore } from './batchStore.js';
+import { BatchSweeper } from './batchSweeper.js';
 import { ConfigurationService } from './configurationService.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import { Forwarder } from './forwarder.js';
@@ -26,6 +27,8 @@
   readonly orders: WeightOrdersOptions;
   /** All failure domains of the deployment. */
   readonly domains: readonly string[];
+  /** How long after its submission a batch must be readable. */
+  readonly batchReadableMs: number;
 }
 
 const SERVING_POLL_MS = 100;
@@ -42,6 +45,7 @@
   private readonly _context: GatewayContext;
   private readonly _store: RelayedStore;
   private readonly _reach: ReachMonitor;
+  private readonly _sweeper: BatchSweeper;
   private _inFlight = 0;
   private _isLeaving = false;
 
@@ -65,6 +69,7 @@
       configuration: this.configuration,
       client,
     };
+    this._sweeper = new BatchSweeper(context, store, ports.store, options.batchReadableMs);
     this.batches = new BatchService(context, ports, this.hosts);
     this.forwarder = new Forwarder(context, this.endpoints, client);
     const { configuration, endpoints, hosts } = this;
@@ -83,6 +88,7 @@
     this.endpoints.start();
     this.hosts.start();
     this._reach.start();
+    this._sweeper.start();
     for (const orders of this.orders) orders.start();
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export * from './batchOwner.js';
 export * from './batchService.js';
 export * from './batchStore.js';
+export * from './batchSweeper.js';
 export * from './configurationService.js';
 export * from './endpoint.js';
 export * from './endpointDirectory.js';
@@ -17,4 +18,5 @@
 export * from './storeLease.js';
 export * from './storeRelayMessages.js';
 export * from './storeMirror.js';
+export * from './streamReply.js';
 export * from './weightOrders.js';
--- a/platform/src/streamReply.ts
+++ b/packages/gateway/src/streamReply.ts
@@ -2,7 +2,8 @@
  * A streamed answer on its way to a caller.
  */
 import type { ServerResponse } from 'node:http';
-import type { HeaderPair, StreamSink } from '@fuchsiahitch/gateway';
+import type { StreamSink } from './forwarder.js';
+import type { HeaderPair } from './ports.js';
 
 export class StreamReply implements StreamSink {
   private readonly _response: ServerResponse;
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,4 @@
-/** Logs and traces of every program. */
+/** Logs, traces and metrics of every program. */
 export * from './logger.js';
+export * from './metricsRegistry.js';
 export * from './tracing.js';
--- /dev/null
+++ b/packages/telemetry/src/metricsRegistry.ts
@@ -0,0 +1,55 @@
+/**
+ * What the metrics of all programs share, by Prometheus' naming conventions.
+ */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+export class MetricsRegistry {
+  readonly registry = new Registry();
+  private readonly _peerRefusals = this.counter(
+    'fuchsiahitch_peer_refusals_total',
+    'Refusals on the inner protocol',
+    ['reason'],
+  );
+  private readonly _peerBytes = this.counter('fuchsiahitch_peer_bytes_total', 'Bytes on the inner protocol', [
+    'direction',
+  ]);
+
+  /** The inner protocol refused something. */
+  refused(reason: string): void {
+    this._peerRefusals.inc({ reason });
+  }
+
+  sent(sizeBytes: number): void {
+    this._peerBytes.inc({ direction: 'sent' }, sizeBytes);
+  }
+
+  received(sizeBytes: number): void {
+    this._peerBytes.inc({ direction: 'received' }, sizeBytes);
+  }
+
+  /** A gauge whose value is read when the metrics are. */
+  gauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  protected counter<T extends string>(name: string, help: string, labelNames: readonly T[]): Counter<T> {
+    return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
+  }
+
+  protected histogram<T extends string>(
+    name: string,
+    help: string,
+    buckets: readonly number[],
+    labelNames: readonly T[],
+  ): Histogram<T> {
+    const registers = [this.registry];
+    return new Histogram({ name, help, buckets: [...buckets], labelNames: [...labelNames], registers });
+  }
+}
--- a/tests/batchStore.spec.ts
+++ b/tests/batchStore.spec.ts
@@ -4,7 +4,7 @@
 import tap from 'tap';
 import { Deadline, VirtualClock } from '@fuchsiahitch/base';
 import { claimKey, type ItemResult, type Owner } from '@fuchsiahitch/batches';
-import { BatchStore } from '@fuchsiahitch/gateway';
+import { BatchStore, BatchSweeper } from '@fuchsiahitch/gateway';
 import { FakeStore } from './fakeStore.js';
 import { batch, item, testContext } from './gatewayWorld.js';
 
@@ -147,3 +147,28 @@
   t.ok(await batches.remove('b1', deadline()));
   t.same(store.keys(''), []);
 });
+
+await tap.test('should remove old batches, and none that may still be read', async t => {
+  // Symptom: the store refuses writes after some weeks. Cause: records of batches are written and never removed.
+  const { clock, store, batches, deadline } = world();
+  const context = testContext(clock);
+  const sweeper = new BatchSweeper(context, store.client(), batches, 120_000);
+  const accept = async (id: string, isEnded: boolean): Promise<void> => {
+    const accepted = await batches.accept({ ...BATCH, id }, A, deadline());
+    if (accepted.kind === 'accepted' && isEnded)
+      await batches.changeClaim(id, accepted.held, { isEnded: true }, deadline());
+  };
+  await accept('ended', true);
+  await accept('open', false);
+  sweeper.start();
+  await clock.advance(230_000);
+  t.ok(store.value(claimKey('ended')), 'still readable');
+  await accept('fresh', true);
+  await clock.advance(230_000);
+  t.equal(store.value(claimKey('ended')), undefined);
+  t.same(store.keys('fuchsiahitch/batch/ended'), []);
+  t.ok(store.value(claimKey('open')) && store.value(claimKey('fresh')));
+  await clock.advance(1_200_000);
+  t.same(store.keys(''), [], 'also one that was never ended');
+  context.stop.abort();
+});
