--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -53,7 +53,7 @@
 const PEER_TIMEOUT_MS = 700;
 /** Taking a batch over is two calls to the store and one read of it. */
 const ADOPT_TIMEOUT_MS = 1500;
-const MAX_HEIRS = 3;
+const MAX_SUCCESSORS = 3;
 /** How often a batch whose owner can't be reached is read from the store while a reader waits. */
 const STORED_POLL_MS = 400;
 /** A refused batch may come back after this: an outage of the store lasts seconds. */
@@ -196,7 +196,7 @@
     if (owner.isEnded()) return;
     const from = this._hosts.self();
     const unfinished = owner.ledger.unfinished();
-    for (const peer of this._heirs()) {
+    for (const peer of this._successors()) {
       const request = { batchId, from, unfinished };
       const reply = await this._hosts.call(peer.address, calls.batchAdopt, request, ADOPT_TIMEOUT_MS);
       const isAdopted = reply.ok && reply.value.isAdopted;
@@ -206,12 +206,12 @@
   }
 
   /** Hosts that are asked to take a batch: a few, drawn at random, so that one does not get all. */
-  private _heirs(): readonly Owner[] {
+  private _successors(): readonly Owner[] {
     const peers = [...this._hosts.peers()];
-    const heirs: Owner[] = [];
-    while (peers.length > 0 && heirs.length < MAX_HEIRS)
-      heirs.push(...peers.splice(this._context.random.below(peers.length), 1));
-    return heirs;
+    const successors: Owner[] = [];
+    while (peers.length > 0 && successors.length < MAX_SUCCESSORS)
+      successors.push(...peers.splice(this._context.random.below(peers.length), 1));
+    return successors;
   }
 
   private async _adopt(request: BatchAdopt): Promise<{ readonly isAdopted: boolean }> {
