--- a/packages/batches/src/batchLedger.ts
+++ b/packages/batches/src/batchLedger.ts
@@ -107,12 +107,6 @@
     return entries.map(entry => entry.item);
   }
 
-  countRunning(): number {
-    let count = 0;
-    for (const entry of this._entries.values()) if (entry.state === 'running') count += 1;
-    return count;
-  }
-
   /** An attempt begins: its number, from 1. */
   begin(itemId: string): number {
     const entry = this._entry(itemId);
--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -51,7 +51,6 @@
 export const versionSeenSchema = z
   .strictObject({ endpointId: z.string(), model: z.string(), version: count })
   .readonly();
-export type VersionSeen = z.infer<typeof versionSeenSchema>;
 
 export const batchEndSchema = z.strictObject({ batchId: z.string() }).readonly();
 
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -7,7 +7,6 @@
   countThatFits,
   pageFrom,
   placeItem,
-  shareEndpoints,
   MOVE_FACTOR,
   type Batch,
   type BatchItem,
@@ -23,7 +22,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { ItemAttempt, type AttemptEnd } from './itemAttempt.js';
 import type { EndpointClient } from './ports.js';
-import { sharedView } from './weightOrders.js';
+import { modelShares } from './modelShares.js';
 
 /** What the owner of a batch works with. */
 export interface BatchPorts {
@@ -246,14 +245,9 @@
     const candidates = this._candidates(route);
     const { model } = this.ledger.batch;
     const pool = candidates[0]?.pool ?? '';
-    const models = this._ports.configuration.models().get(pool) ?? [];
-    if (models.length < 2) return [candidates];
-    const all = this._ports.endpoints.ofPool(pool).filter(endpoint => !endpoint.isLeaving);
-    const targets = new Map(models.map(name => [name, this._ports.configuration.namedVersion(name)]));
-    const shares = shareEndpoints(
-      all.map(endpoint => sharedView(endpoint, models)),
-      targets,
-    );
+    const { configuration, endpoints } = this._ports;
+    const { targets, shares } = modelShares(pool, configuration, endpoints);
+    if (targets.size < 2) return [candidates];
     const own = new Set(shares.get(model) ?? []);
     return [
       candidates.filter(endpoint => own.has(endpoint.id)),
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -1,7 +1,7 @@
 /**
  * The endpoints that exist, from their own records in the store.
  */
-import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
+import type { CancelTimer } from '@fuchsiahitch/base';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import { Endpoint } from './endpoint.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -110,8 +110,3 @@
     this._context.log.info('endpoint', { change, endpointId: id, pool, domain, sinceFailureMs });
   }
 }
-
-/** The deadline of a short call to the store. */
-export function storeDeadline(context: GatewayContext, timeoutMs: number): Deadline {
-  return Deadline.after(context.clock, timeoutMs);
-}
--- /dev/null
+++ b/packages/gateway/src/modelShares.ts
@@ -0,0 +1,35 @@
+/**
+ * How the endpoints of a pool are divided among its models, as every host computes it from its own view.
+ */
+import { shareEndpoints, type ModelTargets, type SharedEndpoint } from '@fuchsiahitch/batches';
+import type { ConfigurationService } from './configurationService.js';
+import type { Endpoint } from './endpoint.js';
+import type { EndpointDirectory } from './endpointDirectory.js';
+
+export interface ModelShares {
+  /** The endpoints of the pool that are not leaving. */
+  readonly endpoints: readonly Endpoint[];
+  /** The newest version of each model by its name. */
+  readonly targets: ModelTargets;
+  /** The identifiers of each model's endpoints. */
+  readonly shares: ReadonlyMap<string, readonly string[]>;
+}
+
+export function modelShares(
+  pool: string,
+  configuration: ConfigurationService,
+  directory: EndpointDirectory,
+): ModelShares {
+  const models = configuration.models().get(pool) ?? [];
+  const endpoints = directory.ofPool(pool).filter(endpoint => !endpoint.isLeaving);
+  const targets = new Map(models.map(model => [model, configuration.namedVersion(model)]));
+  const views = endpoints.map(endpoint => sharedView(endpoint, models));
+  return { endpoints, targets, shares: shareEndpoints(views, targets) };
+}
+
+function sharedView(endpoint: Endpoint, models: readonly string[]): SharedEndpoint {
+  return {
+    id: endpoint.id,
+    versions: new Map(models.map(model => [model, endpoint.versionOf(model)])),
+  };
+}
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -9,7 +9,6 @@
  * dies, stops the orders of one domain and not of all.
  */
 import { every, type Clock } from '@fuchsiahitch/base';
-import { shareEndpoints, type SharedEndpoint } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import { dueForLoad, LeaseGuard, LoadWindow, SwapPlanner, type WeightOrder } from '@fuchsiahitch/orders';
 import { calls } from '@fuchsiahitch/protocol';
@@ -18,6 +17,7 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { lastOrdererKey, ordersKey, type CallRegistry, type Hosts } from './hostDirectory.js';
+import { modelShares } from './modelShares.js';
 import type { EndpointClient } from './ports.js';
 import { StoreLease } from './storeLease.js';
 
@@ -183,25 +183,20 @@
       this._context.log.warn('this process was paused: no orders until the lease is renewed');
     }
     if (this._context.clock.nowMs() < this._mayBeginMs) return;
-    for (const [pool, models] of this._ports.configuration.models()) this._orderPool(pool, models);
+    for (const pool of this._ports.configuration.models().keys()) this._orderPool(pool);
   }
 
-  private _orderPool(pool: string, models: readonly string[]): void {
+  private _orderPool(pool: string): void {
     const token = this._guard.token();
     if (token === undefined) return;
-    const { configuration, endpoints } = this._ports;
-    const targets = new Map(models.map(model => [model, configuration.namedVersion(model)]));
-    const all = endpoints.ofPool(pool).filter(endpoint => !endpoint.isLeaving);
-    const shares = shareEndpoints(
-      all.map(endpoint => sharedView(endpoint, models)),
-      targets,
-    );
+    const { configuration, endpoints: directory } = this._ports;
+    const { endpoints, targets, shares } = modelShares(pool, configuration, directory);
     const due: DueOrder[] = [];
     for (const [model, version] of targets) {
-      const share = all.filter(endpoint => shares.get(model)?.includes(endpoint.id));
+      const share = endpoints.filter(endpoint => shares.get(model)?.includes(endpoint.id));
       due.push(...this._dueOf(pool, model, version, share));
     }
-    const limit = Math.max(1, Math.floor(LOADING_SHARE * all.length));
+    const limit = Math.max(1, Math.floor(LOADING_SHARE * endpoints.length));
     const window = this._windowOf(pool).next(due, limit);
     for (const { id } of window)
       this._orderEndpoint(
@@ -338,14 +333,6 @@
   });
 }
 
-/** An endpoint as the division among models sees it. */
-export function sharedView(endpoint: Endpoint, models: readonly string[]): SharedEndpoint {
-  return {
-    id: endpoint.id,
-    versions: new Map(models.map(model => [model, endpoint.versionOf(model)])),
-  };
-}
-
 /** Notices that the process stood still: the monotonic clock does not count such a time, the wall clock does. */
 class PauseDetector {
   private readonly _clock: Clock;
--- a/packages/requests/src/endpointStats.ts
+++ b/packages/requests/src/endpointStats.ts
@@ -19,7 +19,7 @@
 const FIRST_OPEN_MS = 1000;
 const MAX_OPEN_MS = 30_000;
 /** A report older than this says nothing any more. */
-export const REPORT_VALID_MS = 15_000;
+const REPORT_VALID_MS = 15_000;
 
 type BreakerState =
   | { readonly kind: 'closed' }
