--- a/tests/batches.spec.ts
+++ b/tests/batches.spec.ts
@@ -288,7 +288,7 @@
     id,
     version,
     load,
-    isLoading: false,
+    takesOrders: true,
   });
   t.same(dueForLoad([at('1', 1, 5), at('2', 1, 0), at('3', 1, 2), at('4', 1, 1)], 2, 1), ['2', '4']);
   t.same(dueForLoad([at('1', 1), at('2', 2), at('3', 1), at('4', 2)], 3, 1), ['1', '3']);
@@ -302,7 +302,7 @@
   // Symptom: a step stands still for half of its time while endpoints load. Sequence: two trainers name versions in
   // the same second; those of the first prepare its next step, the second's step has begun and finds none that is
   // new enough. Cause: due loads taken model by model.
-  const at = (id: string, version: number): LoadCandidate => ({ id, version, load: 0, isLoading: false });
+  const at = (id: string, version: number): LoadCandidate => ({ id, version, load: 0, takesOrders: true });
   const quests = { model: 'quests', named: 11, candidates: [at('q1', 10), at('q2', 10), at('q3', 9)] };
   const barks = { model: 'barks', named: 9, candidates: [at('b1', 7), at('b2', 7), at('b3', 7)] };
   const ids = orderLoads([quests, barks], 1).map(({ id, version }) => `${id}:${version}`);
@@ -313,8 +313,8 @@
 await tap.test('should count an endpoint that loads with what it loads, and give it no second order', t => {
   // Symptom: new weights come a second late. Sequence: two endpoints load version 10 when 11 is named; both are
   // chosen again and answer that they are busy, while others are idle. Cause: loads that run were not counted.
-  const loading = { id: 'a', version: 10, load: 0, isLoading: true };
-  const idle = { id: 'b', version: 9, load: 4, isLoading: false };
+  const loading = { id: 'a', version: 10, load: 0, takesOrders: false };
+  const idle = { id: 'b', version: 9, load: 4, takesOrders: true };
   t.same(orderLoads([{ model: 'm', named: 11, candidates: [loading, idle] }], 1), [
     { id: 'b', model: 'm', version: 11 },
   ]);
