Gateway: a span for each hop of a request

Cause: spans existed on the product's own interface only; a request on the users' platform left none. Change: a span of the caller's request and one of each attempt at an endpoint, joined to the caller's trace context where it has one. Test: forwarder.spec.ts reads the spans of a request with a refused and an answered attempt.

--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -23,6 +23,8 @@
   readonly body: Buffer | undefined;
   /** How long the caller waits, from its arrival; undefined if it did not say. */
   readonly waitMs: number | undefined;
+  /** The caller's trace context, by the W3C recommendation; undefined when it has none. */
+  readonly trace?: string | undefined;
 }
 
 /** An answer as it is passed on. */
@@ -87,8 +89,11 @@
   /** Forwards a request whose answer is passed on whole. */
   async forward(request: CallerRequest, route: Route, left: AbortSignal): Promise<ForwardOutcome> {
     this._hedges.requestBegan();
-    const run = new ForwardRun(this._context, this, request, route, left);
-    return run.run();
+    const hop = this._context.tracing.begin('caller', request.trace);
+    const run = new ForwardRun(this._context, this, { ...request, trace: hop.traceparent }, route, left);
+    const outcome = await run.run();
+    hop.end({ requestId: request.id, outcome: outcome.kind });
+    return outcome;
   }
 
   /** Forwards a request whose answer is a stream. It is sent again only after proof that it did not run. */
@@ -97,6 +102,18 @@
     route: Route,
     sink: StreamSink,
     left: AbortSignal,
+  ): Promise<ForwardOutcome> {
+    const hop = this._context.tracing.begin('caller', request.trace);
+    const outcome = await this._stream({ ...request, trace: hop.traceparent }, route, sink, left);
+    hop.end({ requestId: request.id, outcome: outcome.kind });
+    return outcome;
+  }
+
+  private async _stream(
+    request: CallerRequest,
+    route: Route,
+    sink: StreamSink,
+    left: AbortSignal,
   ): Promise<ForwardOutcome> {
     const deadline = Deadline.after(this._context.clock, timeoutOf(request, route));
     const tried = new Set<string>();
@@ -104,7 +121,9 @@
       const endpoint = this.choose(route, tried);
       if (!endpoint) break;
       tried.add(endpoint.id);
+      const hop = this._context.tracing.begin('endpoint', request.trace);
       const end = await this._streamOnce(request, endpoint, deadline, sink, left);
+      hop.end({ requestId: request.id, endpointId: endpoint.id, end: end?.kind ?? 'not-run' });
       if (end) return end;
     }
     return { kind: 'not-run', reason: 'no endpoint takes it', retryAfterMs: RETRY_AFTER_MS };
@@ -142,7 +161,9 @@
   ): Promise<AttemptEnd> {
     endpoint.stats.began(false);
     endpoint.limit.used(endpoint.stats.inFlight());
+    const hop = this._context.tracing.begin('endpoint', request.trace);
     const end = await this._exchange(request, endpoint, leftMs, signal);
+    hop.end({ requestId: request.id, endpointId: endpoint.id, end: end.kind });
     if (end.kind === 'cancelled') endpoint.stats.cancelled(false);
     else endpoint.stats.ended(false, end.kind === 'broken' || (end.kind === 'answered' && end.isFailure));
     this._context.metrics.attempts.inc({ kind: 'request', end: end.kind });
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -1,10 +1,13 @@
 /**
  * How requests are forwarded: attempts, promises, time, leaving callers; and bounded logs.
  */
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
 import tap from 'tap';
 import { VirtualClock } from '@fuchsiahitch/base';
 import { EndpointDirectory, Forwarder, type CallerRequest, type EndpointReply } from '@fuchsiahitch/gateway';
-import { BoundedWriter } from '@fuchsiahitch/telemetry';
+import { BoundedWriter, Tracing } from '@fuchsiahitch/telemetry';
 import { FakeStore } from './fakeStore.js';
 import {
   answer,
@@ -24,7 +27,7 @@
   readonly stop: AbortController;
 }
 
-async function forwarding(): Promise<Forwarding> {
+async function forwarding(tracing?: Tracing): Promise<Forwarding> {
   const clock = new VirtualClock();
   const store = new FakeStore(clock);
   const context = testContext(clock);
@@ -33,7 +36,8 @@
   endpoints.start();
   await clock.advance(100);
   const client = new ScriptedClient(clock);
-  return { clock, client, forwarder: new Forwarder(context, endpoints, client), stop: context.stop };
+  const traced = tracing ? { ...context, tracing } : context;
+  return { clock, client, forwarder: new Forwarder(traced, endpoints, client), stop: context.stop };
 }
 
 const REQUEST: CallerRequest = {
@@ -217,3 +221,50 @@
   t.equal(writer.dropped(), 1);
   t.end();
 });
+
+await tap.test('should record a span for each hop of a request', async t => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'spans-'));
+  const file = path.join(folder, 'spans.jsonl');
+  const { client, forwarder, stop } = await forwarding(new Tracing(file, 'host-a'));
+  const replies: EndpointReply[] = [
+    { kind: 'not-run', reason: 'refused', load: undefined },
+    { kind: 'answered', answer: answer(200, 'whole') },
+  ];
+  client.reply = () => Promise.resolve(replies.shift() ?? { kind: 'broken', text: 'no reply left' });
+  const parent = '4bf92f3577b34da6a3ce929d0e0e4736';
+  const trace = `00-${parent}-00f067aa0ba902b7-01`;
+  await forwarder.forward({ ...REQUEST, trace }, route({ run: 'idempotent' }), new AbortController().signal);
+  stop.abort();
+  const lines = await written(file, 3);
+  const spans = lines.map(line => JSON.parse(line) as Span);
+  const caller = spans.find(span => span.name === 'caller');
+  t.ok(spans.every(span => span.traceId === parent));
+  t.equal(caller?.parentSpanId, '00f067aa0ba902b7');
+  t.same(
+    spans.filter(span => span.name === 'endpoint').map(span => [span.parentSpanId, span.attributes.end]),
+    [
+      [caller?.spanId, 'not-run'],
+      [caller?.spanId, 'answered'],
+    ],
+  );
+  t.equal(caller?.attributes.outcome, 'answered');
+  fs.rmSync(folder, { recursive: true });
+});
+
+interface Span {
+  readonly traceId: string;
+  readonly spanId: string;
+  readonly parentSpanId: string;
+  readonly name: string;
+  readonly attributes: { readonly end?: string; readonly outcome?: string };
+}
+
+/** The lines of a file that another stream writes, once there are so many. */
+async function written(file: string, count: number): Promise<readonly string[]> {
+  for (;;) {
+    const text = fs.existsSync(file) ? fs.readFileSync(file, 'utf8') : '';
+    const lines = text.split('\n').filter(line => line !== '');
+    if (lines.length >= count) return lines;
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
