Batches: a host that is taking a batch over does not deny it

A host that has written itself into the claim reads the batch before it runs it, three calls of 0.25 s and more; asked meanwhile, it said that it does not run the batch, which is what a replaced process says, and whoever had asked took it over.

Change: who asks waits until the takeover or the acceptance that runs has ended. Test: three hosts, an owner that is gone, a store with 0.25 s a call; failed before with more takeovers than one.

--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -366,7 +366,7 @@
   }
 
   private async _locate(batchId: string, isAgain: boolean): Promise<Located> {
-    const owner = this._owned.get(batchId);
+    const owner = await this._ownerHere(batchId);
     if (owner) return { kind: 'here', owner };
     const known = this._claims.get(batchId);
     if (known && !isAgain) return toLocated(known);
@@ -515,20 +515,33 @@
     readonly after: number;
     readonly waitMs: number;
   }): Promise<BatchReadReply> {
-    const owner = this._owned.get(request.batchId);
+    const owner = await this._ownerHere(request.batchId);
     return owner ? owner.read(request.after, request.waitMs) : { kind: 'not-owner' };
   }
 
-  private _itemHere(request: { readonly batchId: string; readonly itemId: string }): BatchItemReply {
-    const owner = this._owned.get(request.batchId);
+  private async _itemHere(request: {
+    readonly batchId: string;
+    readonly itemId: string;
+  }): Promise<BatchItemReply> {
+    const owner = await this._ownerHere(request.batchId);
     return owner ? itemOf(owner.ledger.batch, request.itemId) : { kind: 'not-owner' };
   }
 
   private async _endHere(batchId: string): Promise<BatchEndReply> {
-    const owner = this._owned.get(batchId);
+    const owner = await this._ownerHere(batchId);
     return owner ? endReply(await owner.end()) : { kind: 'not-owner' };
   }
 
+  /**
+   * The batch, if this host runs it, or is about to. What goes wrong without the wait: the claim names this host, but
+   * the batch is still being read from a slow store; asked meanwhile, this host denies it, and whoever asked takes
+   * it over, and so on from host to host. One sees many `batch takeover` lines of one batch in a row.
+   */
+  private async _ownerHere(batchId: string): Promise<BatchOwner | undefined> {
+    await (this._takeovers.get(batchId) ?? this._submits.get(batchId));
+    return this._owned.get(batchId);
+  }
+
   private _remember(batchId: string, held: HeldClaim): void {
     this._claims.delete(batchId);
     this._claims.set(batchId, held);
--- a/tests/batchService.spec.ts
+++ b/tests/batchService.spec.ts
@@ -185,6 +185,32 @@
   world.stop();
 });
 
+await tap.test('should take a batch over once, while the store is slow', async t => {
+  // Symptom: a step makes no progress while its batch goes from host to host. Sequence: the owner is gone; one host takes
+  // the batch over, and reads it from a store whose calls take 0.25 s; others ask it meanwhile. Cause: it says that it does
+  // not run the batch, which is what a replaced process says.
+  const [world, a, b, c] = await started('a', 'b', 'c');
+  if (!a || !b || !c) return;
+  world.client.script = call => ({ events: 200 - call.afterEvent, end: { kind: 'done' }, eventMs: 20 });
+  await submit(world, a);
+  await world.clock.advance(500);
+  a.kill();
+  world.expire('a');
+  for (const host of [b, c]) host.storeClient.slowMs = 250;
+  const reading: Promise<unknown>[] = [];
+  for (let i = 0; i < 10; i++) {
+    for (const host of [b, c]) reading.push(host.batches.read('b1', 0, 500));
+    await world.clock.advance(300);
+  }
+  await world.clock.advance(4000);
+  await Promise.all(reading);
+  const taken = [b, c].flatMap(host =>
+    host.context.log.lines.filter(line => line.text === 'batch takeover' && line.details.outcome === 'done'),
+  );
+  t.equal(taken.length, 1);
+  world.stop();
+});
+
 await tap.test('should leave a batch to an owner that lives but can’t be reached from here', async t => {
   // Symptom: every item of a batch runs twice. Sequence: a network cut between two hosts, both with their leases.
   // Cause: "I can't reach it" taken for "it is dead".
--- a/tests/fakeStore.ts
+++ b/tests/fakeStore.ts
@@ -145,6 +145,8 @@
 
 export class FakeStoreClient implements RevisionedStore {
   mode: StoreMode = 'well';
+  /** Each call takes so long. */
+  slowMs = 0;
   calls = 0;
   private readonly _store: FakeStore;
   private readonly _clock: Clock;
@@ -234,6 +236,7 @@
   private async _reach(call: string, deadline: Deadline): Promise<StoreError | undefined> {
     this.calls += 1;
     this._store.calls.push(call);
+    if (this.slowMs > 0) await sleep(this._clock, this.slowMs);
     if (this.mode === 'away') return 'not-done';
     if (this.mode !== 'silent') return undefined;
     await sleep(this._clock, deadline.leftMs());
