--- a/packages/batches/src/keptEvents.ts
+++ b/packages/batches/src/keptEvents.ts
@@ -7,6 +7,7 @@
  */
 import type { BatchLedger } from './batchLedger.js';
 import type { ItemEvents } from './batchMessages.js';
+import type { GeneratedEvent } from './itemProgress.js';
 import { MAX_RECORD_UNITS } from './records.js';
 
 /** An item with fewer events runs for under a second: half of all items of a batch have fewer. */
@@ -35,14 +36,13 @@
    */
   missing(minEvents = MIN_EVENTS): readonly ItemEvents[] {
     const missing: ItemEvents[] = [];
-    let units = 0;
+    let unitsLeft = MAX_RECORD_UNITS;
     for (const { itemId } of this._ledger.unfinished()) {
       const progress = this._ledger.progress(itemId);
       if (progress.lastEvent() < minEvents) continue;
-      const events = progress.events().slice(this._keptOf(itemId));
+      const events = eventsThatFit(progress.events().slice(this._keptOf(itemId)), unitsLeft);
       if (events.length === 0) continue;
-      units += events.reduce((sum, { text }) => sum + UNITS_A_CHARACTER * text.length + UNITS_AN_EVENT, 0);
-      if (units > MAX_RECORD_UNITS && missing.length > 0) break;
+      unitsLeft -= unitsOf(events);
       missing.push({ itemId, events });
     }
     return missing;
@@ -68,3 +68,17 @@
     return isSameText ? kept.events : 0;
   }
 }
+
+/** The first of the events, as many as take no more than the units. */
+function eventsThatFit(events: readonly GeneratedEvent[], units: number): readonly GeneratedEvent[] {
+  let unitsLeft = units;
+  const beyond = events.findIndex(event => {
+    unitsLeft -= unitsOf([event]);
+    return unitsLeft < 0;
+  });
+  return beyond < 0 ? events : events.slice(0, beyond);
+}
+
+function unitsOf(events: readonly GeneratedEvent[]): number {
+  return events.reduce((sum, { text }) => sum + UNITS_A_CHARACTER * text.length + UNITS_AN_EVENT, 0);
+}
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -6,17 +6,12 @@
  */
 import { Deadline, err, ok, sleep, type Result } from '@fuchsiahitch/base';
 import {
-  carryOver,
-  hasSharedItems,
-  joinCarryOver,
-  NO_CARRY_OVER,
   pageFrom,
   type Batch,
   type BatchAdopt,
   type BatchEndReply,
   type BatchItemReply,
   type BatchReadReply,
-  type CarryOver,
   type ItemEvents,
   type Owner,
   type ResultPage,
@@ -24,6 +19,7 @@
 import { calls } from '@fuchsiahitch/protocol';
 import { BatchOwner, type BatchPorts } from './batchOwner.js';
 import type { HeldClaim, StoredBatch } from './batchStore.js';
+import { EarlierTexts } from './earlierTexts.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallRegistry, Hosts } from './hostDirectory.js';
 
@@ -63,8 +59,6 @@
 const STORED_POLL_MS = 400;
 /** A refused batch may come back after this: an outage of the store lasts seconds. */
 const RETRY_AFTER_MS = 1000;
-/** A new batch waits this long for what the step before has generated; it usually takes two calls of the store. */
-const CARRY_OVER_TIMEOUT_MS = 300;
 /** Ended batches that are kept in memory for their readers, about half a megabyte each; the rest is read from the store. */
 const KEPT_STORED = 8;
 const KEPT_ENDED = 4;
@@ -75,6 +69,7 @@
   private readonly _context: GatewayContext;
   private readonly _ports: BatchPorts;
   private readonly _hosts: Hosts;
+  private readonly _texts: EarlierTexts;
   private readonly _owned = new Map<string, BatchOwner>();
   private readonly _submits = new Map<string, Promise<SubmitOutcome>>();
   private readonly _takeovers = new Map<string, Promise<Located>>();
@@ -87,6 +82,7 @@
     this._context = context;
     this._ports = ports;
     this._hosts = hosts;
+    this._texts = new EarlierTexts(context, ports.store);
   }
 
   serve(server: CallRegistry): void {
@@ -268,7 +264,10 @@
   ): Promise<BatchOwner> {
     const owner = this._own(held, stored);
     const { id } = stored.batch;
-    const [before, kept] = await Promise.all([this._carriedOver(owner), this._keptProgress(id, held)]);
+    const [before, kept] = await Promise.all([
+      this._texts.ofEarlierSteps(stored.batch, owner.isSingleVersion()),
+      this._texts.ofFormerOwners(id, held),
+    ]);
     owner.ledger.carry(before);
     owner.ledger.resume([...kept, ...unfinished]);
     owner.start();
@@ -288,50 +287,6 @@
     return owner;
   }
 
-  /** What earlier steps have generated of this batch's items. Without it they begin anew, which only costs time. */
-  private async _carriedOver(owner: BatchOwner): Promise<CarryOver> {
-    const deadline = Deadline.after(this._context.clock, CARRY_OVER_TIMEOUT_MS);
-    const [older, newer] = await Promise.all([
-      this._carriedFrom(owner, 2, deadline),
-      this._carriedFrom(owner, 1, deadline),
-    ]);
-    return joinCarryOver(older, newer);
-  }
-
-  private async _carriedFrom(owner: BatchOwner, stepsBack: number, deadline: Deadline): Promise<CarryOver> {
-    const { batch } = owner.ledger;
-    const { store } = this._ports;
-    const earlierId = await store.earlierStep(batch, stepsBack, deadline);
-    if (!earlierId.ok) return this._withoutCarryOver(batch.id, earlierId.error.kind);
-    if (earlierId.value === undefined) return NO_CARRY_OVER;
-    const earlier = await store.submitted(earlierId.value, deadline);
-    if (!earlier.ok) return this._withoutCarryOver(batch.id, earlier.error.kind);
-    // Texts are ten times the size of what was submitted, and most steps need none.
-    if (!hasSharedItems(batch, earlier.value)) return NO_CARRY_OVER;
-    const [results, progress] = await Promise.all([
-      store.results(earlierId.value, deadline),
-      store.progress(earlierId.value, deadline),
-    ]);
-    if (!results.ok) return this._withoutCarryOver(batch.id, results.error.kind);
-    if (!progress.ok) return this._withoutCarryOver(batch.id, progress.error.kind);
-    const texts = { batch: earlier.value, results: results.value, progress: progress.value };
-    const before = carryOver(batch, texts, owner.isSingleVersion());
-    this._context.log.info('batch carried over', {
-      batchId: batch.id,
-      from: earlierId.value,
-      stepsBack,
-      groups: before.groups.size,
-      results: before.results.length,
-      unfinished: before.unfinished.length,
-    });
-    return before;
-  }
-
-  private _withoutCarryOver(batchId: string, error: string): CarryOver {
-    this._context.log.warn('an earlier step could not be read', { batchId, error });
-    return NO_CARRY_OVER;
-  }
-
   /** Ended batches can be read from the store: only the newest are kept in memory. */
   private _forgetEnded(): void {
     const ended = [...this._owned].filter(([, owner]) => owner.isEnded());
@@ -426,15 +381,6 @@
     return { kind: 'here', owner: await this._begin(done.value, stored.value, unfinished) };
   }
 
-  /** What former owners kept of unfinished items. Without it the items begin anew, which only costs time. */
-  private async _keptProgress(batchId: string, { claim }: HeldClaim): Promise<readonly ItemEvents[]> {
-    if (claim.takeovers === 0) return [];
-    const kept = await this._ports.store.progress(batchId, this._storeDeadline());
-    if (kept.ok) return kept.value;
-    this._context.log.warn('progress could not be read', { batchId, error: kept.error.kind });
-    return [];
-  }
-
   private _follow(batchId: string, held: HeldClaim): Located {
     this._remember(batchId, held);
     return toLocated(held);
--- /dev/null
+++ b/packages/gateway/src/earlierTexts.ts
@@ -0,0 +1,88 @@
+/**
+ * What was generated of a batch's items before its owner began: by former owners, and in earlier steps.
+ *
+ * Without it the items begin anew, which only costs time: so whatever can't be read is logged and left out.
+ */
+import { Deadline } from '@fuchsiahitch/base';
+import {
+  carryOver,
+  hasSharedItems,
+  joinCarryOver,
+  NO_CARRY_OVER,
+  type Batch,
+  type CarryOver,
+  type ItemEvents,
+} from '@fuchsiahitch/batches';
+import type { BatchStore, HeldClaim } from './batchStore.js';
+import type { GatewayContext } from './gatewayContext.js';
+
+/** A new batch waits this long for what earlier steps have generated; it usually takes two calls of the store. */
+const CARRY_OVER_TIMEOUT_MS = 300;
+const STORE_TIMEOUT_MS = 1000;
+
+export class EarlierTexts {
+  private readonly _context: GatewayContext;
+  private readonly _store: BatchStore;
+
+  constructor(context: GatewayContext, store: BatchStore) {
+    this._context = context;
+    this._store = store;
+  }
+
+  /** What former owners kept of unfinished items. */
+  async ofFormerOwners(batchId: string, { claim }: HeldClaim): Promise<readonly ItemEvents[]> {
+    if (claim.takeovers === 0) return [];
+    const deadline = Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
+    const kept = await this._store.progress(batchId, deadline);
+    if (kept.ok) return kept.value;
+    this._context.log.warn('progress could not be read', { batchId, error: kept.error.kind });
+    return [];
+  }
+
+  /** What the two steps before have generated of the batch's items: where steps overlap, groups come again in the second. */
+  async ofEarlierSteps(batch: Batch, isSingleVersion: boolean): Promise<CarryOver> {
+    const deadline = Deadline.after(this._context.clock, CARRY_OVER_TIMEOUT_MS);
+    const [older, newer] = await Promise.all([
+      this._ofStep(batch, isSingleVersion, 2, deadline),
+      this._ofStep(batch, isSingleVersion, 1, deadline),
+    ]);
+    return joinCarryOver(older, newer);
+  }
+
+  private async _ofStep(
+    batch: Batch,
+    isSingleVersion: boolean,
+    stepsBack: number,
+    deadline: Deadline,
+  ): Promise<CarryOver> {
+    const earlierId = await this._store.earlierStep(batch, stepsBack, deadline);
+    if (!earlierId.ok) return this._without(batch.id, earlierId.error.kind);
+    if (earlierId.value === undefined) return NO_CARRY_OVER;
+    const earlier = await this._store.submitted(earlierId.value, deadline);
+    if (!earlier.ok) return this._without(batch.id, earlier.error.kind);
+    // Texts are ten times the size of what was submitted, and most steps need none.
+    if (!hasSharedItems(batch, earlier.value)) return NO_CARRY_OVER;
+    const [results, progress] = await Promise.all([
+      this._store.results(earlierId.value, deadline),
+      this._store.progress(earlierId.value, deadline),
+    ]);
+    if (!results.ok) return this._without(batch.id, results.error.kind);
+    if (!progress.ok) return this._without(batch.id, progress.error.kind);
+    const texts = { batch: earlier.value, results: results.value, progress: progress.value };
+    const before = carryOver(batch, texts, isSingleVersion);
+    this._context.log.info('batch carried over', {
+      batchId: batch.id,
+      from: earlierId.value,
+      stepsBack,
+      groups: before.groups.size,
+      results: before.results.length,
+      unfinished: before.unfinished.length,
+    });
+    return before;
+  }
+
+  private _without(batchId: string, error: string): CarryOver {
+    this._context.log.warn('an earlier step could not be read', { batchId, error });
+    return NO_CARRY_OVER;
+  }
+}
--- a/packages/gateway/src/progressKeeper.ts
+++ b/packages/gateway/src/progressKeeper.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps what the items of one batch have generated so far in the store, for the next owner.
  *
- * Measured on played days that end with a loss of power of all hosts: without it the items that ran began anew, and
- * steps that were under way at that moment were late or lost.
+ * Without it the items of an owner that dies begin anew. Read from the logs of a fleet that lost power: five of 80 items
+ * had made 79 to 102 events when their trainer went on, 4 s of a step's 7.5 s for the second time.
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import { KeptEvents, type BatchLedger, type ItemEvents } from '@fuchsiahitch/batches';
@@ -63,7 +63,7 @@
     this._isStopped = true;
   }
 
-  /** The batch has ended, and its claim stands at another revision: keeps all that its next step may take up. */
+  /** The batch has ended, and its claim stands at another revision: keeps all that later steps may take up. */
   async finish(held: HeldClaim): Promise<void> {
     this.stop();
     this._held = held;
--- a/tests/batches.spec.ts
+++ b/tests/batches.spec.ts
@@ -121,6 +121,26 @@
   t.end();
 });
 
+await tap.test('should keep long texts in records that the store takes', t => {
+  // Symptom: nothing of a batch is kept any more. Sequence: an item's events of one second are larger than a value of the
+  // store; the write is refused, and repeated as it was. Cause: records were cut between items only.
+  const ledger = new BatchLedger(batch('b', [item('x')]), [], RULES);
+  const kept = new KeptEvents(ledger);
+  for (let number = 1; number <= 60; number++)
+    ledger.event('x', { number, text: 'x'.repeat(10_000), version: 1 });
+  const lasts: (number | undefined)[] = [];
+  for (;;) {
+    const missing = kept.missing();
+    if (missing.length === 0) break;
+    t.ok(JSON.stringify(missing).length < 330_000);
+    kept.keep(missing, kept.texts(missing));
+    lasts.push(missing.at(-1)?.events.at(-1)?.number);
+  }
+  t.equal(lasts.at(-1), 60);
+  t.ok(lasts.length > 3);
+  t.end();
+});
+
 await tap.test('should take the newest text of an item from kept lists, in their order', t => {
   const ledger = new BatchLedger(batch('b', [item('x'), item('y')]), [], RULES);
   const events = (from: number, to: number, version: number): GeneratedEvent[] =>
