Orders: a renewal that comes back after the release gives no right

Change: an answer after the release is left out. Test: an end at ten moments of a renewal with a store of 0.2 s a call; failed before.

--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -177,6 +177,8 @@
   }
 
   private _held(token: number, sentMs: number): void {
+    // A renewal that was on its way when this host gave the right up: its successor may order by now.
+    if (this._isReleased) return;
     this._guard.renewed(token, sentMs);
     if (this._token === token) return;
     this._token = token;
--- a/tests/gateway.spec.ts
+++ b/tests/gateway.spec.ts
@@ -411,6 +411,22 @@
   second.stop.abort();
 });
 
+await tap.test('should not order again after giving the right up', async t => {
+  // Symptom: an endpoint gets orders of two hosts within a second of a planned end. Sequence: the holder ends while a
+  // renewal of its lease is on its way to a slow store; the answer comes after the release. Cause: the answer was taken
+  // for the right to order.
+  for (let phaseMs = 0; phaseMs < 500; phaseMs += 50) {
+    const world = await ordering();
+    await world.clock.advance(6000);
+    world.storeClient.slowMs = 200;
+    await world.clock.advance(600 + phaseMs);
+    void world.orders.stop();
+    await world.clock.advance(250);
+    t.notOk(world.orders.isHolder(), `ended ${phaseMs} ms into its renewals`);
+    world.stop.abort();
+  }
+});
+
 await tap.test('should not wait for endpoints that nobody orders', async t => {
   // Symptom: new weights come 2.5 s late while another failure domain is cut off. Sequence: the endpoints that are due
   // first stand in the domain whose holder is gone; one load at a time is allowed. Cause: every domain keeps the same
