Orders: a holder that leaves soon after taking the right passes on what it was told

Cause, read in the diff: at a release the ages of the former holder's orders were left out, so that two planned ends within the bound could let a third host order an endpoint too soon. Change: they are always passed on, which also drops a case.

--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -148,7 +148,8 @@
   /** What a successor must know of this holder's orders, and of those before it. */
   private _handover(): string {
     const { clock, hostId } = this._context;
-    const before = this._isReleased ? {} : (this._ports.hosts.lastOrders(this._domain)?.quietMs ?? {});
+    // A holder that gives the right up soon after taking it passes on what it was told: ages only grow meanwhile.
+    const before = this._before?.quietMs ?? {};
     const quietMs = { ...before, ...this._orderTimes.quietMs(clock.nowMs()) };
     return encodeHandover({ hostId, isReleased: this._isReleased, quietMs });
   }
