Breaker: a cancelled trial leaves the endpoint open to the next; a bound on the pause

Cause: an endpoint whose breaker is open gets one trial. When that trial was cancelled (a caller leaves, a hedge wins, a batch ends), the breaker stayed at 'probing' and the endpoint was never usable again. Pauses doubled up to 30 s, where outages last 4 to 10 s. Change: cancelled() opens the breaker for the next trial at once; the longest pause is a parameter. Shown by: requests.spec.ts, two tests; the first fails without the change.

--- a/packages/requests/src/endpointStats.ts
+++ b/packages/requests/src/endpointStats.ts
@@ -29,6 +29,7 @@
 export class EndpointStats {
   private readonly _clock: Clock;
   private readonly _reportValidMs: number;
+  private readonly _maxOpenMs: number;
   private _inFlight = 0;
   private _rolloutInFlight = 0;
   private _report: LoadReport | undefined;
@@ -38,10 +39,14 @@
   private _answers = 0;
   private _breaker: BreakerState = { kind: 'closed' };
 
-  /** `reportValidMs`: a load report that is older says nothing any more. */
-  constructor(clock: Clock, reportValidMs: number = REPORT_VALID_MS) {
+  /**
+   * `reportValidMs`: a load report that is older says nothing any more. `maxOpenMs`: an endpoint that failed is tried
+   * again after no longer than this.
+   */
+  constructor(clock: Clock, reportValidMs: number = REPORT_VALID_MS, maxOpenMs: number = MAX_OPEN_MS) {
     this._clock = clock;
     this._reportValidMs = reportValidMs;
+    this._maxOpenMs = maxOpenMs;
   }
 
   inFlight(): number {
@@ -75,10 +80,16 @@
     else if (this._answers >= MIN_ANSWERS && this._failureShare > OPEN_THRESHOLD) this._open(FIRST_OPEN_MS);
   }
 
-  /** The present attempt of a request was cancelled: it says nothing about the endpoint. */
+  /**
+   * The present attempt of a request was cancelled: it says nothing about the endpoint. If it was the one trial of an
+   * endpoint that had failed, the next request is the trial; without that the endpoint would never be used again.
+   */
   cancelled(isRollout: boolean): void {
     this._inFlight -= 1;
     if (isRollout) this._rolloutInFlight -= 1;
+    if (this._breaker.kind !== 'probing') return;
+    const { lengthMs } = this._breaker;
+    this._breaker = { kind: 'open', untilMs: this._clock.nowMs(), lengthMs };
   }
 
   reported(report: LoadReport): void {
@@ -106,7 +117,7 @@
   }
 
   private _probeEnded(isFailure: boolean, lengthMs: number): void {
-    if (isFailure) this._open(Math.min(MAX_OPEN_MS, lengthMs * 2));
+    if (isFailure) this._open(Math.min(this._maxOpenMs, lengthMs * 2));
     else this._restarted();
   }
 
--- a/tests/requests.spec.ts
+++ b/tests/requests.spec.ts
@@ -94,6 +94,50 @@
   t.end();
 });
 
+/** An endpoint whose breaker is open, and due for its one trial. */
+function ejected(clock: VirtualClock, maxOpenMs: number): EndpointStats {
+  const stats = new EndpointStats(clock, 1000, maxOpenMs);
+  for (let i = 0; i < 5; i++) {
+    stats.began(false);
+    stats.ended(false, true);
+  }
+  return stats;
+}
+
+await tap.test('should use an endpoint again whose trial was cancelled', async t => {
+  // Symptom: an endpoint gets nothing any more, long after its outage. Sequence: it fails and is left out; the one
+  // request that tries it again is cancelled, because its caller leaves. Cause: the trial counts as being under way.
+  const clock = new VirtualClock();
+  const stats = ejected(clock, 30_000);
+  t.notOk(stats.isUsable());
+  await clock.advance(1100);
+  t.ok(stats.isUsable());
+  stats.began(false);
+  t.notOk(stats.isUsable(), 'one trial at a time');
+  stats.cancelled(false);
+  t.ok(stats.isUsable(), 'the next request is the trial');
+  stats.began(false);
+  stats.ended(false, false);
+  t.ok(stats.isUsable());
+  t.end();
+});
+
+await tap.test('should try an endpoint that failed again and again within the time that is set', async t => {
+  // Symptom: an endpoint that is well again stays idle for half a minute. Cause: pauses that double without end.
+  const clock = new VirtualClock();
+  const stats = ejected(clock, 2000);
+  let trials = 0;
+  for (let ms = 0; ms < 20_000; ms += 100) {
+    await clock.advance(100);
+    if (!stats.isUsable()) continue;
+    trials += 1;
+    stats.began(false);
+    stats.ended(false, true);
+  }
+  t.ok(trials >= 9 && trials <= 12, `${trials} trials in 20 s`);
+  t.end();
+});
+
 function endpointsOf(clock: VirtualClock, count: number, slots = 16): readonly EndpointView[] {
   return Array.from({ length: count }, (_, i) => ({
     id: `e${i}`,
