Batches: items are scored; a text that is whole in the store is not resumed

Ruled out: kept events of an older version (the ledger drops them), endpoints with older weights. Change: the store keeps that a text is whole; a missing version is no version; attempts without progress pause, leave the endpoint, and in the end begin the item anew, with a line in the log. An endpoint's limit grows again: it only ever fell, which one saw once callers' fallback did not hide it.

--- a/packages/batches/src/batchLedger.ts
+++ b/packages/batches/src/batchLedger.ts
@@ -1,6 +1,9 @@
 /**
  * The owner's account of one batch: which items wait, run or are done, and in which order results are listed.
  *
+ * An item is generated, then scored if its trainer asks for a score, then listed. A score belongs to one text: it is
+ * asked for when that text is whole, and a text that begins anew is scored anew.
+ *
  * A result is listed in two steps. It is finished when its text is whole, and readers see it only once the
  * store has confirmed its position: a position shown earlier could be given to another result by the next owner.
  */
@@ -17,16 +20,43 @@
   readonly isSingleVersion: boolean;
 }
 
-type ItemState = 'waiting' | 'running' | 'finished';
+/** `unscored`: the text is whole, and its score is asked for. */
+type ItemState = 'waiting' | 'running' | 'unscored' | 'scoring' | 'finished';
+
+/** A whole text that an earlier step has listed: its events are not known one by one. */
+interface WholeText {
+  readonly text: string;
+  readonly versions: readonly number[];
+}
 
 interface Entry {
   readonly item: BatchItem;
   readonly progress: ItemProgress;
   state: ItemState;
   failures: number;
+  scoreFailures: number;
   attempts: number;
+  /** Attempts in a row that added no event although the endpoint answered. */
+  fruitless: number;
+  eventsAtBegin: number;
+  listedBefore: WholeText | undefined;
 }
 
+/** How an attempt at an item that did not end its text left it. */
+export interface Interruption {
+  /** Attempts in a row that added nothing. */
+  readonly fruitless: number;
+  /** True if the text so far was given up: the item begins anew. */
+  readonly isTextDropped: boolean;
+}
+
+/**
+ * An item whose text was refused by this many answers in a row begins anew. What goes wrong without it: a text that no
+ * endpoint goes on with is offered round for ever, which one notices as an item with hundreds of attempts. Each answer
+ * came from another endpoint, so that three can't be the fault of one.
+ */
+const MAX_FRUITLESS = 3;
+
 export class BatchLedger {
   readonly batch: Batch;
   private readonly _rules: ItemRules;
@@ -41,7 +71,7 @@
     const { minVersion } = batch;
     for (const item of batch.items) {
       const progress = new ItemProgress({ minVersion, isSingleVersion: rules.isSingleVersion });
-      this._entries.set(item.id, { item, progress, state: 'waiting', failures: 0, attempts: 0 });
+      this._entries.set(item.id, newEntry(item, progress));
     }
     for (const result of listed) {
       this._confirmed.push(result);
@@ -79,6 +109,11 @@
     return this._confirmed.length === this.total();
   }
 
+  /** True if every item has its result, listed or not. */
+  isFinished(): boolean {
+    return this._confirmed.length + this._unconfirmed.length === this.total();
+  }
+
   item(itemId: string): BatchItem | undefined {
     return this._entries.get(itemId)?.item;
   }
@@ -89,11 +124,11 @@
 
   /** What was generated of the items that have no confirmed position: a next owner may go on with it. */
   unfinished(): readonly ItemEvents[] {
-    const whole = new Set(this._unconfirmed.filter(({ state }) => state === 'completed').map(({ id }) => id));
+    const completed = new Set(this._unconfirmed.filter(isCompleted).map(({ id }) => id));
     return [...this._entries.values()]
-      .filter(({ state, item }) => state !== 'finished' || whole.has(item.id))
+      .filter(({ state, item }) => state !== 'finished' || completed.has(item.id))
       .filter(({ progress }) => progress.lastEvent() > 0)
-      .map(({ item, progress }) => ({ itemId: item.id, events: progress.events() }));
+      .map(toItemEvents);
   }
 
   /** Takes over what the step before has generated. Its groups go first. */
@@ -101,8 +136,9 @@
     for (const result of before.results) {
       const entry = this._entries.get(result.id);
       if (entry?.state !== 'waiting') continue;
-      entry.state = 'finished';
-      this._unconfirmed.push(result);
+      entry.listedBefore = { text: result.text, versions: result.versions };
+      if (result.score === undefined) this._textWhole(entry);
+      else this._finish(entry, 'completed', result.score);
     }
     this._firstGroups = before.groups;
     this.resume(before.unfinished);
@@ -110,17 +146,21 @@
 
   /**
    * Takes in what a former owner had of items that wait. Events that don't fit are left out; a list that begins with
-   * an item's first event is a new text of it.
+   * an item's first event is a new text of it. A text that was whole is not generated again, nor resumed: an endpoint
+   * has nothing to add to it.
    */
   resume(unfinished: readonly ItemEvents[]): void {
-    for (const { itemId, events } of unfinished) {
-      const entry = this._entries.get(itemId);
+    const wholeEvents = new Map<string, number>();
+    for (const kept of unfinished) {
+      const entry = this._entries.get(kept.itemId);
       if (entry?.state !== 'waiting') continue;
-      if (events[0]?.number === 1) entry.progress.clear();
-      for (const event of events) {
-        const effect = entry.progress.add(event);
-        if (effect === 'gap' || effect === 'restart') break;
-      }
+      takeEvents(entry.progress, kept);
+      if (kept.events[0]?.number === 1) wholeEvents.delete(kept.itemId);
+      if (kept.wholeEvents !== undefined) wholeEvents.set(kept.itemId, kept.wholeEvents);
+    }
+    for (const [itemId, events] of wholeEvents) {
+      const entry = this._entry(itemId);
+      if (entry.progress.lastEvent() === events) this._textWhole(entry);
     }
   }
 
@@ -141,6 +181,7 @@
     invariant(entry.state === 'waiting', 'only a waiting item begins');
     entry.state = 'running';
     entry.attempts += 1;
+    entry.eventsAtBegin = entry.progress.lastEvent();
     return entry.attempts;
   }
 
@@ -150,7 +191,8 @@
 
   /** The item's stream ended whole. */
   completed(itemId: string): void {
-    this._finish(itemId, 'completed');
+    const entry = this._entry(itemId);
+    if (entry.state === 'running') this._textWhole(entry);
   }
 
   /** The attempt ended without a whole text, and says nothing against the item: it waits again. */
@@ -159,24 +201,69 @@
     if (entry.state === 'running') entry.state = 'waiting';
   }
 
+  /** As `interrupted`, where the endpoint answered: its answer may speak against the text so far. */
+  contradicted(itemId: string): Interruption {
+    const entry = this._entry(itemId);
+    this.interrupted(itemId);
+    const isFruitless = entry.progress.lastEvent() <= entry.eventsAtBegin;
+    entry.fruitless = isFruitless ? entry.fruitless + 1 : 0;
+    const isTextDropped = entry.fruitless >= MAX_FRUITLESS && entry.progress.lastEvent() > 0;
+    if (isTextDropped) entry.progress.clear();
+    return { fruitless: entry.fruitless, isTextDropped };
+  }
+
+  /** The items whose texts are whole and whose scores are not asked for at this moment. */
+  unscored(): readonly BatchItem[] {
+    const entries = [...this._entries.values()].filter(entry => entry.state === 'unscored');
+    entries.sort((a, b) => this._rank(b) - this._rank(a));
+    return entries.map(entry => entry.item);
+  }
+
+  /** The score of an item is asked for. */
+  beginScoring(itemId: string): void {
+    const entry = this._entry(itemId);
+    invariant(entry.state === 'unscored', 'only a whole text is scored');
+    entry.state = 'scoring';
+  }
+
+  scored(itemId: string, score: string): void {
+    const entry = this._entry(itemId);
+    if (entry.state === 'scoring') this._finish(entry, 'completed', score);
+  }
+
+  /** No score came, and nothing speaks against the item: it is asked for again. */
+  scoringInterrupted(itemId: string): void {
+    const entry = this._entry(itemId);
+    if (entry.state === 'scoring') entry.state = 'unscored';
+  }
+
+  /** The scoring service failed so many times more. An item that it never scores must end, or its group never would. */
+  scoringFailed(itemId: string, failures: number, maxFailures: number): void {
+    const entry = this._entry(itemId);
+    if (entry.state !== 'scoring') return;
+    entry.scoreFailures += failures;
+    if (entry.scoreFailures >= maxFailures) this._finish(entry, 'terminated');
+    else entry.state = 'unscored';
+  }
+
   /** The endpoint failed to run the item. An item that fails at each run must end, or its step never would. */
   failed(itemId: string): void {
     const entry = this._entry(itemId);
     if (entry.state !== 'running') return;
     entry.failures += 1;
-    if (entry.failures >= this._rules.maxAttempts) this._finish(itemId, 'terminated');
+    if (entry.failures >= this._rules.maxAttempts) this._finish(entry, 'terminated');
     else entry.state = 'waiting';
   }
 
   /** The endpoint said that the item can never be done. */
   impossible(itemId: string): void {
-    this._finish(itemId, 'terminated');
+    this._finish(this._entry(itemId), 'terminated');
   }
 
   /** Gives up every item that is not finished: its time is up, or its route is gone. */
   terminateRest(): void {
     for (const entry of this._entries.values())
-      if (entry.state !== 'finished') this._finish(entry.item.id, 'terminated');
+      if (entry.state !== 'finished') this._finish(entry, 'terminated');
   }
 
   /** The trainer waits for groups that come again, whatever others are whole. */
@@ -184,12 +271,18 @@
     return this._firstGroups.has(entry.item.group) ? 1 : 0;
   }
 
-  private _finish(itemId: string, state: ItemResult['state']): void {
-    const entry = this._entry(itemId);
+  /** The text will not change any more: it is scored, or listed as it is. */
+  private _textWhole(entry: Entry): void {
+    if (entry.item.scoring) entry.state = 'unscored';
+    else this._finish(entry, 'completed');
+  }
+
+  private _finish(entry: Entry, state: ItemResult['state'], score?: string): void {
     if (entry.state === 'finished') return;
     entry.state = 'finished';
-    const { progress } = entry;
-    this._unconfirmed.push({ id: itemId, state, text: progress.text(), versions: progress.versions() });
+    const { text, versions } = textOf(entry);
+    const result = { id: entry.item.id, state, text, versions };
+    this._unconfirmed.push(score === undefined ? result : { ...result, score });
   }
 
   private _entry(itemId: string): Entry {
@@ -199,6 +292,48 @@
   }
 }
 
+function newEntry(item: BatchItem, progress: ItemProgress): Entry {
+  return {
+    item,
+    progress,
+    state: 'waiting',
+    failures: 0,
+    scoreFailures: 0,
+    attempts: 0,
+    fruitless: 0,
+    eventsAtBegin: 0,
+    listedBefore: undefined,
+  };
+}
+
+function isCompleted(result: ItemResult): boolean {
+  return result.state === 'completed';
+}
+
+function textOf({ listedBefore, progress }: Entry): WholeText {
+  return listedBefore ?? { text: progress.text(), versions: progress.versions() };
+}
+
+function isWhole(state: ItemState): boolean {
+  return state === 'unscored' || state === 'scoring' || state === 'finished';
+}
+
+function toItemEvents({ item, progress, state }: Entry): ItemEvents {
+  const events = progress.events();
+  return isWhole(state)
+    ? { itemId: item.id, events, wholeEvents: events.length }
+    : { itemId: item.id, events };
+}
+
+/** Adds the events that fit the text so far. A list that begins with the first event is a new text. */
+function takeEvents(progress: ItemProgress, { events }: ItemEvents): void {
+  if (events[0]?.number === 1) progress.clear();
+  for (const event of events) {
+    const effect = progress.add(event);
+    if (effect === 'gap' || effect === 'restart') return;
+  }
+}
+
 /** An item that was begun goes before all that were not: its group has waited for it already. */
 function urgency(entry: Entry): number {
   const isBegun = entry.attempts > 0 || entry.progress.lastEvent() > 0;
--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -35,7 +35,12 @@
 
 /** What was generated of one item. */
 export const itemEventsSchema = z
-  .strictObject({ itemId: z.string(), events: z.array(generatedEventSchema).readonly() })
+  .strictObject({
+    itemId: z.string(),
+    events: z.array(generatedEventSchema).readonly(),
+    /** How many events the whole text has; absent while its end is not known. */
+    wholeEvents: count.optional(),
+  })
   .readonly();
 export type ItemEvents = z.infer<typeof itemEventsSchema>;
 
--- a/packages/batches/src/carryOver.ts
+++ b/packages/batches/src/carryOver.ts
@@ -2,8 +2,9 @@
  * What a batch takes over from the batches of earlier steps.
  *
  * Groups that were not whole when their trainer went on come again in its next step, or in the one after where steps
- * overlap, with the same items, and the trainer waits for them whatever else is whole. Generated anew, an item that was too long for one step is too long
- * for the next as well. So what was generated is used where its weight versions fit, and these groups go first.
+ * overlap, with the same items, and the trainer waits for them whatever else is whole. Generated anew, an item that was
+ * too long for one step is too long for the next as well. So what was generated is used where its weight versions fit,
+ * and these groups go first. A score is used where it was asked for by the same request.
  */
 import type { ItemEvents } from './batchMessages.js';
 import type { Batch, BatchItem, ItemResult } from './model.js';
@@ -19,7 +20,7 @@
 export interface CarryOver {
   /** Groups that come again. */
   readonly groups: ReadonlySet<string>;
-  /** Whole texts that the batch may use as they are. */
+  /** Whole texts that the batch may use as they are. One without a score is scored where the item asks for it. */
   readonly results: readonly ItemResult[];
   /** Beginnings of texts. The ledger leaves out what does not fit. */
   readonly unfinished: readonly ItemEvents[];
@@ -36,7 +37,8 @@
 export function carryOver(batch: Batch, earlier: EarlierBatch, isSingleVersion: boolean): CarryOver {
   const before = new Map(earlier.batch.items.map(item => [item.id, item]));
   const again = batch.items.filter(item => isSame(item, before.get(item.id)));
-  const ids = new Set(again.map(item => item.id));
+  const items = new Map(again.map(item => [item.id, item]));
+  const ids = new Set(items.keys());
   const fits = (result: ItemResult): boolean => {
     if (!ids.has(result.id) || result.state !== 'completed' || result.versions.length === 0) return false;
     if (isSingleVersion && result.versions.length > 1) return false;
@@ -44,11 +46,24 @@
   };
   return {
     groups: new Set(again.map(item => item.group)),
-    results: earlier.results.filter(fits),
+    results: earlier.results
+      .filter(fits)
+      .map(result => withFittingScore(result, items.get(result.id), before.get(result.id))),
     unfinished: earlier.progress.filter(({ itemId }) => ids.has(itemId)),
   };
 }
 
+/** The result without its score if that was asked for by another request than the item's. */
+function withFittingScore(
+  result: ItemResult,
+  item: BatchItem | undefined,
+  before: BatchItem | undefined,
+): ItemResult {
+  if (isSameJson(item?.scoring, before?.scoring)) return result;
+  const { id, state, text, versions } = result;
+  return { id, state, text, versions };
+}
+
 /** What two earlier steps leave. Where both have a text of an item, the newer one counts. */
 export function joinCarryOver(older: CarryOver, newer: CarryOver): CarryOver {
   return {
@@ -65,6 +80,10 @@
     item.group === before.group &&
     item.path === before.path &&
     item.bodyBase64 === before.bodyBase64 &&
-    JSON.stringify(item.headers) === JSON.stringify(before.headers)
+    isSameJson(item.headers, before.headers)
   );
 }
+
+function isSameJson(a: unknown, b: unknown): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -10,3 +10,4 @@
 export * from './model.js';
 export * from './records.js';
 export * from './resultList.js';
+export * from './retryPause.js';
--- a/packages/batches/src/keptEvents.ts
+++ b/packages/batches/src/keptEvents.ts
@@ -3,7 +3,8 @@
  *
  * What goes wrong without it: the owner of a batch dies, and items that ran for seconds begin anew; the longest, which
  * take as long as a step may, then come late. Only events that were not kept before are written, so that each crosses
- * the network once. Short items are left out: they are done again sooner than kept.
+ * the network once. Short items are left out: they are done again sooner than kept. That a text is whole is kept with it,
+ * so that the next owner scores or lists it and asks no endpoint for more.
  */
 import type { BatchLedger } from './batchLedger.js';
 import type { ItemEvents } from './batchMessages.js';
@@ -20,8 +21,11 @@
   /** Which text of the item: it begins anew when its versions may not be joined. */
   readonly textNumber: number;
   readonly events: number;
+  readonly isWhole: boolean;
 }
 
+const NOTHING_KEPT: Kept = { textNumber: 0, events: 0, isWhole: false };
+
 export class KeptEvents {
   private readonly _ledger: BatchLedger;
   private readonly _kept = new Map<string, Kept>();
@@ -32,27 +36,34 @@
 
   /**
    * Events of items without a confirmed result that are not kept yet, as many as fit one record; empty when there are
-   * none. `minEvents`: items with fewer are left out.
+   * none. `minEvents`: items with fewer are left out, unless their text is whole.
    */
   missing(minEvents = MIN_EVENTS): readonly ItemEvents[] {
     const missing: ItemEvents[] = [];
     let unitsLeft = MAX_RECORD_UNITS;
-    for (const { itemId } of this._ledger.unfinished()) {
-      const progress = this._ledger.progress(itemId);
-      if (progress.lastEvent() < minEvents) continue;
-      const events = eventsThatFit(progress.events().slice(this._keptOf(itemId)), unitsLeft);
-      if (events.length === 0) continue;
-      unitsLeft -= unitsOf(events);
-      missing.push({ itemId, events });
+    for (const unfinished of this._ledger.unfinished()) {
+      const { itemId, events } = unfinished;
+      const isWhole = unfinished.wholeEvents !== undefined;
+      if (!isWhole && events.length < minEvents) continue;
+      const kept = this._keptOf(itemId);
+      const fitting = eventsThatFit(events.slice(kept.events), unitsLeft);
+      const isEndKept = isWhole && kept.events + fitting.length === events.length;
+      const isNews = fitting.length > 0 || (isEndKept && !kept.isWhole);
+      if (!isNews) continue;
+      unitsLeft -= unitsOf(fitting);
+      missing.push(
+        isEndKept ? { itemId, events: fitting, wholeEvents: events.length } : { itemId, events: fitting },
+      );
     }
     return missing;
   }
 
   /** The events are kept now. `texts`: which text of each item they belong to, from before they were written. */
   keep(kept: readonly ItemEvents[], texts: ReadonlyMap<string, number>): void {
-    for (const { itemId, events } of kept) {
-      const last = events.at(-1)?.number ?? 0;
-      this._kept.set(itemId, { textNumber: texts.get(itemId) ?? 0, events: last });
+    for (const { itemId, events, wholeEvents } of kept) {
+      const textNumber = texts.get(itemId) ?? 0;
+      const last = events.at(-1)?.number ?? wholeEvents ?? 0;
+      this._kept.set(itemId, { textNumber, events: last, isWhole: wholeEvents !== undefined });
     }
   }
 
@@ -61,11 +72,10 @@
     return new Map(items.map(({ itemId }) => [itemId, this._ledger.progress(itemId).textNumber()]));
   }
 
-  private _keptOf(itemId: string): number {
+  private _keptOf(itemId: string): Kept {
     const kept = this._kept.get(itemId);
-    if (!kept) return 0;
-    const isSameText = kept.textNumber === this._ledger.progress(itemId).textNumber();
-    return isSameText ? kept.events : 0;
+    const isSameText = kept?.textNumber === this._ledger.progress(itemId).textNumber();
+    return kept && isSameText ? kept : NOTHING_KEPT;
   }
 }
 
--- a/packages/batches/src/model.ts
+++ b/packages/batches/src/model.ts
@@ -4,6 +4,19 @@
  */
 import { z } from 'zod';
 
+/** The request that asks for the score of an item's text. It may be repeated; the service knows the text by itself. */
+export const scoreRequestSchema = z
+  .strictObject({
+    id: z.string(),
+    /** Host name and path: they decide by the rules where the request goes, as they do for a caller's. */
+    host: z.string(),
+    path: z.string(),
+    /** The request's body, in base64. */
+    bodyBase64: z.string(),
+  })
+  .readonly();
+export type ScoreRequest = z.infer<typeof scoreRequestSchema>;
+
 /** One generation of a batch. */
 export const batchItemSchema = z
   .strictObject({
@@ -22,6 +35,8 @@
     group: z.string(),
     /** Names the part of the prompt that other items share; empty for none. */
     promptKey: z.string(),
+    /** Asks for the score of the whole text; absent for an item that is listed without one. */
+    scoring: scoreRequestSchema.optional(),
   })
   .readonly();
 export type BatchItem = z.infer<typeof batchItemSchema>;
@@ -52,6 +67,8 @@
     text: z.string(),
     /** Every weight version that generated a part of the text, in the order of their use. */
     versions: z.array(z.number()).readonly(),
+    /** The scoring service's proof of origin on its answer, which trainers take for the score. */
+    score: z.string().optional(),
   })
   .readonly();
 export type ItemResult = z.infer<typeof itemResultSchema>;
--- /dev/null
+++ b/packages/batches/src/retryPause.ts
@@ -0,0 +1,27 @@
+/**
+ * How long work that failed without any fault of its own waits before it is tried again.
+ *
+ * What goes wrong without it: an item that every endpoint turns down is sent again at once, hundreds of times, and
+ * keeps places and processor time from the others; one notices it as `attempt` numbers in the hundreds. The first tries
+ * follow at once, since another endpoint usually takes it; then the pause doubles.
+ */
+
+/** Tries that follow without a pause: as many endpoints are asked. */
+const FREE_TRIES = 2;
+const FIRST_PAUSE_MS = 50;
+/** An endpoint's state is heard of within a second: longer pauses would miss it. */
+const MAX_PAUSE_MS = 800;
+/** A row of failures of this length is told in the log, and each that is twice as long as the one before. */
+const TOLD_FROM = 5;
+
+/** The pause after so many tries in a row that brought nothing. */
+export function retryPauseMs(failures: number): number {
+  if (failures <= FREE_TRIES) return 0;
+  return Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (failures - FREE_TRIES - 1));
+}
+
+/** True if a row of that many tries without progress is worth a line in the log. */
+export function isWorthTelling(failures: number): boolean {
+  const rows = failures / TOLD_FROM;
+  return rows >= 1 && Number.isInteger(Math.log2(rows));
+}
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -5,8 +5,10 @@
 import {
   BatchLedger,
   countThatFits,
+  isWorthTelling,
   pageFrom,
   placeItem,
+  retryPauseMs,
   shouldMove,
   type Batch,
   type BatchItem,
@@ -19,7 +21,9 @@
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import type { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { ItemScoring } from './itemScoring.js';
 import { ItemAttempt, type AttemptEnd } from './itemAttempt.js';
 import type { EndpointClient } from './ports.js';
 import { modelShares } from './modelShares.js';
@@ -31,6 +35,7 @@
   readonly endpoints: EndpointDirectory;
   readonly configuration: ConfigurationService;
   readonly client: EndpointClient;
+  readonly forwarder: Forwarder;
 }
 
 /** Results that end within this time share one write: trainers read twice a second. */
@@ -61,6 +66,9 @@
   private readonly _avoided = new Map<string, Set<string>>();
   private readonly _startedMs: number;
   private readonly _keeper: ProgressKeeper;
+  private readonly _scoring: ItemScoring;
+  /** Items that made no progress wait until then. */
+  private readonly _pausedUntilMs = new Map<string, number>();
   private _held: HeldClaim;
   private _confirmedMs: number;
   /** Items of this many expected tokens and more are long. */
@@ -88,10 +96,12 @@
     this._confirmedMs = this._startedMs;
     const route = this._routeOf(stored.batch);
     this._longTokens = longTokens(stored.batch);
+    const maxAttempts = route?.maxAttempts ?? 1;
     this.ledger = new BatchLedger(stored.batch, stored.results, {
-      maxAttempts: route?.maxAttempts ?? 1,
+      maxAttempts,
       isSingleVersion: route?.isSingleVersion ?? false,
     });
+    this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () => void this._list());
     this._keeper = new ProgressKeeper(context, ports.store, this.ledger, held, {
       confirmed: askedMs => {
         this._confirmedMs = Math.max(this._confirmedMs, askedMs);
@@ -130,6 +140,7 @@
     if (this._isStopped) return;
     this._isStopped = true;
     this._keeper.stop();
+    this._scoring.stop();
     this._placeTimer?.();
     for (const attempt of this._attempts.values()) attempt.stop();
     this._wakeReaders();
@@ -222,13 +233,15 @@
   private _place(): void {
     if (this._isStopped) return;
     this._placeTimer?.();
-    const waiting = this.ledger.waiting();
+    this._scoring.run();
+    const nowMs = this._context.clock.nowMs();
+    const waiting = this.ledger.waiting().filter(item => nowMs >= (this._pausedUntilMs.get(item.id) ?? 0));
     const route = waiting.length > 0 ? this._routeOf(this.ledger.batch) : undefined;
     const tiers = route ? this._tiers(route) : [];
     for (const item of waiting) this._placeItem(item, tiers);
     this._moveFromSlow();
-    const isOver = this.ledger.waiting().length === 0 && this._attempts.size === 0;
-    if (!isOver) this._placeTimer = this._context.clock.after(PLACE_INTERVAL_MS, () => this._place());
+    if (!this.ledger.isFinished())
+      this._placeTimer = this._context.clock.after(PLACE_INTERVAL_MS, () => this._place());
   }
 
   private _placeItem(item: BatchItem, tiers: readonly (readonly Endpoint[])[]): void {
@@ -319,13 +332,26 @@
         this.ledger.interrupted(item.id);
         break;
       case 'cancelled':
-      case 'old-version':
         this.ledger.interrupted(item.id);
         break;
+      case 'old-version':
+        this._avoid(item, endpoint);
+        this._contradicted(item);
+        break;
     }
     if (this.ledger.unconfirmed().length > 0) void this._list();
   }
 
+  /** The endpoint answered with weights that don't fit: another is asked, and in the end the item begins anew. */
+  private _contradicted(item: BatchItem): void {
+    const { fruitless, isTextDropped } = this.ledger.contradicted(item.id);
+    this._pausedUntilMs.set(item.id, this._context.clock.nowMs() + retryPauseMs(fruitless));
+    if (!isTextDropped && !isWorthTelling(fruitless)) return;
+    const { batchId } = this;
+    const details = { batchId, itemId: item.id, fruitless, isTextDropped, stage: 'generation' };
+    this._context.log.warn('item makes no progress', details);
+  }
+
   private _avoid(item: BatchItem, endpoint: Endpoint): void {
     const avoided = this._avoided.get(item.id) ?? new Set<string>();
     avoided.add(endpoint.id);
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -10,11 +10,28 @@
  * and an older word would keep places empty that are free again.
  */
 const LOAD_VALID_MS = 1000;
+/**
+ * An endpoint whose requests failed is tried again after no longer than this. Outages last 4 to 10 s, and a trial costs
+ * one request that goes on elsewhere.
+ */
+const MAX_EJECTED_MS = 2000;
 /** Weight of the newest pause between two events in the endpoint's pace. */
 const PACE_WEIGHT = 0.1;
 /** A load takes about a second, and two when many load: one that has not shown by then may have failed. */
 const LOAD_TIMEOUT_MS = 2500;
 
+/**
+ * What an endpoint answered is believed over its record for so long: a heartbeat comes every second or so, and is read
+ * within another.
+ */
+const ANSWER_VALID_MS = 2500;
+
+/** A weight version that an endpoint generated with, older than the one that it was known to have. */
+interface OlderVersion {
+  readonly version: number;
+  readonly untilMs: number;
+}
+
 /** A load of weights that an endpoint was ordered to do. */
 interface RunningLoad {
   readonly model: string;
@@ -29,6 +46,7 @@
   readonly version = '';
   private readonly _clock: Clock;
   private readonly _heardVersions = new Map<string, number>();
+  private readonly _olderVersions = new Map<string, OlderVersion>();
   private _info: EndpointInfo;
   private _saidLeaving = false;
   private _closedUntilMs = -Infinity;
@@ -38,7 +56,7 @@
   constructor(info: EndpointInfo, clock: Clock) {
     this._info = info;
     this._clock = clock;
-    this.stats = new EndpointStats(clock, LOAD_VALID_MS);
+    this.stats = new EndpointStats(clock, LOAD_VALID_MS, MAX_EJECTED_MS);
     this.limit = new ConcurrencyLimit(info.slots, 1);
   }
 
@@ -64,6 +82,8 @@
   }
 
   updated(info: EndpointInfo): void {
+    for (const [model, version] of info.versions)
+      if (version !== this._info.versions.get(model)) this._olderVersions.delete(model);
     this._info = { ...info, isLeaving: info.isLeaving || this._info.isLeaving };
   }
 
@@ -73,6 +93,7 @@
 
   /** The endpoint's own word about its load. */
   loaded(load: EndpointLoad): void {
+    this.limit.reported(load.waiting, this.stats.inFlight());
     this.stats.reported({
       inFlight: load.running,
       queued: load.waiting,
@@ -84,11 +105,27 @@
 
   /** The newest version that the endpoint is known to have: by its heartbeat, or by an answer. */
   versionOf(model: string): number {
+    const older = this._olderVersions.get(model);
+    if (older && this._clock.nowMs() < older.untilMs) return older.version;
     return Math.max(this._info.versions.get(model) ?? 0, this._heardVersions.get(model) ?? 0);
   }
 
   heardVersion(model: string, version: number): void {
     this._heardVersions.set(model, Math.max(version, this._heardVersions.get(model) ?? 0));
+    if (version > (this._olderVersions.get(model)?.version ?? Infinity)) this._olderVersions.delete(model);
+  }
+
+  /**
+   * The version that an answer names. One that is older than the endpoint was known to have counts for a while: without
+   * that its items come back to it at once, to be refused for their version over and over.
+   */
+  answeredVersion(model: string, version: number): void {
+    if (version >= this.versionOf(model)) {
+      this.heardVersion(model, version);
+      return;
+    }
+    this._heardVersions.delete(model);
+    this._olderVersions.set(model, { version, untilMs: this._clock.nowMs() + ANSWER_VALID_MS });
   }
 
   /** It was ordered to load a version, by this host or another. */
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -25,6 +25,8 @@
   readonly waitMs: number | undefined;
   /** The caller's trace context, by the W3C recommendation; undefined when it has none. */
   readonly trace?: string | undefined;
+  /** True for work of the product's own that may wait: it leaves places of each endpoint to callers. */
+  readonly isBackground?: boolean;
 }
 
 /** An answer as it is passed on. */
@@ -32,6 +34,7 @@
   readonly status: number;
   readonly headers: readonly HeaderPair[];
   readonly body: Buffer;
+  readonly proof: string | undefined;
 }
 
 /** Takes a stream piece by piece; `write` resolves when the caller keeps up. */
@@ -43,9 +46,12 @@
   abort(): void;
 }
 
-/** How a request ended. `not-run` is a promise: no endpoint ran it or will. */
+/**
+ * How a request ended. `not-run` is a promise: no endpoint ran it or will. `failures`: endpoints that answered it with a
+ * failure of their own.
+ */
 export type ForwardOutcome =
-  | { readonly kind: 'answered'; readonly answer: WholeAnswer }
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly failures: number }
   | { readonly kind: 'streamed' }
   | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
   | { readonly kind: 'unknown'; readonly reason: 'broken' | 'late' }
@@ -67,6 +73,11 @@
 const HEDGE_BUDGET = { share: 0.2, burst: 10 };
 /** When every endpoint is full, a place comes free within a few requests' time. */
 const RETRY_AFTER_MS = 300;
+/**
+ * The share of an endpoint's places that work of the product's own leaves to callers. A batch that ends asks for 27
+ * scores in a second, of 43 ms each, at endpoints of 6 places.
+ */
+const CALLERS_RESERVE = 0.5;
 /** Weights are drawn in steps of a thousandth. */
 const WEIGHT_STEPS = 1000;
 const SERVER_ERROR = 500;
@@ -134,14 +145,16 @@
   }
 
   /** The endpoint for an attempt; when all are at their limit, the one with the least load. */
-  choose(route: Route, tried: ReadonlySet<string>): Endpoint | undefined {
+  choose(route: Route, tried: ReadonlySet<string>, isBackground = false): Endpoint | undefined {
     const pool = this._pool(route);
-    const endpoints = this._endpoints.ofPool(pool);
+    const endpoints = this._endpoints
+      .ofPool(pool)
+      .filter(endpoint => !isBackground || hasRoomForBackground(endpoint));
     const request: PickRequest = {
       pool,
       ownDomain: this._context.domain,
       domains: [],
-      isRollout: false,
+      isRollout: isBackground,
       reserve: 0,
       prefix: '',
       version: '',
@@ -149,6 +162,7 @@
     };
     const picked = this._picker.pick(endpoints, request);
     if (picked) return this._endpoints.get(picked.id);
+    if (isBackground) return undefined;
     return leastLoaded(endpoints.filter(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)));
   }
 
@@ -159,13 +173,15 @@
     leftMs: number,
     signal: AbortSignal,
   ): Promise<AttemptEnd> {
-    endpoint.stats.began(false);
+    const isBackground = request.isBackground ?? false;
+    endpoint.stats.began(isBackground);
     endpoint.limit.used(endpoint.stats.inFlight());
     const hop = this._context.tracing.begin('endpoint', request.trace);
     const end = await this._exchange(request, endpoint, leftMs, signal);
     hop.end({ requestId: request.id, endpointId: endpoint.id, end: end.kind });
-    if (end.kind === 'cancelled') endpoint.stats.cancelled(false);
-    else endpoint.stats.ended(false, end.kind === 'broken' || (end.kind === 'answered' && end.isFailure));
+    const isFailure = end.kind === 'broken' || (end.kind === 'answered' && end.isFailure);
+    if (end.kind === 'cancelled') endpoint.stats.cancelled(isBackground);
+    else endpoint.stats.ended(isBackground, isFailure);
     this._context.metrics.attempts.inc({ kind: 'request', end: end.kind });
     return end;
   }
@@ -202,8 +218,9 @@
     }
     const isSuccess = answer.status < FIRST_ERROR;
     // A success without the endpoint's proof did not come from it as it was made.
-    if (isSuccess && !answer.isGenuine) return { kind: 'broken' };
-    const whole = { status: answer.status, headers: answer.headers, body: Buffer.concat(chunks) };
+    if (isSuccess && answer.proof === undefined) return { kind: 'broken' };
+    const { status, headers, proof } = answer;
+    const whole = { status, headers, body: Buffer.concat(chunks), proof };
     return { kind: 'answered', answer: whole, isFailure: answer.status >= SERVER_ERROR };
   }
 
@@ -262,6 +279,7 @@
   private _sent = 0;
   private _mayHaveRun = false;
   private _failure: WholeAnswer | undefined;
+  private _failures = 0;
 
   constructor(
     context: GatewayContext,
@@ -310,7 +328,7 @@
   /** Sends the request to one more endpoint, if its route allows another and there is one. */
   private _start(): boolean {
     if (this._sent >= this._route.maxAttempts || this._deadline.isOver()) return false;
-    const endpoint = this._forwarder.choose(this._route, this._tried);
+    const endpoint = this._forwarder.choose(this._route, this._tried, this._request.isBackground);
     if (!endpoint) return false;
     this._tried.add(endpoint.id);
     this._sent += 1;
@@ -340,17 +358,21 @@
 
   private _take(end: AttemptEnd): ForwardOutcome | undefined {
     const mayRepeat = this._route.run === 'idempotent';
-    if (end.kind === 'answered' && !(end.isFailure && mayRepeat))
-      return { kind: 'answered', answer: end.answer };
+    if (end.kind === 'answered' && end.isFailure) this._failures += 1;
+    if (end.kind === 'answered' && !(end.isFailure && mayRepeat)) return this._answered(end.answer);
     if (end.kind === 'answered') this._failure = end.answer;
     if (end.kind !== 'not-run') this._mayHaveRun = true;
     if (end.kind === 'not-run' || mayRepeat) this._start();
     if (this._running > 0 || this._events.length > 0) return undefined;
-    if (this._failure) return { kind: 'answered', answer: this._failure };
+    if (this._failure) return this._answered(this._failure);
     if (this._mayHaveRun) return { kind: 'unknown', reason: 'broken' };
     return { kind: 'not-run', reason: 'every endpoint refused it', retryAfterMs: RETRY_AFTER_MS };
   }
 
+  private _answered(answer: WholeAnswer): ForwardOutcome {
+    return { kind: 'answered', answer, failures: this._failures };
+  }
+
   /** The end of a request that waits for nothing, whose time is up, or whose caller is gone. */
   private _givenUp(): ForwardOutcome | undefined {
     if (this._left.aborted) return { kind: 'caller-left' };
@@ -367,6 +389,11 @@
   }
 }
 
+/** True while the endpoint has places that callers don't need, by its own last word and what this host has there. */
+function hasRoomForBackground(endpoint: Endpoint): boolean {
+  return endpoint.stats.estimatedLoad() < Math.max(1, endpoint.info().slots * (1 - CALLERS_RESERVE));
+}
+
 /** The time that a request has: what its caller waits and what its route allows, whichever is less. */
 function timeoutOf(request: CallerRequest, route: Route): number {
   const routeMs = route.timeoutMs > 0 ? route.timeoutMs : DEFAULT_TIMEOUT_MS;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,15 +66,16 @@
       relay: (address, request, timeoutMs) => peers.call(address, storeRelayCall, request, timeoutMs),
     });
     this._reach = new ReachMonitor(context, store, this.hosts);
+    this.forwarder = new Forwarder(context, this.endpoints, client);
     const ports = {
       store: new BatchStore(context, store),
       endpoints: this.endpoints,
       configuration: this.configuration,
       client,
+      forwarder: this.forwarder,
     };
     this._sweeper = new BatchSweeper(context, store, ports.store, options.batchReadableMs);
     this.batches = new BatchService(context, ports, this.hosts);
-    this.forwarder = new Forwarder(context, this.endpoints, client);
     const { configuration, endpoints, hosts } = this;
     const orderPorts = { store, configuration, endpoints, hosts, client };
     this.orders = options.domains.map(
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -20,6 +20,13 @@
   ]);
   readonly takeovers = this.counter('fuchsiahitch_batch_takeovers_total', 'Batches taken over', []);
   readonly items = this.counter('fuchsiahitch_items_total', 'Results listed by state', ['state']);
+  readonly scores = this.counter('fuchsiahitch_scores_total', 'Requests for scores by outcome', ['outcome']);
+  readonly scoring = this.histogram(
+    'fuchsiahitch_score_duration_seconds',
+    'Time from the request for a score to the score',
+    LATENCY_BUCKETS_SECONDS,
+    [],
+  );
   readonly storeCalls = this.counter('fuchsiahitch_store_calls_total', 'Calls to the store', ['call', 'end']);
   readonly orders = this.counter('fuchsiahitch_orders_total', 'Weight orders by answer', ['answer']);
   readonly latency = this.histogram(
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export * from './gatewayMetrics.js';
 export * from './hostDirectory.js';
 export * from './itemAttempt.js';
+export * from './itemScoring.js';
 export * from './ports.js';
 export * from './reachMonitor.js';
 export * from './relayedStore.js';
--- a/packages/gateway/src/itemAttempt.ts
+++ b/packages/gateway/src/itemAttempt.ts
@@ -68,7 +68,7 @@
     const hop = this._context.tracing.begin('endpoint', undefined);
     const end = await this._client.runItem(this._call(), this, this._abort.signal);
     this._stallTimer?.();
-    const verdict = this._verdict ?? end;
+    const verdict = this._verdict ?? this._checked(end);
     const batchId = this._ledger.batch.id;
     hop.end({ batchId, itemId: this._item.id, endpointId: this.endpoint.id, end: verdict.kind });
     if (verdict.kind === 'cancelled' || verdict.kind === 'old-version') stats.cancelled(true);
@@ -76,14 +76,16 @@
     return verdict;
   }
 
-  began(version: number, load: EndpointLoad | undefined): boolean {
-    const { model } = this._ledger.batch;
+  began(version: number | undefined, load: EndpointLoad | undefined): boolean {
+    const { model, minVersion } = this._ledger.batch;
     if (load) this.endpoint.loaded(load);
-    if (model !== '') this.endpoint.heardVersion(model, version);
+    // An endpoint that goes on after a text's last event generates nothing, and names no version.
+    if (version === undefined) return true;
+    if (model !== '') this.endpoint.answeredVersion(model, version);
     const progress = this._ledger.progress(this._item.id);
-    if (version >= this._ledger.batch.minVersion && progress.mayContinueWith(version)) return true;
+    if (version >= minVersion && progress.mayContinueWith(version)) return true;
     // The text so far can't go on under this version. A version that is too old says nothing against the text.
-    if (version >= this._ledger.batch.minVersion) progress.clear();
+    if (version >= minVersion) progress.clear();
     this._verdict = { kind: 'old-version' };
     return false;
   }
@@ -99,6 +101,12 @@
     return false;
   }
 
+  /** A stream that ended well before its first event was no text. */
+  private _checked(end: ItemEnd): AttemptEnd {
+    const isEmpty = end.kind === 'done' && this._ledger.progress(this._item.id).lastEvent() === 0;
+    return isEmpty ? { kind: 'broken', text: 'the stream ended without an event' } : end;
+  }
+
   private _armStall(timeoutMs: number): void {
     this._stallTimer?.();
     this._stallTimer = this._context.clock.after(timeoutMs, () => {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -43,8 +43,8 @@
 export interface EndpointAnswer {
   readonly status: number;
   readonly headers: readonly HeaderPair[];
-  /** True if the answer carries the endpoint's proof of origin. */
-  readonly isGenuine: boolean;
+  /** The endpoint's proof that the answer is its own; undefined for an answer that carries none. */
+  readonly proof: string | undefined;
   readonly isLeaving: boolean;
   readonly load: EndpointLoad | undefined;
   readonly body: AsyncIterable<Buffer>;
@@ -90,8 +90,11 @@
 
 /** What an attempt at an item tells while it runs. */
 export interface ItemListener {
-  /** The answer's head came: the weight version that generates. False ends the attempt. */
-  began(version: number, load: EndpointLoad | undefined): boolean;
+  /**
+   * The answer's head came: the weight version that generates, undefined if it names none, as where an endpoint has
+   * nothing to add to a text. False ends the attempt.
+   */
+  began(version: number | undefined, load: EndpointLoad | undefined): boolean;
   /** An event is whole. False ends the attempt. */
   event(event: GeneratedEvent): boolean;
 }
@@ -120,6 +123,8 @@
 }
 
 export interface EndpointClient {
+  /** The headers of a request that no caller sent: one that this host makes itself. */
+  ownHeaders(requestId: string, host: string): readonly HeaderPair[];
   send(call: EndpointCall, signal: AbortSignal): Promise<EndpointReply>;
   runItem(call: ItemCall, listener: ItemListener, signal: AbortSignal): Promise<ItemEnd>;
   report(endpoint: EndpointInfo, timeoutMs: number): Promise<WeightReport | undefined>;
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -75,7 +75,7 @@
     REFUSED,
     { kind: 'answered', answer: answer(500, 'no') },
     { kind: 'answered', answer: halved },
-    { kind: 'answered', answer: answer(200, 'not the endpoint’s', { isGenuine: false }) },
+    { kind: 'answered', answer: answer(200, 'not the endpoint’s', { proof: undefined }) },
   ] as const) {
     client.sends.length = 0;
     client.reply = inTurn(failure, whole());
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -8,6 +8,7 @@
   BatchStore,
   ConfigurationService,
   EndpointDirectory,
+  Forwarder,
   type CallRegistry,
   type Hosts,
 } from '@fuchsiahitch/gateway';
@@ -43,6 +44,7 @@
       endpoints: this.endpoints,
       configuration: this.configuration,
       client: world.client,
+      forwarder: new Forwarder(this.context, this.endpoints, world.client),
     };
     this.batches = new BatchService(this.context, ports, this);
     const registry: CallRegistry = {
@@ -125,6 +127,14 @@
     this.store.put(`${keys.endpointPrefix}e2`, endpointRecord({ address: '10.0.0.2:1' }));
   }
 
+  /** Endpoints that give scores, of six places each. */
+  addScorers(...ids: readonly string[]): void {
+    for (const id of ids) {
+      const record = endpointRecord({ address: `10.0.1.1:${id}`, pool: 'scorers', slots: 6 });
+      this.store.put(`${keys.endpointPrefix}${id}`, record);
+    }
+  }
+
   start(hostId: string, incarnation = '1'): GatewayHost {
     const host = new GatewayHost(this, hostId, incarnation);
     this.hosts.set(hostId, host);
--- a/tests/gatewayWorld.ts
+++ b/tests/gatewayWorld.ts
@@ -13,6 +13,7 @@
   type EndpointReply,
   type FleetConfiguration,
   type GatewayContext,
+  type HeaderPair,
   type ItemCall,
   type ItemEnd,
   type ItemListener,
@@ -96,6 +97,15 @@
   };
 }
 
+/** Where scores are asked for. */
+export const SCORE_ROUTE: Route = route({
+  run: 'idempotent',
+  pools: [{ pool: 'scorers', weight: 1 }],
+  timeoutMs: 1500,
+  targetMs: 193,
+  maxAttempts: 4,
+});
+
 /** Records as plain JSON of the product's own types. */
 export class PlainRecords implements RecordDecoder {
   configuration(value: string): FleetConfiguration | undefined {
@@ -117,6 +127,12 @@
           when: { host: ['quests'], pathPrefix: ['/run/'] },
           then: { route: given },
         },
+        {
+          id: 'scores',
+          team: 'platform',
+          when: { host: ['quests'], pathPrefix: ['/score/'] },
+          then: { route: SCORE_ROUTE },
+        },
       ],
       limits: {
         maxHeaderBytes: 16_384,
@@ -166,6 +182,12 @@
   };
 }
 
+/** An item whose text is scored. The request for its score is named after it. */
+export function scoredItem(id: string, overrides: Partial<BatchItem> = {}): BatchItem {
+  const scoring = { id: `score-${id}`, host: 'quests', path: `/score/${id}`, bodyBase64: '' };
+  return item(id, { scoring, ...overrides });
+}
+
 export function batch(id: string, items: readonly BatchItem[], overrides: Partial<Batch> = {}): Batch {
   return { id, host: 'quests', step: 1, model: 'm', minVersion: 1, groupsWanted: 1, items, ...overrides };
 }
@@ -174,7 +196,8 @@
 export interface ItemScript {
   readonly events: number;
   readonly end: ItemEnd;
-  readonly version?: number;
+  /** The weight version of the answer; `none` for an answer that names none. */
+  readonly version?: number | 'none';
   readonly eventMs?: number;
 }
 
@@ -199,6 +222,13 @@
     this._clock = clock;
   }
 
+  ownHeaders(requestId: string, host: string): readonly HeaderPair[] {
+    return [
+      ['id', requestId],
+      ['host', host],
+    ];
+  }
+
   async send(call: EndpointCall, signal: AbortSignal): Promise<EndpointReply> {
     this.sends.push(call);
     return this.reply(call, signal);
@@ -208,7 +238,7 @@
     this.items.push(call);
     const { events, end, version = 1, eventMs = 1 } = this.script(call);
     if (end.kind === 'not-run') return end;
-    if (!listener.began(version, undefined)) return { kind: 'cancelled' };
+    if (!listener.began(version === 'none' ? undefined : version, undefined)) return { kind: 'cancelled' };
     for (let i = 1; i <= events; i++) {
       await this._pause(eventMs, signal);
       if (signal.aborted) {
@@ -216,6 +246,7 @@
         return { kind: 'cancelled' };
       }
       const number = call.afterEvent + i;
+      if (version === 'none') return { kind: 'broken', text: 'no version' };
       if (!listener.event({ number, text: `${call.itemId}-${number}`, version }))
         return { kind: 'cancelled' };
     }
@@ -237,8 +268,12 @@
 
   private async _pause(ms: number, signal: AbortSignal): Promise<void> {
     await new Promise<void>(resolve => {
-      this._clock.after(ms, resolve);
-      signal.addEventListener('abort', () => resolve());
+      const end = (): void => {
+        signal.removeEventListener('abort', end);
+        resolve();
+      };
+      this._clock.after(ms, end);
+      signal.addEventListener('abort', end);
     });
   }
 }
@@ -251,7 +286,7 @@
   return {
     status,
     headers: [],
-    isGenuine: true,
+    proof: 'proof',
     isLeaving: false,
     load: undefined,
     body: bodyOf(text),
--- a/tests/platformWire.spec.ts
+++ b/tests/platformWire.spec.ts
@@ -171,7 +171,7 @@
 await tap.test('should pass a request on as it came, with what is left of its time', t =>
   withServer(async (server, endpoint, client) => {
     const reply = await client.send(call(endpoint), NOT_ABORTED);
-    t.ok(reply.kind === 'answered' && reply.answer.isGenuine);
+    t.ok(reply.kind === 'answered' && reply.answer.proof === 'proof');
     if (reply.kind === 'answered') t.equal(await read(reply.answer.body), 'whole');
     const [request] = server.requests;
     t.match(request, { method: 'POST', target: '/a/x?y=%20z' });
