Endpoints: a restart under the same identifier ends all that was known of the former start

Cause: identity was taken from the identifier alone, which an endpoint may now keep over a restart: an ejection, a pace, versions, a load under way, the mark that it leaves and runs were believed of the new start. Records of other writers were filled in with defaults, so that a state that nobody knows became an endpoint that leaves, and missing places became one. Change: each start is an Endpoint of its own, by identifier and time of birth; a later one takes the former's place, whether the record, the endpoint's report or an order's read-back says so; a late record of an earlier start changes nothing, also after the endpoint is gone. Runs that showed no life since the restart go on elsewhere at once; news between hosts name the start. Records that lack a field or have an odd one name no endpoint, told once a revision.

--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -57,7 +57,13 @@
  * heartbeat would tell them later.
  */
 export const endpointVersionSchema = z
-  .strictObject({ endpointId: z.string(), model: z.string(), version: count })
+  .strictObject({
+    endpointId: z.string(),
+    /** The endpoint's start that it is true of. */
+    bornWallMs: z.number(),
+    model: z.string(),
+    version: count,
+  })
   .readonly();
 export type EndpointVersion = z.infer<typeof endpointVersionSchema>;
 
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -1,6 +1,7 @@
 /**
  * One endpoint as this host knows it.
  */
+import { setMaxListeners } from 'node:events';
 import type { Clock } from '@fuchsiahitch/base';
 import { ConcurrencyLimit, EndpointStats } from '@fuchsiahitch/requests';
 import type { EndpointInfo, EndpointLoad } from './ports.js';
@@ -47,7 +48,9 @@
   private readonly _clock: Clock;
   private readonly _heardVersions = new Map<string, number>();
   private readonly _olderVersions = new Map<string, OlderVersion>();
+  private readonly _replaced = new AbortController();
   private _info: EndpointInfo;
+  private _nextStartWallMs = Infinity;
   private _saidLeaving = false;
   private _closedUntilMs = -Infinity;
   private _paceMs: number | undefined;
@@ -58,6 +61,8 @@
     this._clock = clock;
     this.stats = new EndpointStats(clock, LOAD_VALID_MS, MAX_EJECTED_MS);
     this.limit = new ConcurrencyLimit(info.slots, 1);
+    // Each attempt at an item that runs there listens.
+    setMaxListeners(0, this._replaced.signal);
   }
 
   get id(): string {
@@ -81,6 +86,28 @@
     return this._info;
   }
 
+  /** Tells this start from others with the same identifier. */
+  startId(): string {
+    return `${this._info.id}@${this._info.bornWallMs}`;
+  }
+
+  /** Aborted when another start has taken this one's place. */
+  get replaced(): AbortSignal {
+    return this._replaced.signal;
+  }
+
+  /** The wall time at which the start began that took this one's place; Infinity while this one lives. */
+  nextStartWallMs(): number {
+    return this._nextStartWallMs;
+  }
+
+  /** Another start has taken its place: nothing that is known of this one holds for that. */
+  replacedBy(info: EndpointInfo): void {
+    this._saidLeaving = true;
+    this._nextStartWallMs = info.bornWallMs;
+    this._replaced.abort();
+  }
+
   updated(info: EndpointInfo): void {
     for (const [model, version] of info.versions)
       if (version !== this._info.versions.get(model)) this._olderVersions.delete(model);
@@ -98,7 +125,7 @@
       inFlight: load.running,
       queued: load.waiting,
       version: '',
-      startId: this.id,
+      startId: this.startId(),
       isLeaving: false,
     });
   }
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -1,10 +1,16 @@
 /**
  * The endpoints that exist, from their own records in the store.
+ *
+ * An endpoint may start again under its identifier. What was known of its former start must not be believed of the new
+ * one: runs that are gone, versions and pace, an ejection, or the mark that it leaves. So each start is an `Endpoint` of
+ * its own, a later start takes the former's place, and a record of an earlier one that arrives late changes nothing. A
+ * record that can't be read, as of another writer, names no endpoint; the others hold.
  */
 import type { CancelTimer } from '@fuchsiahitch/base';
+import type { StoredValue } from '@fuchsiahitch/clients';
 import { Endpoint } from './endpoint.js';
 import type { GatewayContext } from './gatewayContext.js';
-import type { RecordDecoder, RecordKeys } from './ports.js';
+import type { EndpointInfo, RecordDecoder, RecordKeys } from './ports.js';
 import { StoreMirror, type MirrorSource } from './storeMirror.js';
 
 /**
@@ -15,6 +21,8 @@
 /** A removal this soon after a failed call may come from the outage and not from the endpoint. */
 const OUTAGE_ECHO_MS = 2500;
 const WAIT_MS = 2500;
+/** Endpoints whose last start is remembered after they are gone, so that a late record does not bring a former one back. */
+const MAX_REMEMBERED = 4000;
 
 export class EndpointDirectory {
   private readonly _context: GatewayContext;
@@ -23,8 +31,18 @@
   private readonly _mirror: StoreMirror;
   private readonly _endpoints = new Map<string, Endpoint>();
   private readonly _missing = new Map<string, CancelTimer>();
+  private readonly _lastBornWallMs = new Map<string, number>();
+  private readonly _restarted: (address: string) => void;
 
-  constructor(context: GatewayContext, store: MirrorSource, keys: RecordKeys, decoder: RecordDecoder) {
+  /** `restarted`: told of the address of each endpoint that has started again under its identifier. */
+  constructor(
+    context: GatewayContext,
+    store: MirrorSource,
+    keys: RecordKeys,
+    decoder: RecordDecoder,
+    restarted: (address: string) => void,
+  ) {
+    this._restarted = restarted;
     this._context = context;
     this._keys = keys;
     this._decoder = decoder;
@@ -32,7 +50,7 @@
       context,
       store,
       { prefix: keys.endpointPrefix, waitMs: WAIT_MS, spacingMs: 0 },
-      { changed: item => this._changed(item.key, item.value), removed: key => this._removed(key) },
+      { changed: item => this._changed(item), removed: key => this._removed(key) },
     );
   }
 
@@ -62,24 +80,57 @@
     return this._endpoints.get(id);
   }
 
-  private _changed(key: string, value: string): void {
+  /** An endpoint's own word, before its record says so, that it has started again. */
+  restarted(id: string, bornWallMs: number, versions: ReadonlyMap<string, number>): void {
+    const known = this._endpoints.get(id);
+    if (!known || bornWallMs <= known.info().bornWallMs) return;
+    this._take({ ...known.info(), bornWallMs, versions, isLeaving: false });
+  }
+
+  private _changed({ key, value, version }: StoredValue): void {
     const id = key.slice(this._keys.endpointPrefix.length);
     const info = this._decoder.endpoint(id, value);
-    if (!info) {
-      this._context.log.warn('unreadable endpoint record', { endpointId: id });
+    if (info) {
+      this._missing.get(id)?.();
+      this._missing.delete(id);
+      this._take(info);
       return;
     }
-    this._missing.get(id)?.();
-    this._missing.delete(id);
+    this._context.log.warn('unreadable endpoint record', { endpointId: id, revision: version });
+    this._removed(key);
+  }
+
+  private _take(info: EndpointInfo): void {
+    const { id, bornWallMs } = info;
+    const lastMs = this._lastBornWallMs.get(id) ?? 0;
+    if (bornWallMs < lastMs) {
+      this._context.log.info('record of a former start', {
+        endpointId: id,
+        bornWallMs,
+        lastBornWallMs: lastMs,
+      });
+      return;
+    }
+    this._remember(id, bornWallMs);
     const known = this._endpoints.get(id);
-    if (known) {
+    if (known?.info().bornWallMs === bornWallMs) {
       if (info.isLeaving && !known.isLeaving) this._logChange('leaving', known);
       known.updated(info);
       return;
     }
     const endpoint = new Endpoint(info, this._context.clock);
     this._endpoints.set(id, endpoint);
-    this._logChange('new', endpoint);
+    known?.replacedBy(info);
+    if (known) this._restarted(known.info().address);
+    this._logChange(known ? 'restarted' : 'new', endpoint);
+  }
+
+  private _remember(id: string, bornWallMs: number): void {
+    this._lastBornWallMs.delete(id);
+    this._lastBornWallMs.set(id, bornWallMs);
+    const [oldest] = this._lastBornWallMs.keys();
+    if (this._lastBornWallMs.size > MAX_REMEMBERED && oldest !== undefined)
+      this._lastBornWallMs.delete(oldest);
   }
 
   private _removed(key: string): void {
@@ -93,14 +144,16 @@
 
   private _forget(endpoint: Endpoint): void {
     this._missing.delete(endpoint.id);
-    this._endpoints.delete(endpoint.id);
+    // Another start may have taken its place meanwhile.
+    if (this._endpoints.get(endpoint.id) === endpoint) this._endpoints.delete(endpoint.id);
     endpoint.saidLeaving();
     this._logChange('gone', endpoint);
   }
 
   private _logChange(change: string, endpoint: Endpoint): void {
     const { id, pool, domain } = endpoint;
+    const { bornWallMs } = endpoint.info();
     const sinceFailureMs = Math.round(Math.min(this._mirror.sinceFailureMs(), 1e6));
-    this._context.log.info('endpoint', { change, endpointId: id, pool, domain, sinceFailureMs });
+    this._context.log.info('endpoint', { change, endpointId: id, pool, domain, bornWallMs, sinceFailureMs });
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,7 +59,9 @@
     this.configuration = new ConfigurationService(context, store, keys, decoder);
     this.hosts = new HostDirectory(context, store, options.hosts);
     this._endpointWatch = new SharedWatch(context, store, this.hosts, keys.endpointPrefix);
-    this.endpoints = new EndpointDirectory(context, this._endpointWatch, keys, decoder);
+    this.endpoints = new EndpointDirectory(context, this._endpointWatch, keys, decoder, address =>
+      client.restarted(address),
+    );
     const { hosts: peers } = this;
     store.usePeers({
       addresses: () => peers.peers().map(peer => peer.address),
--- a/packages/gateway/src/itemAttempt.ts
+++ b/packages/gateway/src/itemAttempt.ts
@@ -29,6 +29,8 @@
   private readonly _beganMs: number;
   private _verdict: AttemptEnd | undefined;
   private _lastEventMs: number | undefined;
+  /** When the endpoint showed last that it works on this attempt, by this host's wall clock. */
+  private _aliveWallMs: number;
   private _stallTimer: CancelTimer | undefined;
 
   constructor(
@@ -44,6 +46,7 @@
     this._item = item;
     this.endpoint = endpoint;
     this._beganMs = context.clock.nowMs();
+    this._aliveWallMs = context.clock.wallMs();
   }
 
   get itemId(): string {
@@ -66,7 +69,10 @@
     stats.began(true);
     this._armStall(FIRST_EVENT_TIMEOUT_MS);
     const hop = this._context.tracing.begin('endpoint', undefined);
+    const replaced = (): void => this._endpointRestarted();
+    this.endpoint.replaced.addEventListener('abort', replaced);
     const end = await this._client.runItem(this._call(), this, this._abort.signal);
+    this.endpoint.replaced.removeEventListener('abort', replaced);
     this._stallTimer?.();
     const verdict = this._verdict ?? this._checked(end);
     const batchId = this._ledger.batch.id;
@@ -94,6 +100,7 @@
     const nowMs = this._context.clock.nowMs();
     if (this._lastEventMs !== undefined) this.endpoint.paced(nowMs - this._lastEventMs);
     this._lastEventMs = nowMs;
+    this._aliveWallMs = this._context.clock.wallMs();
     this._armStall(EVENT_TIMEOUT_MS);
     const effect = this._ledger.event(this._item.id, event);
     if (effect === 'added' || effect === 'repeated') return true;
@@ -101,6 +108,16 @@
     return false;
   }
 
+  /**
+   * A run of a former start is lost, and nothing says so where the endpoint lost its power: the item would wait for the
+   * time-out between events. A run that showed life after the restart belongs to the new start, and goes on.
+   */
+  private _endpointRestarted(): void {
+    if (this._aliveWallMs >= this.endpoint.nextStartWallMs()) return;
+    this._verdict ??= { kind: 'broken', text: 'the endpoint has restarted' };
+    this._abort.abort();
+  }
+
   /** A stream that ended well before its first event was no text. */
   private _checked(end: ItemEnd): AttemptEnd {
     const isEmpty = end.kind === 'done' && this._ledger.progress(this._item.id).lastEvent() === 0;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -7,9 +7,12 @@
 /** A header's name and value, in the spelling and order of the sender. */
 export type HeaderPair = readonly [name: string, value: string];
 
-/** One start of an endpoint. A restart is another endpoint: it has another identifier. */
+/** One start of an endpoint, told from others by its identifier and the time of its start. */
 export interface EndpointInfo {
+  /** Names no other endpoint, but may be kept over a restart. */
   readonly id: string;
+  /** Wall time of its start, by its own clock; 0 where it does not say. */
+  readonly bornWallMs: number;
   /** `IP:port`. Addresses are used again by other endpoints, identifiers are not. */
   readonly address: string;
   readonly pool: string;
@@ -115,6 +118,8 @@
 
 /** An endpoint's own word about its weights. */
 export interface WeightReport {
+  /** Wall time of the start that reports; undefined where it does not say. */
+  readonly bornWallMs: number | undefined;
   readonly versions: ReadonlyMap<string, number>;
   /** True while it carries out an order. */
   readonly isBusy: boolean;
@@ -129,6 +134,8 @@
   runItem(call: ItemCall, listener: ItemListener, signal: AbortSignal): Promise<ItemEnd>;
   report(endpoint: EndpointInfo, timeoutMs: number): Promise<WeightReport | undefined>;
   order(order: LoadOrder, timeoutMs: number): Promise<OrderAnswer>;
+  /** The endpoint at the address has restarted: connections to its former start are not used again. */
+  restarted(address: string): void;
 }
 
 /** What callers may send, and how long they may take. */
@@ -152,7 +159,7 @@
 export interface RecordDecoder {
   /** Undefined for a value that is no configuration. */
   configuration(value: string): FleetConfiguration | undefined;
-  /** Undefined for a value that describes no endpoint. */
+  /** Undefined for a value that describes no endpoint, as one of another writer may. */
   endpoint(id: string, value: string): EndpointInfo | undefined;
   /** The newest version that a trainer named for a model. */
   namedVersion(value: string): { readonly model: string; readonly version: number } | undefined;
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -31,7 +31,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { lastOrdersKey, ordersKey, type CallRegistry, type Hosts } from './hostDirectory.js';
 import { modelShares } from './modelShares.js';
-import type { EndpointClient } from './ports.js';
+import type { EndpointClient, WeightReport } from './ports.js';
 import { StoreLease } from './storeLease.js';
 
 const LEASE_TTL_MS = 1500;
@@ -284,8 +284,10 @@
   /** Tells the planner a version that is news: each word counts as a reading, and puts the next one off. */
   private _tell(planner: SwapPlanner, endpoint: Endpoint, model: string): void {
     const version = endpoint.versionOf(model);
-    if (planner.versionOf(endpoint.id) === version) return;
-    planner.readBack(endpoint.id, { version, startId: endpoint.id });
+    const startId = endpoint.startId();
+    const known = planner.lastReadBack(endpoint.id);
+    if (known?.version === version && known.startId === startId) return;
+    planner.readBack(endpoint.id, { version, startId });
   }
 
   private _planner(pool: string, model: string): SwapPlanner {
@@ -325,9 +327,10 @@
     endpoint: Endpoint,
     order: WeightOrder,
     model: string,
-  ): Promise<'accepted' | 'busy' | 'refused' | 'unknown' | 'no-report' | 'no-lease'> {
+  ): Promise<'accepted' | 'busy' | 'refused' | 'unknown' | 'no-report' | 'other-start' | 'no-lease'> {
     const report = await this._ports.client.report(endpoint.info(), REPORT_TIMEOUT_MS);
     if (!report) return 'no-report';
+    if (!this._isOfStart(endpoint, report)) return 'other-start';
     for (const [name, version] of report.versions) this._saw(endpoint, name, version);
     if ((report.versions.get(model) ?? 0) >= order.version) return 'accepted';
     if (report.isBusy) return 'busy';
@@ -355,25 +358,44 @@
     this._busy.add(endpointId);
     const report = await this._ports.client.report(endpoint.info(), REPORT_TIMEOUT_MS);
     this._busy.delete(endpointId);
-    const version = report?.versions.get(model);
+    if (!report || !this._isOfStart(endpoint, report)) return;
+    const version = report.versions.get(model);
     if (version !== undefined) this._saw(endpoint, model, version);
   }
 
+  /**
+   * False for a report of another start of the endpoint: its count of orders and its versions say nothing about this one.
+   * A later start takes this one's place at once.
+   */
+  private _isOfStart(endpoint: Endpoint, report: WeightReport): boolean {
+    const { bornWallMs, versions } = report;
+    if (bornWallMs === undefined || bornWallMs === endpoint.info().bornWallMs) return true;
+    this._ports.endpoints.restarted(endpoint.id, bornWallMs, versions);
+    return false;
+  }
+
   /** Owners of batches must know a new version at once: until then the endpoint stays empty. */
   private _saw(endpoint: Endpoint, model: string, version: number): void {
     if (version <= endpoint.versionOf(model)) return;
     endpoint.heardVersion(model, version);
-    this._tellPeers(calls.versionSeen, { endpointId: endpoint.id, model, version });
+    this._tellPeers(calls.versionSeen, endpoint, model, version);
   }
 
   /** Holders of other domains count the loads that run, or too many endpoints would load at once. */
   private _loadBegan(endpoint: Endpoint, model: string, version: number): void {
     if (version <= endpoint.versionOf(model)) return;
     endpoint.loadBegan(model, version);
-    this._tellPeers(calls.loadBegan, { endpointId: endpoint.id, model, version });
+    this._tellPeers(calls.loadBegan, endpoint, model, version);
   }
 
-  private _tellPeers(call: typeof calls.versionSeen, news: EndpointVersion): void {
+  private _tellPeers(
+    call: typeof calls.versionSeen,
+    endpoint: Endpoint,
+    model: string,
+    version: number,
+  ): void {
+    const { bornWallMs } = endpoint.info();
+    const news = { endpointId: endpoint.id, bornWallMs, model, version };
     for (const peer of this._ports.hosts.peers())
       void this._ports.hosts.call(peer.address, call, news, PEER_TIMEOUT_MS);
   }
@@ -381,16 +403,25 @@
 
 /** Takes in what the hosts that give orders tell. */
 export function serveVersions(server: CallRegistry, endpoints: EndpointDirectory): void {
-  server.handle(calls.versionSeen, ({ endpointId, model, version }) => {
-    endpoints.get(endpointId)?.heardVersion(model, version);
+  server.handle(calls.versionSeen, news => {
+    startOf(endpoints, news)?.heardVersion(news.model, news.version);
     return {};
   });
-  server.handle(calls.loadBegan, ({ endpointId, model, version }) => {
-    endpoints.get(endpointId)?.loadBegan(model, version);
+  server.handle(calls.loadBegan, news => {
+    startOf(endpoints, news)?.loadBegan(news.model, news.version);
     return {};
   });
 }
 
+/** The endpoint, if the news are of the start that this host knows. */
+function startOf(
+  endpoints: EndpointDirectory,
+  { endpointId, bornWallMs }: EndpointVersion,
+): Endpoint | undefined {
+  const endpoint = endpoints.get(endpointId);
+  return endpoint?.info().bornWallMs === bornWallMs ? endpoint : undefined;
+}
+
 /** Notices that the process stood still: the monotonic clock does not count such a time, the wall clock does. */
 class PauseDetector {
   private readonly _clock: Clock;
--- a/packages/orders/src/swapPlanner.ts
+++ b/packages/orders/src/swapPlanner.ts
@@ -85,9 +85,9 @@
     this._states.set(endpointId, { ...base, readBack, readMs, isSwapping: base.isSwapping && !isDone });
   }
 
-  /** The version that an endpoint was last read back with. */
-  versionOf(endpointId: string): number | undefined {
-    return this._states.get(endpointId)?.readBack?.version;
+  /** What an endpoint was last read back with. */
+  lastReadBack(endpointId: string): ReadBack | undefined {
+    return this._states.get(endpointId)?.readBack;
   }
 
   /** Orders to give now. The caller holds the lease whose token they carry. */
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -31,7 +31,7 @@
   const clock = new VirtualClock();
   const store = new FakeStore(clock);
   const context = testContext(clock);
-  const endpoints = new EndpointDirectory(context, store.client(), keys, new PlainRecords());
+  const endpoints = new EndpointDirectory(context, store.client(), keys, new PlainRecords(), () => undefined);
   for (const id of ['e1', 'e2', 'e3']) store.put(`${keys.endpointPrefix}${id}`, endpointRecord());
   endpoints.start();
   await clock.advance(100);
--- a/tests/gateway.spec.ts
+++ b/tests/gateway.spec.ts
@@ -115,7 +115,7 @@
   const store = new FakeStore(clock);
   const client = store.client();
   const context = testContext(clock);
-  const endpoints = new EndpointDirectory(context, client, keys, new PlainRecords());
+  const endpoints = new EndpointDirectory(context, client, keys, new PlainRecords(), () => undefined);
   store.put(`${keys.endpointPrefix}e1`, endpointRecord());
   store.put(`${keys.endpointPrefix}e2`, endpointRecord());
   endpoints.start();
@@ -263,7 +263,7 @@
   const client = new ScriptedClient(clock);
   const records = new PlainRecords();
   const configuration = new ConfigurationService(context, storeClient, keys, records);
-  const endpoints = new EndpointDirectory(context, storeClient, keys, records);
+  const endpoints = new EndpointDirectory(context, storeClient, keys, records, () => undefined);
   const hosts: Hosts = {
     self: () => ({ hostId, incarnation: '1', address: hostId }),
     isSynced: () => true,
@@ -322,6 +322,7 @@
   t.equal(first?.version, 2);
   t.ok((first?.fencingToken ?? 0) > 0);
   world.client.weights = endpoint => ({
+    bornWallMs: 0,
     versions: new Map([['m', world.client.orders.some(order => order.endpoint.id === endpoint.id) ? 2 : 1]]),
     isBusy: false,
     sequence: 0,
@@ -338,7 +339,12 @@
   await world.clock.advance(6000);
   world.storeClient.mode = 'silent';
   const cutMs = world.clock.nowMs();
-  world.client.weights = endpoint => ({ versions: endpoint.versions, isBusy: false, sequence: 0 });
+  world.client.weights = endpoint => ({
+    bornWallMs: 0,
+    versions: endpoint.versions,
+    isBusy: false,
+    sequence: 0,
+  });
   world.orders.isHolder();
   await world.clock.advance(1200);
   world.client.orders.length = 0;
@@ -391,6 +397,7 @@
   const [ordered] = first.client.orders;
   const orderedId = ordered?.endpoint.id ?? '';
   first.client.weights = endpoint => ({
+    bornWallMs: 0,
     versions: new Map([['m', endpoint.id === orderedId ? 2 : 1]]),
     isBusy: false,
     sequence: 0,
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -38,7 +38,9 @@
     this.storeClient = world.store.client();
     const records = new PlainRecords();
     this.configuration = new ConfigurationService(this.context, this.storeClient, keys, records);
-    this.endpoints = new EndpointDirectory(this.context, this.storeClient, keys, records);
+    this.endpoints = new EndpointDirectory(this.context, this.storeClient, keys, records, address =>
+      world.client.restarted(address),
+    );
     const ports = {
       store: new BatchStore(this.context, this.storeClient),
       endpoints: this.endpoints,
--- a/tests/gatewayWorld.ts
+++ b/tests/gatewayWorld.ts
@@ -145,9 +145,9 @@
   }
 
   endpoint(id: string, value: string): EndpointInfo | undefined {
-    const record = JSON.parse(value) as Omit<EndpointInfo, 'id' | 'versions'> & {
-      versions: Record<string, number>;
-    };
+    const record = JSON.parse(value) as
+      (Omit<EndpointInfo, 'id' | 'versions'> & { versions: Record<string, number> }) | string;
+    if (typeof record === 'string') return undefined;
     return { ...record, id, versions: new Map(Object.entries(record.versions)) };
   }
 
@@ -162,6 +162,7 @@
     pool: 'gen-pool',
     domain: 'tekapo',
     slots: 4,
+    bornWallMs: 0,
     isLeaving: false,
     versions: { m: version },
     ...overrides,
@@ -207,10 +208,13 @@
   readonly sends: EndpointCall[] = [];
   readonly orders: (LoadOrder & { readonly atMs: number })[] = [];
   readonly cancelled: string[] = [];
+  /** Addresses whose former connections are not used again. */
+  readonly forgotten: string[] = [];
   script: (call: ItemCall) => ItemScript = () => ({ events: 2, end: { kind: 'done' } });
   reply: (call: EndpointCall, signal: AbortSignal) => Promise<EndpointReply> = () =>
     Promise.resolve({ kind: 'answered', answer: answer(200, 'whole') });
   weights: (endpoint: EndpointInfo) => WeightReport | undefined = endpoint => ({
+    bornWallMs: endpoint.bornWallMs,
     versions: endpoint.versions,
     isBusy: false,
     sequence: 0,
@@ -257,6 +261,10 @@
     return { kind: 'cancelled' };
   }
 
+  restarted(address: string): void {
+    this.forgotten.push(address);
+  }
+
   async report(endpoint: EndpointInfo): Promise<WeightReport | undefined> {
     return Promise.resolve(this.weights(endpoint));
   }
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -160,13 +160,17 @@
     service: 's3',
     address: '10.0.0.1:80',
     zone: 'tekapo',
+    version: 'v1',
     slots: 12,
     state: 'draining',
+    cold_left_ms: 0,
+    born: 1_787_021_061_968,
     models: [{ name: 'm1', version: 4 }],
     seq: 3,
   };
   const endpoint = new PlatformRecords().endpoint('i-1', JSON.stringify(record));
   t.match(endpoint, { id: 'i-1', pool: 's3', domain: 'tekapo', slots: 12, isLeaving: true });
+  t.equal(endpoint?.bornWallMs, record.born);
   t.equal(endpoint?.versions.get('m1'), 4);
   t.end();
 });
@@ -249,6 +253,9 @@
     address: serverAddress,
     zone: 'tekapo',
     slots: 4,
+    version: 'v1',
+    cold_left_ms: 0,
+    seq: 1,
     state: 'ready',
     models: [{ name: 'm1', version: 2 }],
   };
--- a/tests/sharedWatch.spec.ts
+++ b/tests/sharedWatch.spec.ts
@@ -50,7 +50,7 @@
     };
     const watch = new SharedWatch(context, client, directory, keys.endpointPrefix);
     watch.serve({ handle: (_call, handler) => void handlers.set(id, handler as never) });
-    const endpoints = new EndpointDirectory(context, watch, keys, new PlainRecords());
+    const endpoints = new EndpointDirectory(context, watch, keys, new PlainRecords(), () => undefined);
     endpoints.start();
     return { client, endpoints };
   });
