--- /dev/null
+++ b/utils/lostSteps.mjs
@@ -0,0 +1,146 @@
+// Reads logs of entry hosts and tells which steps were late or never whole, and what held up the items that they
+// waited for. Usage: node utils/lostSteps.mjs [--due-ms N] [--all] FILE...   (lines may have anything before their JSON)
+import fs from 'node:fs';
+import { parseArgs } from 'node:util';
+
+/** Trainers take a step for late after this long, unless --due-ms says otherwise. */
+const DEFAULT_DUE_MS = 7500;
+
+const { values: flags, positionals: files } = parseArgs({
+  allowPositionals: true,
+  options: {
+    'due-ms': { type: 'string', default: String(DEFAULT_DUE_MS) },
+    all: { type: 'boolean', default: false },
+  },
+});
+if (files.length === 0) {
+  console.error('usage: node utils/lostSteps.mjs [--due-ms N] [--all] FILE...');
+  process.exit(2);
+}
+const dueMs = Number(flags['due-ms']);
+
+const batches = new Map();
+
+function batchOf(id) {
+  const known = batches.get(id);
+  if (known) return known;
+  const batch = { id, items: new Map(), listed: [], takeovers: 0 };
+  batches.set(id, batch);
+  return batch;
+}
+
+function itemOf(batch, id) {
+  const known = batch.items.get(id);
+  if (known) return known;
+  const item = { id, attempts: [], scores: [], fruitless: 0 };
+  batch.items.set(id, item);
+  return item;
+}
+
+const READERS = {
+  'batch submitted': (batch, c, atMs) => {
+    if (c.outcome !== 'accepted') return;
+    Object.assign(batch, { atMs, model: c.model, step: c.step, total: c.items, host: c.hostId });
+  },
+  'item attempt': (batch, c, atMs) => {
+    const item = itemOf(batch, c.itemId);
+    item.group = c.group;
+    item.attempts.push({ atMs, end: c.end, tookMs: c.tookMs, endpointId: c.endpointId, paceMs: c.paceMs });
+  },
+  'item score': (batch, c, atMs) => {
+    itemOf(batch, c.itemId).scores.push({ atMs, outcome: c.outcome, tookMs: c.tookMs });
+  },
+  'item makes no progress': (batch, c) => {
+    itemOf(batch, c.itemId).fruitless = c.fruitless;
+  },
+  'results listed': (batch, c, atMs) => {
+    batch.listed.push({ atMs, results: c.results });
+  },
+  'batch takeover': (batch, c, atMs) => {
+    if (c.outcome !== 'done') return;
+    batch.takeovers += 1;
+    batch.takenMs = atMs;
+  },
+  'batch stopped': (batch, c, atMs) => {
+    if (c.reason === 'ended by the trainer') batch.endedMs = atMs;
+  },
+};
+
+function read(file) {
+  for (const line of fs.readFileSync(file, 'utf8').split('\n')) {
+    const start = line.indexOf('{"context"');
+    if (start < 0) continue;
+    let entry;
+    try {
+      entry = JSON.parse(line.slice(start));
+    } catch {
+      continue; // A line that was cut off in the middle tells nothing.
+    }
+    const reader = READERS[entry.message];
+    if (reader && entry.context.batchId) reader(batchOf(entry.context.batchId), entry.context, entry.time);
+  }
+}
+
+/** Where the time of one item went, from its batch's acceptance on. */
+function timesOf(batch, item) {
+  const times = { queued: 0, ran: 0, silent: 0, broken: 0, refused: 0, moved: 0, outdated: 0, scoring: 0 };
+  const kinds = {
+    done: 'ran',
+    cancelled: 'moved',
+    stalled: 'silent',
+    broken: 'broken',
+    'not-run': 'refused',
+    'old-version': 'outdated',
+  };
+  let freeMs = batch.atMs;
+  for (const { atMs, end, tookMs } of item.attempts) {
+    times.queued += Math.max(0, atMs - tookMs - freeMs);
+    times[kinds[end] ?? 'broken'] += tookMs;
+    freeMs = atMs;
+  }
+  for (const { tookMs } of item.scores) times.scoring += tookMs;
+  return times;
+}
+
+function lateItems(batch) {
+  const limitMs = batch.atMs + dueMs;
+  return [...batch.items.values()].filter(item => {
+    const last = item.attempts.at(-1);
+    return !last || last.end !== 'done' || last.atMs > limitMs || item.fruitless > 0;
+  });
+}
+
+function describe(batch) {
+  const total = { queued: 0, ran: 0, silent: 0, broken: 0, refused: 0, moved: 0, outdated: 0, scoring: 0 };
+  const late = lateItems(batch);
+  for (const item of late) for (const [kind, ms] of Object.entries(timesOf(batch, item))) total[kind] += ms;
+  const parts = Object.entries(total)
+    .filter(([, ms]) => ms > 0)
+    .sort((a, b) => b[1] - a[1])
+    .map(([kind, ms]) => `${kind} ${(ms / 1000).toFixed(1)}`);
+  const fruitless = Math.max(0, ...late.map(item => item.fruitless));
+  const notes = [];
+  if (batch.takeovers > 0)
+    notes.push(
+      `owner changed ${batch.takeovers}x, last at ${((batch.takenMs - batch.atMs) / 1000).toFixed(1)} s`,
+    );
+  if (fruitless > 0) notes.push(`${fruitless} attempts in a row without progress`);
+  return `${late.length} items late: ${parts.join(', ')} (item seconds)${notes.map(note => `; ${note}`).join('')}`;
+}
+
+for (const file of files) read(file);
+
+let lost = 0;
+for (const batch of [...batches.values()].filter(({ atMs }) => atMs !== undefined)) {
+  const listed = batch.listed.reduce((sum, { results }) => sum + results, 0);
+  const lastMs = batch.listed.at(-1)?.atMs ?? batch.atMs;
+  const tookMs = (batch.endedMs ?? lastMs) - batch.atMs;
+  const isLost = tookMs > dueMs || batch.endedMs === undefined;
+  if (isLost) lost += 1;
+  if (!isLost && !flags.all) continue;
+  const name = `${batch.model || '-'} step ${batch.step ?? '-'}`;
+  console.log(
+    `${name}, batch ${batch.id} at ${batch.host}: ${listed} of ${batch.total} listed, ${(tookMs / 1000).toFixed(1)} s; ${describe(batch)}`,
+  );
+}
+console.log(`${lost} of ${batches.size} batches over ${dueMs} ms`);
