--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -2,6 +2,7 @@
 export * from './engine.js';
 export * from './endpointPools.js';
 export * from './etcdStore.js';
+export * from './headerPairs.js';
 export * from './httpEngineClient.js';
 export * from './httpTools.js';
 export * from './keyValueStore.js';
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -2,10 +2,10 @@
  * What the gateway needs from outside: typed calls to endpoints, and what it learns of them.
  */
 import type { GeneratedEvent } from '@fuchsiahitch/batches';
+import type { HeaderPair } from '@fuchsiahitch/clients';
 import type { Rule } from '@fuchsiahitch/rules';
 
-/** A header's name and value, in the spelling and order of the sender. */
-export type HeaderPair = readonly [name: string, value: string];
+export type { HeaderPair };
 
 /** One start of an endpoint, told from others by its identifier and the time of its start. */
 export interface EndpointInfo {
