--- a/packages/batches/src/silence.ts
+++ b/packages/batches/src/silence.ts
@@ -19,7 +19,7 @@
 const GIVE_UP_MS = 1200;
 /** Events come evenly, at 37 to 40 ms on engines that are well; so many are missed before the endpoint is suspect. */
 const MISSED_EVENTS = 8;
-/** A garbage collection or a burst of prompts may cost so much; found between events on days without faults. */
+/** A garbage collection or a burst of prompts may cost some 150 ms: twice that and more. Chosen, not measured. */
 const MIN_SUSPECT_MS = 350;
 
 /** `paceMs`: the time between two events at the endpoint, undefined before any was seen. */
