Gateway: the owner's two searches for a free place elsewhere share one filter

Cause: _hasOtherPlace and _hasQuickerPlace each wrote out which endpoints an item may go to, with the same three conditions in another order. Change: _freeElsewhere holds them; each search keeps the route that it asked for and its own question. No behaviour changes.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -412,24 +412,27 @@
   /** True if another endpoint, at which the item has not failed of late, has a place for it. */
   private _hasOtherPlace(item: BatchItem, attempt: ItemAttempt): boolean {
     const route = this._routeOf(this.ledger.batch);
-    const avoid = this._avoided.get(item.id);
-    if (!route) return false;
-    return this._candidates(route).some(
-      other => other !== attempt.endpoint && other.freePlaces() > 0 && !avoid?.has(other.id),
-    );
+    return route !== undefined && this._freeElsewhere(route, item, attempt).length > 0;
   }
 
   private _hasQuickerPlace(item: BatchItem, attempt: ItemAttempt): boolean {
     const route = this._route(this.ledger.batch.host, item);
     const paceMs = attempt.endpoint.paceMs();
     if (!route || paceMs === undefined) return false;
-    return this._candidates(route).some(endpoint => {
-      const otherMs = endpoint.paceMs();
-      if (endpoint === attempt.endpoint || endpoint.freePlaces() === 0 || otherMs === undefined) return false;
-      return !this._avoided.get(item.id)?.has(endpoint.id) && shouldMove(attempt.ranMs(), paceMs, otherMs);
+    return this._freeElsewhere(route, item, attempt).some(other => {
+      const otherMs = other.paceMs();
+      return otherMs !== undefined && shouldMove(attempt.ranMs(), paceMs, otherMs);
     });
   }
 
+  /** Endpoints with a free place, besides the attempt's own, at which the item has not failed of late. */
+  private _freeElsewhere(route: Route, item: BatchItem, attempt: ItemAttempt): readonly Endpoint[] {
+    const avoid = this._avoided.get(item.id);
+    return this._candidates(route)
+      .filter(other => other !== attempt.endpoint)
+      .filter(other => other.freePlaces() > 0 && !avoid?.has(other.id));
+  }
+
   /** An item that is not done when its route lets it go is given up, so that its step has an end. */
   private _armExpiry(): void {
     const route = this._routeOf(this.ledger.batch);
