Gateway: pauses of items without progress have a class of their own

Cause: the owner and the scoring of a batch each kept a map of paused items, and each wrote the log line 'item makes no progress'. Change: ItemPauses keeps the pauses and writes the line for both; its fields and their order stay, and the scoring's count of tries moves along. No behaviour changes.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -5,10 +5,8 @@
 import {
   BatchLedger,
   countThatFits,
-  isWorthTelling,
   pageFrom,
   placeItem,
-  retryPauseMs,
   shouldMove,
   type Batch,
   type BatchItem,
@@ -23,8 +21,9 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { ItemScoring } from './itemScoring.js';
 import { ItemAttempt, type AttemptEnd } from './itemAttempt.js';
+import { ItemPauses } from './itemPauses.js';
+import { ItemScoring } from './itemScoring.js';
 import type { EndpointClient } from './ports.js';
 import { modelShares } from './modelShares.js';
 import { ProgressKeeper } from './progressKeeper.js';
@@ -67,8 +66,7 @@
   private readonly _startedMs: number;
   private readonly _keeper: ProgressKeeper;
   private readonly _scoring: ItemScoring;
-  /** Items that made no progress wait until then. */
-  private readonly _pausedUntilMs = new Map<string, number>();
+  private readonly _pauses: ItemPauses;
   private _held: HeldClaim;
   private _confirmedMs: number;
   /** Items of this many expected tokens and more are long. */
@@ -101,6 +99,7 @@
       maxAttempts,
       isSingleVersion: route?.isSingleVersion ?? false,
     });
+    this._pauses = new ItemPauses(context, stored.batch.id, 'generation');
     this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () => void this._list());
     this._keeper = new ProgressKeeper(context, ports.store, this.ledger, held, {
       confirmed: askedMs => {
@@ -234,8 +233,7 @@
     if (this._isStopped) return;
     this._placeTimer?.();
     this._scoring.run();
-    const nowMs = this._context.clock.nowMs();
-    const waiting = this.ledger.waiting().filter(item => nowMs >= (this._pausedUntilMs.get(item.id) ?? 0));
+    const waiting = this._pauses.ready(this.ledger.waiting());
     const route = waiting.length > 0 ? this._routeOf(this.ledger.batch) : undefined;
     const tiers = route ? this._tiers(route) : [];
     for (const item of waiting) this._placeItem(item, tiers);
@@ -347,11 +345,7 @@
   /** The endpoint answered with weights that don't fit: another is asked, and in the end the item begins anew. */
   private _contradicted(item: BatchItem): void {
     const { fruitless, isTextDropped } = this.ledger.contradicted(item.id);
-    this._pausedUntilMs.set(item.id, this._context.clock.nowMs() + retryPauseMs(fruitless));
-    if (!isTextDropped && !isWorthTelling(fruitless)) return;
-    const { batchId } = this;
-    const details = { batchId, itemId: item.id, fruitless, isTextDropped, stage: 'generation' };
-    this._context.log.warn('item makes no progress', details);
+    this._pauses.contradicted(item.id, fruitless, isTextDropped);
   }
 
   private _avoid(item: BatchItem, endpoint: Endpoint): void {
--- a/packages/gateway/src/itemScoring.ts
+++ b/packages/gateway/src/itemScoring.ts
@@ -6,17 +6,12 @@
  * again elsewhere. It is never sent before its text is whole: the ledger gives out whole texts only.
  */
 import { setMaxListeners } from 'node:events';
-import {
-  isWorthTelling,
-  retryPauseMs,
-  type BatchItem,
-  type BatchLedger,
-  type ScoreRequest,
-} from '@fuchsiahitch/batches';
+import type { BatchItem, BatchLedger, ScoreRequest } from '@fuchsiahitch/batches';
 import type { Route } from '@fuchsiahitch/rules';
 import type { ConfigurationService } from './configurationService.js';
 import type { CallerRequest, Forwarder, ForwardOutcome } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { ItemPauses } from './itemPauses.js';
 import type { EndpointClient } from './ports.js';
 
 export interface ScoringPorts {
@@ -50,8 +45,7 @@
   private readonly _maxItemFailures: number;
   private readonly _ended: () => void;
   private readonly _stop = new AbortController();
-  private readonly _fruitless = new Map<string, number>();
-  private readonly _pausedUntilMs = new Map<string, number>();
+  private readonly _pauses: ItemPauses;
 
   /** `maxItemFailures`: the failures after which the route of the items lets one go. `ended`: a result is there. */
   constructor(
@@ -66,6 +60,7 @@
     this._ledger = ledger;
     this._maxItemFailures = maxItemFailures;
     this._ended = ended;
+    this._pauses = new ItemPauses(context, ledger.batch.id, 'scoring');
     // Each request that is under way listens: a batch has as many as items end at a time.
     setMaxListeners(0, this._stop.signal);
   }
@@ -73,9 +68,8 @@
   /** Asks for every score that is missing and not paused. */
   run(): void {
     if (this._stop.signal.aborted) return;
-    const nowMs = this._context.clock.nowMs();
-    for (const item of this._ledger.unscored()) {
-      if (!item.scoring || nowMs < (this._pausedUntilMs.get(item.id) ?? 0)) continue;
+    for (const item of this._pauses.ready(this._ledger.unscored())) {
+      if (!item.scoring) continue;
       this._ledger.beginScoring(item.id);
       void this._score(item, item.scoring);
     }
@@ -128,21 +122,12 @@
         break;
       case 'not-scored':
         this._ledger.scoringInterrupted(itemId);
-        this._pause(itemId);
+        this._pauses.tried(itemId);
         return;
     }
     this._ended();
   }
 
-  private _pause(itemId: string): void {
-    const fruitless = (this._fruitless.get(itemId) ?? 0) + 1;
-    this._fruitless.set(itemId, fruitless);
-    this._pausedUntilMs.set(itemId, this._context.clock.nowMs() + retryPauseMs(fruitless));
-    if (!isWorthTelling(fruitless)) return;
-    const { id: batchId } = this._ledger.batch;
-    this._context.log.warn('item makes no progress', { batchId, itemId, fruitless, stage: 'scoring' });
-  }
-
   private _log(item: BatchItem, request: ScoreRequest, end: ScoreEnd, tookMs: number): void {
     const { metrics, log } = this._context;
     metrics.scores.inc({ outcome: end.kind });
