Gateway: writing finished results to the store has a class of its own

Change: ResultLister writes them, and repeats a write that was not confirmed; the owner keeps the claim, hands it out by a getter, and is told what the store confirmed. No behaviour changes.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -1,17 +1,15 @@
 /**
- * Runs one batch on the host that owns it: sends its items to endpoints, and lists results in the store.
+ * Runs one batch on the host that owns it: sends its items to endpoints, and has their results listed in the store.
  */
-import { Deadline, sleep, type CancelTimer } from '@fuchsiahitch/base';
+import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
 import {
   BatchLedger,
-  countThatFits,
   pageFrom,
   placeItem,
   shouldMove,
   type Batch,
   type BatchItem,
   type BatchReadReply,
-  type ItemResult,
   type PlacementEndpoint,
 } from '@fuchsiahitch/batches';
 import type { Route } from '@fuchsiahitch/rules';
@@ -27,6 +25,7 @@
 import type { EndpointClient } from './ports.js';
 import { modelShares } from './modelShares.js';
 import { ProgressKeeper } from './progressKeeper.js';
+import { ResultLister } from './resultLister.js';
 
 /** What the owner of a batch works with. */
 export interface BatchPorts {
@@ -37,9 +36,6 @@
   readonly forwarder: Forwarder;
 }
 
-/** Results that end within this time share one write: trainers read twice a second. */
-const LIST_INTERVAL_MS = 150;
-const LIST_RETRY_MS = 250;
 const STORE_TIMEOUT_MS = 1000;
 /** How often items that found no place look again. */
 const PLACE_INTERVAL_MS = 25;
@@ -63,8 +59,8 @@
   private readonly _attempts = new Map<string, ItemAttempt>();
   private readonly _groupEndpoints = new Map<string, string>();
   private readonly _avoided = new Map<string, Set<string>>();
-  private readonly _startedMs: number;
   private readonly _keeper: ProgressKeeper;
+  private readonly _lister: ResultLister;
   private readonly _scoring: ItemScoring;
   private readonly _pauses: ItemPauses;
   private _held: HeldClaim;
@@ -73,9 +69,6 @@
   private readonly _longTokens: number;
   private _isStopped = false;
   private _isLost = false;
-  private _isListing = false;
-  /** A write that was not confirmed is repeated as it was: it may have taken effect. */
-  private _unsettled: readonly ItemResult[] | undefined;
   private _placeTimer: CancelTimer | undefined;
   private _wake: (() => void)[] = [];
 
@@ -90,8 +83,8 @@
     this._ports = ports;
     this._held = held;
     this._lost = lost;
-    this._startedMs = context.clock.nowMs();
-    this._confirmedMs = this._startedMs;
+    const startedMs = context.clock.nowMs();
+    this._confirmedMs = startedMs;
     const route = this._routeOf(stored.batch);
     this._longTokens = longTokens(stored.batch);
     const maxAttempts = route?.maxAttempts ?? 1;
@@ -100,7 +93,15 @@
       isSingleVersion: route?.isSingleVersion ?? false,
     });
     this._pauses = new ItemPauses(context, stored.batch.id, 'generation');
-    this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () => void this._list());
+    this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () => this._lister.list());
+    this._lister = new ResultLister(context, ports.store, this.ledger, startedMs, {
+      held: () => this._held,
+      confirmed: askedMs => {
+        this._confirmedMs = askedMs;
+      },
+      lost: () => this._loseBatch(),
+      listed: () => this._wakeReaders(),
+    });
     this._keeper = new ProgressKeeper(context, ports.store, this.ledger, held, {
       confirmed: askedMs => {
         this._confirmedMs = Math.max(this._confirmedMs, askedMs);
@@ -130,7 +131,7 @@
     if (this.isEnded() || this._isStopped) return;
     this._armExpiry();
     this._keeper.start();
-    if (this.ledger.unconfirmed().length > 0) void this._list();
+    this._lister.list();
     this._place();
   }
 
@@ -139,6 +140,7 @@
     if (this._isStopped) return;
     this._isStopped = true;
     this._keeper.stop();
+    this._lister.stop();
     this._scoring.stop();
     this._placeTimer?.();
     for (const attempt of this._attempts.values()) attempt.stop();
@@ -339,7 +341,7 @@
         this._contradicted(item);
         break;
     }
-    if (this.ledger.unconfirmed().length > 0) void this._list();
+    this._lister.list();
   }
 
   /** The endpoint answered with weights that don't fit: another is asked, and in the end the item begins anew. */
@@ -355,42 +357,6 @@
     if (this._groupEndpoints.get(item.group) === endpoint.id) this._groupEndpoints.delete(item.group);
   }
 
-  /** Writes finished results to the store, one write at a time, until none is left. */
-  private async _list(): Promise<void> {
-    if (this._isListing) return;
-    this._isListing = true;
-    const { clock, stopped } = this._context;
-    while (this.ledger.unconfirmed().length > 0 && !this._isStopped && !stopped.aborted) {
-      const isLast = this.ledger.listed().length + this.ledger.unconfirmed().length === this.ledger.total();
-      if (!isLast) await sleep(clock, LIST_INTERVAL_MS, stopped);
-      const isDone = await this._listOnce();
-      if (!isDone) await sleep(clock, LIST_RETRY_MS, stopped);
-    }
-    this._isListing = false;
-  }
-
-  private async _listOnce(): Promise<boolean> {
-    if (this._isStopped) return true;
-    const pending = this.ledger.unconfirmed();
-    const results = this._unsettled ?? pending.slice(0, countThatFits(pending));
-    this._unsettled = results;
-    const position = this.ledger.listed().length;
-    const askedMs = this._context.clock.nowMs();
-    const { store } = this._ports;
-    const done = await store.append(this.batchId, this._held, position, results, this._storeDeadline());
-    if (done.kind === 'out-of-reach') return false;
-    this._unsettled = undefined;
-    if (done.kind === 'lost') {
-      this._loseBatch();
-      return true;
-    }
-    this._confirmedMs = askedMs;
-    this.ledger.confirm(results.length);
-    this._logListed(position, results);
-    this._wakeReaders();
-    return true;
-  }
-
   /** Moves the items of slow endpoints to quick ones that have nothing better to do. */
   private _moveFromSlow(): void {
     if (this.ledger.waiting().length > 0) return;
@@ -439,7 +405,7 @@
       this._context.log.warn('batch expired', { batchId: this.batchId, keepMs: route.keepMs });
       for (const attempt of this._attempts.values()) attempt.stop();
       this.ledger.terminateRest();
-      void this._list();
+      this._lister.list();
     });
   }
 
@@ -470,23 +436,6 @@
       endpointsAgeMs: Math.round(this._ports.endpoints.ageMs()),
     });
   }
-
-  private _logListed(position: number, results: readonly ItemResult[]): void {
-    const { metrics, log, clock } = this._context;
-    const sinceStartMs = Math.round(clock.nowMs() - this._startedMs);
-    for (const { state } of results) {
-      metrics.items.inc({ state });
-      metrics.listing.observe(sinceStartMs / 1000);
-    }
-    log.info('results listed', {
-      batchId: this.batchId,
-      position,
-      results: results.length,
-      total: this.ledger.total(),
-      claimRevision: this._held.revision,
-      sinceStartMs,
-    });
-  }
 }
 
 /** An endpoint as the placement sees it. */
--- /dev/null
+++ b/packages/gateway/src/resultLister.ts
@@ -0,0 +1,118 @@
+/**
+ * Writes the finished results of one batch to the store, in the order in which they ended.
+ */
+import { Deadline, sleep } from '@fuchsiahitch/base';
+import { countThatFits, type BatchLedger, type ItemResult } from '@fuchsiahitch/batches';
+import type { BatchStore, HeldClaim } from './batchStore.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { ClaimHolder } from './progressKeeper.js';
+
+/** Results that end within this time share one write: trainers read twice a second. */
+const LIST_INTERVAL_MS = 150;
+const LIST_RETRY_MS = 250;
+const STORE_TIMEOUT_MS = 1000;
+
+/** What the lister tells the owner of the batch, and asks of it. */
+export interface ListingHolder extends Pick<ClaimHolder, 'confirmed' | 'lost'> {
+  /** The claim as it stands: it changes when the batch ends. */
+  held(): HeldClaim;
+  /** Results were listed that were not before. */
+  listed(): void;
+}
+
+export class ResultLister {
+  private readonly _context: GatewayContext;
+  private readonly _store: BatchStore;
+  private readonly _ledger: BatchLedger;
+  private readonly _startedMs: number;
+  private readonly _holder: ListingHolder;
+  private _isListing = false;
+  private _isStopped = false;
+  /** A write that was not confirmed is repeated as it was: it may have taken effect. */
+  private _unsettled: readonly ItemResult[] | undefined;
+
+  /** `startedMs`: when this host began to run the batch. */
+  constructor(
+    context: GatewayContext,
+    store: BatchStore,
+    ledger: BatchLedger,
+    startedMs: number,
+    holder: ListingHolder,
+  ) {
+    this._context = context;
+    this._store = store;
+    this._ledger = ledger;
+    this._startedMs = startedMs;
+    this._holder = holder;
+  }
+
+  /** Lists what has ended, if there is anything. */
+  list(): void {
+    if (!this._isListing) void this._run();
+  }
+
+  stop(): void {
+    this._isStopped = true;
+  }
+
+  /** One write at a time, until nothing is left. */
+  private async _run(): Promise<void> {
+    this._isListing = true;
+    const { clock, stopped } = this._context;
+    while (this._ledger.unconfirmed().length > 0 && !this._isStopped && !stopped.aborted) {
+      if (!this._isLast()) await sleep(clock, LIST_INTERVAL_MS, stopped);
+      const isDone = await this._listOnce();
+      if (!isDone) await sleep(clock, LIST_RETRY_MS, stopped);
+    }
+    this._isListing = false;
+  }
+
+  /** True if no result follows those that are not listed yet. */
+  private _isLast(): boolean {
+    return this._ledger.listed().length + this._ledger.unconfirmed().length === this._ledger.total();
+  }
+
+  private async _listOnce(): Promise<boolean> {
+    if (this._isStopped) return true;
+    const results = this._unsettled ?? this._next();
+    this._unsettled = results;
+    const position = this._ledger.listed().length;
+    const askedMs = this._context.clock.nowMs();
+    const deadline = Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
+    const { id } = this._ledger.batch;
+    const done = await this._store.append(id, this._holder.held(), position, results, deadline);
+    if (done.kind === 'out-of-reach') return false;
+    this._unsettled = undefined;
+    if (done.kind === 'lost') {
+      this._holder.lost();
+      return true;
+    }
+    this._holder.confirmed(askedMs);
+    this._ledger.confirm(results.length);
+    this._log(position, results);
+    this._holder.listed();
+    return true;
+  }
+
+  private _next(): readonly ItemResult[] {
+    const pending = this._ledger.unconfirmed();
+    return pending.slice(0, countThatFits(pending));
+  }
+
+  private _log(position: number, results: readonly ItemResult[]): void {
+    const { metrics, log, clock } = this._context;
+    const sinceStartMs = Math.round(clock.nowMs() - this._startedMs);
+    for (const { state } of results) {
+      metrics.items.inc({ state });
+      metrics.listing.observe(sinceStartMs / 1000);
+    }
+    log.info('results listed', {
+      batchId: this._ledger.batch.id,
+      position,
+      results: results.length,
+      total: this._ledger.total(),
+      claimRevision: this._holder.held().revision,
+      sinceStartMs,
+    });
+  }
+}
