Batches: an owner acts on its claim only while the store's word for it is fresh

Cause: an owner's right to run a batch had no bound in time. Its claim was looked at once a second, and a look without an answer counted as "go on": an owner that can't reach the store, or that is too busy to read its answers, went on sending items and requests for scores while another host had taken the batch over and confirmed its end. Change: the claim is a lease (ClaimLease) that each answer of the store renews, counted from when the store was asked; nothing new is sent, and no run is moved, unless it was renewed within the platform's bound after an end less 1 s for the way (2 s of 3 s). Runs go on, and so does listing.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -14,6 +14,7 @@
 } from '@fuchsiahitch/batches';
 import type { Route } from '@fuchsiahitch/rules';
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
+import { ClaimLease } from './claimLease.js';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -34,16 +35,13 @@
   readonly configuration: ConfigurationService;
   readonly client: EndpointClient;
   readonly forwarder: Forwarder;
+  /** How long after a confirmation by the store an owner may act on its claim. */
+  readonly claimLeaseMs: number;
 }
 
 const STORE_TIMEOUT_MS = 1000;
 /** How often items that found no place look again. */
 const PLACE_INTERVAL_MS = 25;
-/**
- * A reader is told that there is nothing yet only by an owner that the store has confirmed this recently; a
- * result read elsewhere must be shown by everybody within a second.
- */
-const SURE_MS = 600;
 /** An endpoint that refused an item gets none for this long: it is full or loads weights. */
 const REFUSED_PAUSE_MS = 250;
 /** Lengths have a long tail: about a tenth of the items is several times as long as the rest, and estimates err. */
@@ -63,8 +61,7 @@
   private readonly _lister: ResultLister;
   private readonly _scoring: ItemScoring;
   private readonly _pauses: ItemPauses;
-  private _held: HeldClaim;
-  private _confirmedMs: number;
+  private readonly _lease: ClaimLease;
   /** Items of this many expected tokens and more are long. */
   private readonly _longTokens: number;
   private _isStopped = false;
@@ -81,36 +78,24 @@
   ) {
     this._context = context;
     this._ports = ports;
-    this._held = held;
     this._lost = lost;
+    const { store } = ports;
+    const { batch } = stored;
     const startedMs = context.clock.nowMs();
-    this._confirmedMs = startedMs;
-    const route = this._routeOf(stored.batch);
-    this._longTokens = longTokens(stored.batch);
+    const route = this._routeOf(batch);
+    this._longTokens = longTokens(batch);
     const maxAttempts = route?.maxAttempts ?? 1;
-    this.ledger = new BatchLedger(stored.batch, stored.results, {
+    this.ledger = new BatchLedger(batch, stored.results, {
       maxAttempts,
       isSingleVersion: route?.isSingleVersion ?? false,
     });
-    this._pauses = new ItemPauses(context, stored.batch.id, 'generation');
+    this._lease = new ClaimLease(context, store, batch.id, held, ports.claimLeaseMs, () => this._loseBatch());
+    this._pauses = new ItemPauses(context, batch.id, 'generation');
     this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () => this._lister.list());
-    this._lister = new ResultLister(context, ports.store, this.ledger, startedMs, {
-      held: () => this._held,
-      confirmed: askedMs => {
-        this._confirmedMs = askedMs;
-      },
-      lost: () => this._loseBatch(),
-      listed: () => this._wakeReaders(),
-    });
-    this._keeper = new ProgressKeeper(context, ports.store, this.ledger, held, {
-      confirmed: askedMs => {
-        this._confirmedMs = Math.max(this._confirmedMs, askedMs);
-      },
-      lost: () => this._loseBatch(),
-      check: async () => {
-        await this._isSure();
-      },
-    });
+    this._lister = new ResultLister(context, store, this.ledger, startedMs, this._lease, () =>
+      this._wakeReaders(),
+    );
+    this._keeper = new ProgressKeeper(context, store, this.ledger, this._lease);
   }
 
   get batchId(): string {
@@ -118,7 +103,7 @@
   }
 
   isEnded(): boolean {
-    return this._held.claim.isEnded;
+    return this._lease.held.claim.isEnded;
   }
 
   /** True if each text must be of one weight version. */
@@ -130,6 +115,7 @@
   start(): void {
     if (this.isEnded() || this._isStopped) return;
     this._armExpiry();
+    this._lease.start();
     this._keeper.start();
     this._lister.list();
     this._place();
@@ -139,6 +125,7 @@
   stop(reason: string): void {
     if (this._isStopped) return;
     this._isStopped = true;
+    this._lease.stop();
     this._keeper.stop();
     this._lister.stop();
     this._scoring.stop();
@@ -153,7 +140,7 @@
   async read(after: number, waitMs: number): Promise<BatchReadReply> {
     const deadline = Deadline.after(this._context.clock, waitMs);
     while (this._hasNothingAfter(after) && !deadline.isOver()) await this._changed(deadline);
-    if (this._hasNothingAfter(after) && !(await this._isSure())) return { kind: 'unsure' };
+    if (this._hasNothingAfter(after) && !(await this._lease.isSure())) return { kind: 'unsure' };
     if (this._isLost) return { kind: 'not-owner' };
     return { kind: 'page', ...pageFrom(this.ledger.listed(), this.ledger.total(), after) };
   }
@@ -163,15 +150,15 @@
     if (this.isEnded()) return 'ended';
     const deadline = this._storeDeadline();
     const { store } = this._ports;
-    const done = await store.changeClaim(this.batchId, this._held, { isEnded: true }, deadline);
+    const done = await store.changeClaim(this.batchId, this._lease.held, { isEnded: true }, deadline);
     if (done.kind === 'out-of-reach') return 'out-of-reach';
     if (done.kind === 'lost') {
       this._loseBatch();
       return 'lost';
     }
-    this._held = done.value;
+    this._lease.changed(done.value);
     this.stop('ended by the trainer');
-    void this._keeper.finish(this._held);
+    void this._keeper.finish();
     return 'ended';
   }
 
@@ -197,20 +184,6 @@
     for (const run of wake) run();
   }
 
-  /** True if the store has confirmed a moment ago that this host still owns the batch. */
-  private async _isSure(): Promise<boolean> {
-    if (this._context.clock.nowMs() - this._confirmedMs < SURE_MS) return true;
-    const askedMs = this._context.clock.nowMs();
-    const claim = await this._ports.store.readClaim(this.batchId, this._storeDeadline());
-    if (!claim.ok) return false;
-    if (claim.value?.revision !== this._held.revision) {
-      this._loseBatch();
-      return false;
-    }
-    this._confirmedMs = askedMs;
-    return true;
-  }
-
   private _loseBatch(): void {
     // After an end of its own the claim is at another revision, and nothing is lost.
     if (this._isStopped) return;
@@ -230,18 +203,23 @@
     return result.kind === 'routed' ? result.route : undefined;
   }
 
-  /** Sends every waiting item for which an endpoint has a place. */
+  /** Sends what may be sent, and looks again in a moment. */
   private _place(): void {
     if (this._isStopped) return;
     this._placeTimer?.();
+    if (this._lease.mayAct()) this._sendWaiting();
+    if (!this.ledger.isFinished())
+      this._placeTimer = this._context.clock.after(PLACE_INTERVAL_MS, () => this._place());
+  }
+
+  /** Sends every waiting item for which an endpoint has a place, and asks for scores. */
+  private _sendWaiting(): void {
     this._scoring.run();
     const waiting = this._pauses.ready(this.ledger.waiting());
     const route = waiting.length > 0 ? this._routeOf(this.ledger.batch) : undefined;
     const tiers = route ? this._tiers(route) : [];
     for (const item of waiting) this._placeItem(item, tiers);
     this._moveFromSlow();
-    if (!this.ledger.isFinished())
-      this._placeTimer = this._context.clock.after(PLACE_INTERVAL_MS, () => this._place());
   }
 
   private _placeItem(item: BatchItem, tiers: readonly (readonly Endpoint[])[]): void {
@@ -298,7 +276,8 @@
   private async _run(item: BatchItem, endpoint: Endpoint): Promise<void> {
     const number = this.ledger.begin(item.id);
     this._groupEndpoints.set(item.group, endpoint.id);
-    const mayLeave = (asking: ItemAttempt): boolean => this._hasOtherPlace(item, asking);
+    const mayLeave = (asking: ItemAttempt): boolean =>
+      this._lease.mayAct() && this._hasOtherPlace(item, asking);
     const { client } = this._ports;
     const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, mayLeave);
     this._attempts.set(item.id, attempt);
@@ -397,7 +376,7 @@
   private _armExpiry(): void {
     const route = this._routeOf(this.ledger.batch);
     if (!route || route.keepMs === 0) return;
-    const ageMs = Math.max(0, this._context.clock.wallMs() - this._held.claim.acceptedWallMs);
+    const ageMs = Math.max(0, this._context.clock.wallMs() - this._lease.held.claim.acceptedWallMs);
     // Wall clocks differ between hosts: an older batch may be a little younger than it seems.
     const leftMs = Math.max(0, route.keepMs - ageMs) + CLOCK_SKEW_MS;
     this._context.clock.after(leftMs, () => {
--- a/packages/gateway/src/batchStore.ts
+++ b/packages/gateway/src/batchStore.ts
@@ -38,6 +38,8 @@
 export interface HeldClaim {
   readonly claim: Claim;
   readonly revision: number;
+  /** When the store was asked for the answer that told it: nothing is known of the claim after that. */
+  readonly askedMs: number;
 }
 
 /** A batch that has not ended, and who runs it. */
@@ -105,9 +107,10 @@
     if (hasSteps(batch)) writes.push(stepWrite(batch.id, batch.model, batch.step));
     let mayBeDone = false;
     for (;;) {
+      const askedMs = this._context.clock.nowMs();
       const done = await this._store.transact([{ key, version: 0 }], writes, deadline);
       if (done.ok && done.value.succeeded)
-        return { kind: 'accepted', held: { claim, revision: done.value.version } };
+        return { kind: 'accepted', held: { claim, revision: done.value.version, askedMs } };
       if (done.ok) return this._acceptedBefore(batch.id, owner, deadline);
       if (done.error === 'unknown') mayBeDone = true;
       if (deadline.leftMs() <= RETRY_MS)
@@ -122,12 +125,13 @@
     deadline: Deadline,
   ): Promise<Result<HeldClaim | undefined, BatchStoreError>> {
     const key = claimKey(batchId);
+    const askedMs = this._context.clock.nowMs();
     const stored = await this._store.get(key, deadline);
     if (!stored.ok) return err({ kind: 'out-of-reach', error: stored.error });
     if (!stored.value) return ok(undefined);
     const claim = readClaim(key, stored.value.value);
     if (!claim.ok) return err({ kind: 'damaged', key });
-    return ok({ claim: claim.value, revision: stored.value.version });
+    return ok({ claim: claim.value, revision: stored.value.version, askedMs });
   }
 
   /** The claims of all batches that have not ended. */
@@ -155,9 +159,10 @@
     const value = JSON.stringify(claim);
     const compares = [{ key, version: held.revision }];
     for (;;) {
+      const askedMs = this._context.clock.nowMs();
       const done = await this._store.transact(compares, [{ kind: 'put', key, value }], deadline);
       if (done.ok && done.value.succeeded)
-        return { kind: 'done', value: { claim, revision: done.value.version } };
+        return { kind: 'done', value: { claim, revision: done.value.version, askedMs } };
       if (done.ok) return this._changedBefore(key, value, deadline);
       if (deadline.leftMs() <= RETRY_MS) return { kind: 'out-of-reach', error: done.error };
       await sleep(this._context.clock, RETRY_MS, this._context.stopped);
@@ -316,12 +321,13 @@
     value: string,
     deadline: Deadline,
   ): Promise<WriteOutcome<HeldClaim>> {
+    const askedMs = this._context.clock.nowMs();
     const stored = await this._store.get(key, deadline);
     if (!stored.ok) return { kind: 'out-of-reach', error: stored.error };
     if (stored.value?.value !== value) return { kind: 'lost' };
     const claim = readClaim(key, value);
     if (!claim.ok) return { kind: 'lost' };
-    return { kind: 'done', value: { claim: claim.value, revision: stored.value.version } };
+    return { kind: 'done', value: { claim: claim.value, revision: stored.value.version, askedMs } };
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/claimLease.ts
@@ -0,0 +1,151 @@
+/**
+ * The claim of a batch as its owner holds it: a lease that each answer of the store renews.
+ *
+ * What goes wrong without a bound in time: the owner can't reach the store, or is answered so late that it gives up
+ * waiting; meanwhile another host takes the batch over, or ends it, and tells the trainer so. The owner goes on to send
+ * items for as long as its trouble lasts. One notices it as runs that begin at endpoints seconds after the end of their
+ * batch was confirmed, all from one host. A look at the claim now and then does not help, since the look is what fails.
+ * So nothing new is sent unless the store has confirmed the claim within the lease, counted from when the store was
+ * asked: whatever happened to the claim since then, it was confirmed to others at most that long ago. Runs that have
+ * begun go on, and their results are listed when the store answers again.
+ */
+import { Deadline, sleep } from '@fuchsiahitch/base';
+import type { BatchStore, HeldClaim } from './batchStore.js';
+import type { GatewayContext } from './gatewayContext.js';
+
+/**
+ * The store is asked once it has confirmed nothing for so long. An owner whose items run writes what they generate every
+ * second, and each write confirms the claim: this is a little longer, so that it costs no call of its own.
+ */
+const RENEW_AFTER_MS = 1250;
+/** A short lease is renewed after this part of it, so that a question and its repetition fit in. */
+const RENEW_SHARE = 0.6;
+/** Part of the time in which an item may still arrive: it connects within 0.6 s, or not at all. The rest is for a busy process. */
+const SEND_MARGIN_MS = 1000;
+/** How often it is looked at whether the store must be asked. Also the pause after a question that got no answer. */
+const LOOK_INTERVAL_MS = 125;
+/**
+ * A question has this long: a slow store answers in a quarter of a second, and one that is silent must be given up early
+ * enough that a second question, by way of a peer, is answered within the lease.
+ */
+const ASK_TIMEOUT_MS = 500;
+/**
+ * A reader is told that there is nothing yet only by an owner that the store has confirmed this recently; a result read
+ * elsewhere must be shown by everybody within a second.
+ */
+const SURE_MS = 600;
+const SURE_TIMEOUT_MS = 1000;
+
+/** The lease of a claim, from how long after the end of a batch was confirmed its items may still reach endpoints. */
+export function claimLeaseMs(batchEndMs: number): number {
+  return Math.max(batchEndMs - SEND_MARGIN_MS, batchEndMs / 2);
+}
+
+export class ClaimLease {
+  private readonly _context: GatewayContext;
+  private readonly _store: BatchStore;
+  private readonly _batchId: string;
+  private readonly _leaseMs: number;
+  private readonly _renewAfterMs: number;
+  private readonly _lost: () => void;
+  private _held: HeldClaim;
+  private _isStopped = false;
+  private _isOut = false;
+
+  /** `leaseMs`: how long after a confirmation the claim may be acted on. `lost`: another host has it, or has ended the batch. */
+  constructor(
+    context: GatewayContext,
+    store: BatchStore,
+    batchId: string,
+    held: HeldClaim,
+    leaseMs: number,
+    lost: () => void,
+  ) {
+    this._context = context;
+    this._store = store;
+    this._batchId = batchId;
+    this._held = held;
+    this._leaseMs = leaseMs;
+    this._renewAfterMs = Math.min(RENEW_AFTER_MS, leaseMs * RENEW_SHARE);
+    this._lost = lost;
+  }
+
+  /** The claim with its revision, which every write names. */
+  get held(): HeldClaim {
+    return this._held;
+  }
+
+  /** Time since the store was asked for the answer that last confirmed the claim. */
+  ageMs(): number {
+    return this._context.clock.nowMs() - this._held.askedMs;
+  }
+
+  /** True while something new may be sent for the batch. */
+  mayAct(): boolean {
+    return !this._isStopped && this.ageMs() < this._leaseMs;
+  }
+
+  /** Keeps the lease renewed until it is stopped. */
+  start(): void {
+    void this._run();
+  }
+
+  stop(): void {
+    this._isStopped = true;
+  }
+
+  /** The store confirmed the claim when it was asked at that time. */
+  confirmed(askedMs: number): void {
+    if (askedMs > this._held.askedMs) this._held = { ...this._held, askedMs };
+    if (!this._isOut || !this.mayAct()) return;
+    this._isOut = false;
+    this._log('claim confirmed again');
+  }
+
+  /** The store refused a write that named the claim. */
+  lost(): void {
+    this._lost();
+  }
+
+  /** The batch stands at another revision by this owner's own change. */
+  changed(held: HeldClaim): void {
+    this._held = held;
+  }
+
+  /** True if the store has confirmed a moment ago, or does so now, that this host still owns the batch. */
+  async isSure(): Promise<boolean> {
+    return this.ageMs() < SURE_MS || this._ask(SURE_TIMEOUT_MS);
+  }
+
+  private async _run(): Promise<void> {
+    const { clock, stopped } = this._context;
+    while (!this._isStopped && !stopped.aborted) {
+      if (this.ageMs() >= this._renewAfterMs) await this._ask(ASK_TIMEOUT_MS);
+      this._lookAtEnd();
+      await sleep(clock, LOOK_INTERVAL_MS, stopped);
+    }
+  }
+
+  private async _ask(timeoutMs: number): Promise<boolean> {
+    const claim = await this._store.readClaim(this._batchId, Deadline.after(this._context.clock, timeoutMs));
+    if (!claim.ok || this._isStopped) return false;
+    if (claim.value?.revision !== this._held.revision) {
+      this._lost();
+      return false;
+    }
+    this.confirmed(claim.value.askedMs);
+    return true;
+  }
+
+  private _lookAtEnd(): void {
+    if (this._isStopped || this._isOut || this.mayAct()) return;
+    this._isOut = true;
+    this._log('claim unconfirmed');
+  }
+
+  private _log(text: string): void {
+    const { revision } = this._held;
+    const ageMs = Math.round(this.ageMs());
+    this._context.log.warn(text, { batchId: this._batchId, claimRevision: revision, ageMs });
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import { BatchService } from './batchService.js';
 import { BatchStore } from './batchStore.js';
 import { BatchSweeper } from './batchSweeper.js';
+import { claimLeaseMs } from './claimLease.js';
 import { ConfigurationService } from './configurationService.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import { Forwarder } from './forwarder.js';
@@ -31,6 +32,8 @@
   readonly domains: readonly string[];
   /** How long after its submission a batch must be readable. */
   readonly batchReadableMs: number;
+  /** How long after the end of a batch was confirmed its items may still reach endpoints. */
+  readonly batchEndMs: number;
 }
 
 const SERVING_POLL_MS = 100;
@@ -77,6 +80,7 @@
       configuration: this.configuration,
       client,
       forwarder: this.forwarder,
+      claimLeaseMs: claimLeaseMs(options.batchEndMs),
     };
     this._sweeper = new BatchSweeper(context, store, ports.store, options.batchReadableMs);
     this.batches = new BatchService(context, ports, this.hosts);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export * from './batchService.js';
 export * from './batchStore.js';
 export * from './batchSweeper.js';
+export * from './claimLease.js';
 export * from './configurationService.js';
 export * from './endpoint.js';
 export * from './endpointDirectory.js';
--- a/packages/gateway/src/progressKeeper.ts
+++ b/packages/gateway/src/progressKeeper.ts
@@ -6,23 +6,14 @@
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import { KeptEvents, type BatchLedger, type ItemEvents } from '@fuchsiahitch/batches';
-import type { BatchStore, HeldClaim } from './batchStore.js';
+import type { BatchStore } from './batchStore.js';
+import type { ClaimLease } from './claimLease.js';
 import type { GatewayContext } from './gatewayContext.js';
 
 /** What is lost with an owner: at most this much of each item's work, for one write of the store a second. */
 const KEEP_INTERVAL_MS = 1000;
 const STORE_TIMEOUT_MS = 1000;
 
-/** What the keeper tells the owner of the batch, and asks of it. */
-export interface ClaimHolder {
-  /** The store confirmed the claim when it was asked at that time. */
-  confirmed(askedMs: number): void;
-  /** Another host has the claim. */
-  lost(): void;
-  /** Asks the store, unless it has confirmed the claim a moment ago. */
-  check(): Promise<void>;
-}
-
 interface Writing {
   readonly events: readonly ItemEvents[];
   readonly texts: ReadonlyMap<string, number>;
@@ -32,27 +23,19 @@
   private readonly _context: GatewayContext;
   private readonly _store: BatchStore;
   private readonly _batchId: string;
-  private _held: HeldClaim;
+  private readonly _lease: ClaimLease;
   private readonly _kept: KeptEvents;
-  private readonly _holder: ClaimHolder;
   private _records = 0;
   /** A write that was not confirmed is repeated as it was: it may have taken effect. */
   private _unsettled: Writing | undefined;
   private _isStopped = false;
 
-  constructor(
-    context: GatewayContext,
-    store: BatchStore,
-    ledger: BatchLedger,
-    held: HeldClaim,
-    holder: ClaimHolder,
-  ) {
+  constructor(context: GatewayContext, store: BatchStore, ledger: BatchLedger, lease: ClaimLease) {
     this._context = context;
     this._store = store;
     this._batchId = ledger.batch.id;
-    this._held = held;
+    this._lease = lease;
     this._kept = new KeptEvents(ledger);
-    this._holder = holder;
   }
 
   start(): void {
@@ -64,9 +47,8 @@
   }
 
   /** The batch has ended, and its claim stands at another revision: keeps all that later steps may take up. */
-  async finish(held: HeldClaim): Promise<void> {
+  async finish(): Promise<void> {
     this.stop();
-    this._held = held;
     this._unsettled = undefined;
     this._records = 0;
     await this._keep(1);
@@ -77,8 +59,6 @@
     await sleep(clock, KEEP_INTERVAL_MS, stopped);
     while (!this._isStopped && !stopped.aborted) {
       await this._keep();
-      // An owner whose items wait has nothing to write, and would not hear that its batch has ended elsewhere.
-      await this._holder.check();
       await sleep(clock, KEEP_INTERVAL_MS, stopped);
     }
   }
@@ -90,14 +70,20 @@
     const askedMs = this._context.clock.nowMs();
     const deadline = Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
     const { events, texts } = writing;
-    const done = await this._store.keepProgress(this._batchId, this._held, this._records, events, deadline);
+    const done = await this._store.keepProgress(
+      this._batchId,
+      this._lease.held,
+      this._records,
+      events,
+      deadline,
+    );
     if (done.kind === 'out-of-reach') return;
     this._unsettled = undefined;
     if (done.kind === 'lost') {
-      this._holder.lost();
+      this._lease.lost();
       return;
     }
-    this._holder.confirmed(askedMs);
+    this._lease.confirmed(askedMs);
     this._records += 1;
     this._kept.keep(events, texts);
     this._context.log.debug('progress kept', { batchId: this._batchId, items: events.length });
--- a/packages/gateway/src/resultLister.ts
+++ b/packages/gateway/src/resultLister.ts
@@ -3,47 +3,42 @@
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import { countThatFits, type BatchLedger, type ItemResult } from '@fuchsiahitch/batches';
-import type { BatchStore, HeldClaim } from './batchStore.js';
+import type { BatchStore } from './batchStore.js';
+import type { ClaimLease } from './claimLease.js';
 import type { GatewayContext } from './gatewayContext.js';
-import type { ClaimHolder } from './progressKeeper.js';
 
 /** Results that end within this time share one write: trainers read twice a second. */
 const LIST_INTERVAL_MS = 150;
 const LIST_RETRY_MS = 250;
 const STORE_TIMEOUT_MS = 1000;
 
-/** What the lister tells the owner of the batch, and asks of it. */
-export interface ListingHolder extends Pick<ClaimHolder, 'confirmed' | 'lost'> {
-  /** The claim as it stands: it changes when the batch ends. */
-  held(): HeldClaim;
-  /** Results were listed that were not before. */
-  listed(): void;
-}
-
 export class ResultLister {
   private readonly _context: GatewayContext;
   private readonly _store: BatchStore;
   private readonly _ledger: BatchLedger;
   private readonly _startedMs: number;
-  private readonly _holder: ListingHolder;
+  private readonly _lease: ClaimLease;
+  private readonly _listed: () => void;
   private _isListing = false;
   private _isStopped = false;
   /** A write that was not confirmed is repeated as it was: it may have taken effect. */
   private _unsettled: readonly ItemResult[] | undefined;
 
-  /** `startedMs`: when this host began to run the batch. */
+  /** `startedMs`: when this host began to run the batch. `listed`: told of results that were not listed before. */
   constructor(
     context: GatewayContext,
     store: BatchStore,
     ledger: BatchLedger,
     startedMs: number,
-    holder: ListingHolder,
+    lease: ClaimLease,
+    listed: () => void,
   ) {
     this._context = context;
     this._store = store;
     this._ledger = ledger;
     this._startedMs = startedMs;
-    this._holder = holder;
+    this._lease = lease;
+    this._listed = listed;
   }
 
   /** Lists what has ended, if there is anything. */
@@ -80,17 +75,17 @@
     const askedMs = this._context.clock.nowMs();
     const deadline = Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
     const { id } = this._ledger.batch;
-    const done = await this._store.append(id, this._holder.held(), position, results, deadline);
+    const done = await this._store.append(id, this._lease.held, position, results, deadline);
     if (done.kind === 'out-of-reach') return false;
     this._unsettled = undefined;
     if (done.kind === 'lost') {
-      this._holder.lost();
+      this._lease.lost();
       return true;
     }
-    this._holder.confirmed(askedMs);
+    this._lease.confirmed(askedMs);
     this._ledger.confirm(results.length);
     this._log(position, results);
-    this._holder.listed();
+    this._listed();
     return true;
   }
 
@@ -111,7 +106,7 @@
       position,
       results: results.length,
       total: this._ledger.total(),
-      claimRevision: this._holder.held().revision,
+      claimRevision: this._lease.held.revision,
       sinceStartMs,
     });
   }
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -6,6 +6,7 @@
 import {
   BatchService,
   BatchStore,
+  claimLeaseMs,
   ConfigurationService,
   EndpointDirectory,
   Forwarder,
@@ -19,6 +20,8 @@
 import type { TestContext } from './gatewayWorld.js';
 
 const STEP_MS = 10;
+/** How long after the end of a batch was confirmed its items may still be sent. */
+const BATCH_END_MS = 3000;
 
 type Handler = (request: never) => unknown;
 
@@ -49,6 +52,7 @@
       configuration: this.configuration,
       client: world.client,
       forwarder: new Forwarder(this.context, this.endpoints, world.client),
+      claimLeaseMs: claimLeaseMs(BATCH_END_MS),
     };
     this.batches = new BatchService(this.context, ports, this);
     const registry: CallRegistry = {
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -287,6 +287,7 @@
     orders: { handoverMs: 3000 },
     domains: ['tekapo'],
     batchReadableMs: 120_000,
+    batchEndMs: 3000,
   });
   const callers = new CallerServer({ address: '127.0.0.1:0', gateway, clock, log: context.log, metrics });
   const address = await callers.listen();
