Batches: an owner that a process had before goes, and takes nothing from the new one

Cause: a host that takes back a batch which it lost a moment ago, and has not noticed, put a second owner beside the first. The first ran on unseen, and when it noticed its loss it removed the second from the list of the host's batches, so that an end there stopped no run. Change: the former owner loses the batch when the new one begins, and a loss removes only the owner that had it.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -89,7 +89,7 @@
       maxAttempts,
       isSingleVersion: route?.isSingleVersion ?? false,
     });
-    this._lease = new ClaimLease(context, store, batch.id, held, ports.claimLeaseMs, () => this._loseBatch());
+    this._lease = new ClaimLease(context, store, batch.id, held, ports.claimLeaseMs, () => this.lose());
     this._pauses = new ItemPauses(context, batch.id, 'generation');
     this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () => this._lister.list());
     this._lister = new ResultLister(context, store, this.ledger, startedMs, this._lease, () =>
@@ -153,7 +153,7 @@
     const done = await store.changeClaim(this.batchId, this._lease.held, { isEnded: true }, deadline);
     if (done.kind === 'out-of-reach') return 'out-of-reach';
     if (done.kind === 'lost') {
-      this._loseBatch();
+      this.lose();
       return 'lost';
     }
     this._lease.changed(done.value);
@@ -162,6 +162,15 @@
     return 'ended';
   }
 
+  /** Another owner has the claim. */
+  lose(): void {
+    // After an end of its own the claim is at another revision, and nothing is lost.
+    if (this._isStopped) return;
+    this._isLost = true;
+    this.stop('another host owns the batch');
+    this._lost();
+  }
+
   private _hasNothingAfter(after: number): boolean {
     const isMore = after < this.ledger.listed().length;
     return !isMore && !this.ledger.isDone() && !this._isStopped;
@@ -184,14 +193,6 @@
     for (const run of wake) run();
   }
 
-  private _loseBatch(): void {
-    // After an end of its own the claim is at another revision, and nothing is lost.
-    if (this._isStopped) return;
-    this._isLost = true;
-    this.stop('another host owns the batch');
-    this._lost();
-  }
-
   /** The route of the batch's items; they share one. Undefined if the configuration has none for them. */
   private _routeOf(batch: Batch): Route | undefined {
     const [item] = batch.items;
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -293,14 +293,22 @@
   private _own(held: HeldClaim, stored: StoredBatch): BatchOwner {
     const { id } = stored.batch;
     this._forgetEnded();
-    const owner = new BatchOwner(this._context, this._ports, held, stored, () => {
-      this._owned.delete(id);
-      this._claims.delete(id);
-    });
+    // Whoever ran the batch in this process before has lost it, though it may not have heard: it would run each item a
+    // second time, unseen.
+    this._owned.get(id)?.lose();
+    const owner = new BatchOwner(this._context, this._ports, held, stored, () => this._forget(owner));
     this._owned.set(id, owner);
     return owner;
   }
 
+  /** A batch that is lost is no longer listed as this host's, unless another owner of this process runs it by now. */
+  private _forget(owner: BatchOwner): void {
+    const { batchId } = owner;
+    if (this._owned.get(batchId) !== owner) return;
+    this._owned.delete(batchId);
+    this._claims.delete(batchId);
+  }
+
   /** Ended batches can be read from the store: only the newest are kept in memory. */
   private _forgetEnded(): void {
     const ended = [...this._owned].filter(([, owner]) => owner.isEnded());
