Tests: a batch that is submitted again after its end shows nothing at its owner; fails

The submission of an ended batch that comes once more at its owner, after the owner has put it out of memory, is taken for one that this call has written; the host then shows an empty list of results that readers had been shown.

--- a/tests/batchEnds.spec.ts
+++ b/tests/batchEnds.spec.ts
@@ -185,3 +185,23 @@
     world.stop();
   }
 });
+
+await tap.test('should show what was listed when an ended batch is submitted again at its owner', async t => {
+  // Symptom: a reader sees no result of a batch of which others were shown all. Sequence: the batch ends, its owner keeps
+  // only the newest ended ones in memory, and its trainer's submission, whose answer was lost, comes once more. Cause: the
+  // owner takes its own claim in the store for one that this submission has written, and begins with an empty list.
+  const [world, a] = await started('a');
+  if (!a) return;
+  await submitAt(world, a, BATCH);
+  await world.clock.advance(2000);
+  t.equal(await world.until(a.batches.end('b1')), 'ended');
+  for (const id of ['n1', 'n2', 'n3', 'n4', 'n5', 'n6']) {
+    await submitAt(world, a, batch(id, []));
+    t.equal(await world.until(a.batches.end(id)), 'ended');
+  }
+  await submitAt(world, a, BATCH);
+  await world.clock.advance(1000);
+  const page = await read(world, a, 0, 100);
+  t.equal(page.kind === 'page' && page.page.results.length, 3);
+  world.stop();
+});
