Batches: only the claim that a submission wrote itself is begun by it

Cause: a submission that finds a claim of its own process took it for the work of an earlier try whose answer was lost. Where the batch had ended, and was no longer in memory, or had results, the host began it anew with an empty list, and showed its readers fewer results than others had been shown. Change: the claim must be the very one that the call wrote, unchanged; any other is known, and is read from the store or taken over with what it has. One way to a list that is shorter at one host than what was shown before; whether it is the one that was seen is not shown.

--- a/packages/gateway/src/batchStore.ts
+++ b/packages/gateway/src/batchStore.ts
@@ -111,7 +111,7 @@
       const done = await this._store.transact([{ key, version: 0 }], writes, deadline);
       if (done.ok && done.value.succeeded)
         return { kind: 'accepted', held: { claim, revision: done.value.version, askedMs } };
-      if (done.ok) return this._acceptedBefore(batch.id, owner, deadline);
+      if (done.ok) return this._acceptedBefore(batch.id, claim, deadline);
       if (done.error === 'unknown') mayBeDone = true;
       if (deadline.leftMs() <= RETRY_MS)
         return mayBeDone ? { kind: 'unknown' } : { kind: 'not-done', error: done.error };
@@ -308,12 +308,14 @@
     return done.ok;
   }
 
-  /** The claim exists: an earlier try of this very call may have written it. */
-  private async _acceptedBefore(batchId: string, owner: Owner, deadline: Deadline): Promise<AcceptOutcome> {
+  /**
+   * The claim exists. An earlier try of this very call may have written it: then it stands as it was written. Any other is
+   * known already, also one of this process: it may have ended, or have results, and beginning it anew would hide them.
+   */
+  private async _acceptedBefore(batchId: string, written: Claim, deadline: Deadline): Promise<AcceptOutcome> {
     const held = await this.readClaim(batchId, deadline);
     if (!held.ok || !held.value) return { kind: 'unknown' };
-    const kind = isSameOwner(held.value.claim.owner, owner) ? 'accepted' : 'known';
-    return { kind, held: held.value };
+    return { kind: isUnchanged(held.value.claim, written) ? 'accepted' : 'known', held: held.value };
   }
 
   private async _changedBefore(
@@ -331,6 +333,12 @@
   }
 }
 
+/** True if the claim is the one that was written, and has not changed since. */
+function isUnchanged(claim: Claim, written: Claim): boolean {
+  const isSame = isSameOwner(claim.owner, written.owner) && claim.acceptedWallMs === written.acceptedWallMs;
+  return isSame && claim.takeovers === written.takeovers && claim.isEnded === written.isEnded;
+}
+
 /** A batch that is a step of a model's trainer. */
 function hasSteps(batch: Batch): batch is Batch & { readonly step: number } {
   return batch.step !== undefined && batch.model !== '';
