Gateway: reading batches that nobody runs has a class of its own

Change: StoredBatches reads them and keeps the newest in memory; it asks by a function, after each load, whether the claim as last read has ended. The outcomes of the calls stand in batchOutcomes.ts, which both import. No behaviour changes.

--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -4,42 +4,24 @@
  * Any host takes any call. The claim in the store says who owns a batch; the owner is asked, and if it is gone
  * this host takes the batch over and goes on with it. So what drives a takeover is the trainer that reads.
  */
-import { Deadline, err, ok, sleep, type Result } from '@fuchsiahitch/base';
-import {
-  pageFrom,
-  type Batch,
-  type BatchAdopt,
-  type BatchEndReply,
-  type BatchItemReply,
-  type BatchReadReply,
-  type ItemEvents,
-  type Owner,
-  type ResultPage,
+import { Deadline, type Result } from '@fuchsiahitch/base';
+import type {
+  Batch,
+  BatchAdopt,
+  BatchEndReply,
+  BatchItemReply,
+  BatchReadReply,
+  ItemEvents,
+  Owner,
 } from '@fuchsiahitch/batches';
 import { calls } from '@fuchsiahitch/protocol';
+import type { EndOutcome, ItemOutcome, ReadOutcome, SubmitOutcome } from './batchOutcomes.js';
 import { BatchOwner, type BatchPorts } from './batchOwner.js';
 import type { HeldClaim, StoredBatch } from './batchStore.js';
 import { EarlierTexts } from './earlierTexts.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallRegistry, Hosts } from './hostDirectory.js';
-
-export type SubmitOutcome =
-  | { readonly kind: 'accepted' }
-  /** Nothing of the batch runs, now or later. */
-  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
-  | { readonly kind: 'unknown' };
-
-export type ReadOutcome =
-  | { readonly kind: 'page'; readonly page: ResultPage }
-  | { readonly kind: 'no-batch' }
-  | { readonly kind: 'unsure' };
-
-export type ItemOutcome =
-  | { readonly kind: 'body'; readonly body: Buffer }
-  | { readonly kind: 'no-item' }
-  | { readonly kind: 'unsure' };
-
-export type EndOutcome = 'ended' | 'no-batch' | 'unsure';
+import { StoredBatches } from './storedBatches.js';
 
 /** Where a batch stands, as far as this host could learn. */
 type Located =
@@ -60,12 +42,9 @@
 /** Taking a batch over is two calls to the store and one read of it. */
 const ADOPT_TIMEOUT_MS = 1500;
 const MAX_SUCCESSORS = 3;
-/** How often a batch whose owner can't be reached is read from the store while a reader waits. */
-const STORED_POLL_MS = 400;
 /** A refused batch may come back after this: an outage of the store lasts seconds. */
 const RETRY_AFTER_MS = 1000;
-/** Ended batches that are kept in memory for their readers, about half a megabyte each; the rest is read from the store. */
-const KEPT_STORED = 8;
+/** Ended batches that are kept in memory for their readers; the rest is read from the store. */
 const KEPT_ENDED = 4;
 /** Claims that are remembered: some hundred bytes each. */
 const KEPT_CLAIMS = 2000;
@@ -80,7 +59,7 @@
   private readonly _takeovers = new Map<string, Promise<Located>>();
   /** Claims as last read: where to ask first. The owner itself says if it is one no more. */
   private readonly _claims = new Map<string, HeldClaim>();
-  private readonly _stored = new Map<string, StoredBatch>();
+  private readonly _stored: StoredBatches;
   private _isLeaving = false;
 
   constructor(context: GatewayContext, ports: BatchPorts, hosts: Hosts) {
@@ -88,6 +67,8 @@
     this._ports = ports;
     this._hosts = hosts;
     this._texts = new EarlierTexts(context, ports.store);
+    const isEnded = (batchId: string): boolean => this._claims.get(batchId)?.claim.isEnded ?? false;
+    this._stored = new StoredBatches(context, ports.store, isEnded);
   }
 
   serve(server: CallRegistry): void {
@@ -135,7 +116,7 @@
       case 'page':
         return { kind: 'page', page: { total: reply.total, results: reply.results, next: reply.next } };
       case 'stored':
-        return this._readStored(batchId, reply.held, after, deadline);
+        return this._stored.read(batchId, reply.held, after, deadline);
       case 'no-batch':
         return { kind: 'no-batch' };
       case 'not-owner':
@@ -156,7 +137,7 @@
       case 'body':
         return { kind: 'body', body: Buffer.from(reply.bodyBase64, 'base64') };
       case 'stored':
-        return this._storedItem(batchId, itemId);
+        return this._stored.item(batchId, itemId);
       case 'no-item':
       case 'no-batch':
         return { kind: 'no-item' };
@@ -427,58 +408,6 @@
     });
   }
 
-  private async _readStored(
-    batchId: string,
-    held: HeldClaim,
-    after: number,
-    deadline: Deadline,
-  ): Promise<ReadOutcome> {
-    for (;;) {
-      const results = await this._storedResults(batchId, held);
-      if (!results.ok) return { kind: 'unsure' };
-      const { items } = held.claim;
-      const isWaiting = results.value.length <= after && after < items && !held.claim.isEnded;
-      if (!isWaiting || deadline.leftMs() <= STORED_POLL_MS)
-        return { kind: 'page', page: pageFrom(results.value, items, after) };
-      await sleep(this._context.clock, STORED_POLL_MS, this._context.stopped);
-    }
-  }
-
-  private async _storedResults(
-    batchId: string,
-    held: HeldClaim,
-  ): Promise<Result<StoredBatch['results'], 'unsure'>> {
-    if (held.claim.isEnded) {
-      const stored = await this._loadStored(batchId);
-      return stored ? ok(stored.results) : err('unsure');
-    }
-    const results = await this._ports.store.results(batchId, this._storeDeadline());
-    return results.ok ? ok(results.value) : err('unsure');
-  }
-
-  private async _storedItem(batchId: string, itemId: string): Promise<ItemOutcome> {
-    const stored = await this._loadStored(batchId);
-    if (!stored) return { kind: 'unsure' };
-    const reply = itemOf(stored.batch, itemId);
-    if (reply.kind !== 'body') return { kind: 'no-item' };
-    return { kind: 'body', body: Buffer.from(reply.bodyBase64, 'base64') };
-  }
-
-  /** An ended batch never changes again, so that its last readers need one read of the store. */
-  private async _loadStored(batchId: string): Promise<StoredBatch | undefined> {
-    const known = this._stored.get(batchId);
-    if (known) return known;
-    const stored = await this._ports.store.load(batchId, this._storeDeadline());
-    if (!stored.ok) return undefined;
-    const claim = this._claims.get(batchId);
-    if (claim?.claim.isEnded) {
-      this._stored.set(batchId, stored.value);
-      const [oldest] = this._stored.keys();
-      if (this._stored.size > KEPT_STORED && oldest !== undefined) this._stored.delete(oldest);
-    }
-    return stored.value;
-  }
-
   private async _endStored(batchId: string, held: HeldClaim): Promise<EndOutcome> {
     const done = await this._ports.store.changeClaim(batchId, held, { isEnded: true }, this._storeDeadline());
     if (done.kind !== 'done') return 'unsure';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** The gateway daemon without its sockets. */
+export * from './batchOutcomes.js';
 export * from './batchOwner.js';
 export * from './batchService.js';
 export * from './batchStore.js';
