Gateway: choosing the endpoints of a batch's items has a class of its own

Cause: batchOwner.ts still chose endpoints beside running the items, and kept what that needs: the groups' endpoints and those to avoid. Change: ItemPlacer chooses, and answers whether a place is free or quicker elsewhere; the owner tells it what began and what to avoid. The two look-ups of a route, which owner and placer share, stand in batchRoute.ts. No behaviour changes.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -2,17 +2,8 @@
  * Runs one batch on the host that owns it: sends its items to endpoints, and has their results listed in the store.
  */
 import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
-import {
-  BatchLedger,
-  pageFrom,
-  placeItem,
-  shouldMove,
-  type Batch,
-  type BatchItem,
-  type BatchReadReply,
-  type PlacementEndpoint,
-} from '@fuchsiahitch/batches';
-import type { Route } from '@fuchsiahitch/rules';
+import { BatchLedger, pageFrom, type BatchItem, type BatchReadReply } from '@fuchsiahitch/batches';
+import { batchRoute } from './batchRoute.js';
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
@@ -21,9 +12,9 @@
 import type { GatewayContext } from './gatewayContext.js';
 import { ItemAttempt, type AttemptEnd } from './itemAttempt.js';
 import { ItemPauses } from './itemPauses.js';
+import { ItemPlacer, type EndpointTiers } from './itemPlacer.js';
 import { ItemScoring } from './itemScoring.js';
 import type { EndpointClient } from './ports.js';
-import { modelShares } from './modelShares.js';
 import { ProgressKeeper } from './progressKeeper.js';
 import { ResultLister } from './resultLister.js';
 
@@ -46,8 +37,6 @@
 const SURE_MS = 600;
 /** An endpoint that refused an item gets none for this long: it is full or loads weights. */
 const REFUSED_PAUSE_MS = 250;
-/** Lengths have a long tail: about a tenth of the items is several times as long as the rest, and estimates err. */
-const LONG_SHARE = 0.25;
 /** Wall clocks of hosts are near true time; a generous bound for the difference of two. */
 const CLOCK_SKEW_MS = 5000;
 
@@ -57,16 +46,13 @@
   private readonly _ports: BatchPorts;
   private readonly _lost: () => void;
   private readonly _attempts = new Map<string, ItemAttempt>();
-  private readonly _groupEndpoints = new Map<string, string>();
-  private readonly _avoided = new Map<string, Set<string>>();
   private readonly _keeper: ProgressKeeper;
   private readonly _lister: ResultLister;
   private readonly _scoring: ItemScoring;
   private readonly _pauses: ItemPauses;
+  private readonly _placer: ItemPlacer;
   private _held: HeldClaim;
   private _confirmedMs: number;
-  /** Items of this many expected tokens and more are long. */
-  private readonly _longTokens: number;
   private _isStopped = false;
   private _isLost = false;
   private _placeTimer: CancelTimer | undefined;
@@ -85,13 +71,13 @@
     this._lost = lost;
     const startedMs = context.clock.nowMs();
     this._confirmedMs = startedMs;
-    const route = this._routeOf(stored.batch);
-    this._longTokens = longTokens(stored.batch);
+    const route = batchRoute(ports.configuration, stored.batch);
     const maxAttempts = route?.maxAttempts ?? 1;
     this.ledger = new BatchLedger(stored.batch, stored.results, {
       maxAttempts,
       isSingleVersion: route?.isSingleVersion ?? false,
     });
+    this._placer = new ItemPlacer(context, ports, this.ledger);
     this._pauses = new ItemPauses(context, stored.batch.id, 'generation');
     this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () => this._lister.list());
     this._lister = new ResultLister(context, ports.store, this.ledger, startedMs, {
@@ -219,86 +205,28 @@
     this._lost();
   }
 
-  /** The route of the batch's items; they share one. Undefined if the configuration has none for them. */
-  private _routeOf(batch: Batch): Route | undefined {
-    const [item] = batch.items;
-    return item && this._route(batch.host, item);
-  }
-
-  private _route(host: string, item: BatchItem): Route | undefined {
-    const result = this._ports.configuration.route(host, item.path);
-    return result.kind === 'routed' ? result.route : undefined;
-  }
-
   /** Sends every waiting item for which an endpoint has a place. */
   private _place(): void {
     if (this._isStopped) return;
     this._placeTimer?.();
     this._scoring.run();
     const waiting = this._pauses.ready(this.ledger.waiting());
-    const route = waiting.length > 0 ? this._routeOf(this.ledger.batch) : undefined;
-    const tiers = route ? this._tiers(route) : [];
+    const tiers = waiting.length > 0 ? this._placer.tiers() : [];
     for (const item of waiting) this._placeItem(item, tiers);
     this._moveFromSlow();
     if (!this.ledger.isFinished())
       this._placeTimer = this._context.clock.after(PLACE_INTERVAL_MS, () => this._place());
   }
 
-  private _placeItem(item: BatchItem, tiers: readonly (readonly Endpoint[])[]): void {
-    const avoid = this._avoided.get(item.id) ?? new Set<string>();
-    const request = {
-      groupEndpointId: this._groupEndpoints.get(item.group),
-      isLong: item.expectedTokens >= this._longTokens || this._isBegun(item),
-      ownDomain: this._context.domain,
-      avoid,
-    };
-    for (const candidates of tiers) {
-      const place = placeItem(candidates.map(toPlacement), request);
-      const endpoint = candidates.find(candidate => candidate.id === place?.id);
-      if (endpoint) return void this._run(item, endpoint);
-    }
-    // All were tried: the item may go anywhere again.
-    const tried = tiers.flat().length;
-    if (avoid.size > 0 && avoid.size >= tried) avoid.clear();
-  }
-
-  /** An item that was moved, or that its owner before left: what is left of it should go quickly. */
-  private _isBegun(item: BatchItem): boolean {
-    return this.ledger.progress(item.id).lastEvent() > 0;
-  }
-
-  /** Endpoints of the route's pools whose weights are new enough. */
-  private _candidates(route: Route): readonly Endpoint[] {
-    const { model, minVersion } = this.ledger.batch;
-    return route.pools
-      .filter(share => share.weight > 0)
-      .flatMap(share => this._ports.endpoints.ofPool(share.pool))
-      .filter(endpoint => !endpoint.isLeaving)
-      .filter(endpoint => model === '' || endpoint.versionOf(model) >= minVersion);
-  }
-
-  /**
-   * The endpoints in the order in which they are asked: first those that load this model's versions, then the
-   * others. Without that the owners of two trainers' batches fill the same endpoints, and neither sees it in time.
-   */
-  private _tiers(route: Route): readonly (readonly Endpoint[])[] {
-    const candidates = this._candidates(route);
-    const { model } = this.ledger.batch;
-    const pool = candidates[0]?.pool ?? '';
-    const { configuration, endpoints } = this._ports;
-    const { targets, shares } = modelShares(pool, configuration, endpoints);
-    if (targets.size < 2) return [candidates];
-    const own = new Set(shares.get(model) ?? []);
-    return [
-      candidates.filter(endpoint => own.has(endpoint.id)),
-      candidates.filter(endpoint => !own.has(endpoint.id)),
-    ];
+  private _placeItem(item: BatchItem, tiers: EndpointTiers): void {
+    const endpoint = this._placer.choose(item, tiers);
+    if (endpoint) void this._run(item, endpoint);
   }
 
   private async _run(item: BatchItem, endpoint: Endpoint): Promise<void> {
     const number = this.ledger.begin(item.id);
-    this._groupEndpoints.set(item.group, endpoint.id);
-    const mayLeave = (asking: ItemAttempt): boolean => this._hasOtherPlace(item, asking);
+    this._placer.began(item, endpoint);
+    const mayLeave = (asking: ItemAttempt): boolean => this._placer.hasOtherPlace(item, asking);
     const { client } = this._ports;
     const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, mayLeave);
     this._attempts.set(item.id, attempt);
@@ -317,27 +245,27 @@
         this.ledger.completed(item.id);
         break;
       case 'failed':
-        this._avoid(item, endpoint);
+        this._placer.avoid(item, endpoint);
         this.ledger.failed(item.id);
         break;
       case 'impossible':
         this.ledger.impossible(item.id);
         break;
       case 'not-run':
-        this._avoid(item, endpoint);
+        this._placer.avoid(item, endpoint);
         endpoint.closeFor(REFUSED_PAUSE_MS);
         this.ledger.interrupted(item.id);
         break;
       case 'broken':
       case 'stalled':
-        this._avoid(item, endpoint);
+        this._placer.avoid(item, endpoint);
         this.ledger.interrupted(item.id);
         break;
       case 'cancelled':
         this.ledger.interrupted(item.id);
         break;
       case 'old-version':
-        this._avoid(item, endpoint);
+        this._placer.avoid(item, endpoint);
         this._contradicted(item);
         break;
     }
@@ -350,52 +278,21 @@
     this._pauses.contradicted(item.id, fruitless, isTextDropped);
   }
 
-  private _avoid(item: BatchItem, endpoint: Endpoint): void {
-    const avoided = this._avoided.get(item.id) ?? new Set<string>();
-    avoided.add(endpoint.id);
-    this._avoided.set(item.id, avoided);
-    if (this._groupEndpoints.get(item.group) === endpoint.id) this._groupEndpoints.delete(item.group);
-  }
-
   /** Moves the items of slow endpoints to quick ones that have nothing better to do. */
   private _moveFromSlow(): void {
     if (this.ledger.waiting().length > 0) return;
     for (const attempt of this._attempts.values()) {
       if (attempt.endpoint.isLeaving) continue;
       const item = this.ledger.item(attempt.itemId);
-      if (!item || !this._hasQuickerPlace(item, attempt)) continue;
-      this._avoid(item, attempt.endpoint);
+      if (!item || !this._placer.hasQuickerPlace(item, attempt)) continue;
+      this._placer.avoid(item, attempt.endpoint);
       attempt.stop();
     }
   }
 
-  /** True if another endpoint, at which the item has not failed of late, has a place for it. */
-  private _hasOtherPlace(item: BatchItem, attempt: ItemAttempt): boolean {
-    const route = this._routeOf(this.ledger.batch);
-    return route !== undefined && this._freeElsewhere(route, item, attempt).length > 0;
-  }
-
-  private _hasQuickerPlace(item: BatchItem, attempt: ItemAttempt): boolean {
-    const route = this._route(this.ledger.batch.host, item);
-    const paceMs = attempt.endpoint.paceMs();
-    if (!route || paceMs === undefined) return false;
-    return this._freeElsewhere(route, item, attempt).some(other => {
-      const otherMs = other.paceMs();
-      return otherMs !== undefined && shouldMove(attempt.ranMs(), paceMs, otherMs);
-    });
-  }
-
-  /** Endpoints with a free place, besides the attempt's own, at which the item has not failed of late. */
-  private _freeElsewhere(route: Route, item: BatchItem, attempt: ItemAttempt): readonly Endpoint[] {
-    const avoid = this._avoided.get(item.id);
-    return this._candidates(route)
-      .filter(other => other !== attempt.endpoint)
-      .filter(other => other.freePlaces() > 0 && !avoid?.has(other.id));
-  }
-
   /** An item that is not done when its route lets it go is given up, so that its step has an end. */
   private _armExpiry(): void {
-    const route = this._routeOf(this.ledger.batch);
+    const route = batchRoute(this._ports.configuration, this.ledger.batch);
     if (!route || route.keepMs === 0) return;
     const ageMs = Math.max(0, this._context.clock.wallMs() - this._held.claim.acceptedWallMs);
     // Wall clocks differ between hosts: an older batch may be a little younger than it seems.
@@ -437,20 +334,3 @@
     });
   }
 }
-
-/** An endpoint as the placement sees it. */
-function toPlacement(endpoint: Endpoint): PlacementEndpoint {
-  return {
-    id: endpoint.id,
-    domain: endpoint.domain,
-    freePlaces: endpoint.freePlaces(),
-    paceMs: endpoint.paceMs(),
-  };
-}
-
-/** The longest quarter of the items by their estimates; Infinity when there are none. */
-function longTokens(batch: Batch): number {
-  const estimates = batch.items.map(item => item.expectedTokens).sort((a, b) => b - a);
-  const limit = estimates[Math.floor(estimates.length * LONG_SHARE)] ?? 0;
-  return limit > 0 ? limit : Infinity;
-}
--- /dev/null
+++ b/packages/gateway/src/itemPlacer.ts
@@ -0,0 +1,165 @@
+/**
+ * Chooses the endpoints at which the items of one batch run.
+ */
+import {
+  placeItem,
+  shouldMove,
+  type Batch,
+  type BatchItem,
+  type BatchLedger,
+  type PlacementEndpoint,
+} from '@fuchsiahitch/batches';
+import type { Route } from '@fuchsiahitch/rules';
+import { batchRoute, itemRoute } from './batchRoute.js';
+import type { ConfigurationService } from './configurationService.js';
+import type { Endpoint } from './endpoint.js';
+import type { EndpointDirectory } from './endpointDirectory.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { ItemAttempt } from './itemAttempt.js';
+import { modelShares } from './modelShares.js';
+
+export interface PlacementPorts {
+  readonly endpoints: EndpointDirectory;
+  readonly configuration: ConfigurationService;
+}
+
+/** Endpoints in the order in which they are asked: those of a later tier only if no earlier one has a place. */
+export type EndpointTiers = readonly (readonly Endpoint[])[];
+
+/** Lengths have a long tail: about a tenth of the items is several times as long as the rest, and estimates err. */
+const LONG_SHARE = 0.25;
+
+export class ItemPlacer {
+  private readonly _context: GatewayContext;
+  private readonly _ports: PlacementPorts;
+  private readonly _ledger: BatchLedger;
+  private readonly _groupEndpoints = new Map<string, string>();
+  private readonly _avoided = new Map<string, Set<string>>();
+  /** Items of this many expected tokens and more are long. */
+  private readonly _longTokens: number;
+
+  constructor(context: GatewayContext, ports: PlacementPorts, ledger: BatchLedger) {
+    this._context = context;
+    this._ports = ports;
+    this._ledger = ledger;
+    this._longTokens = longTokens(ledger.batch);
+  }
+
+  /** The endpoints for the batch's items as they stand now; none if the items have no route. */
+  tiers(): EndpointTiers {
+    const route = this._routeOfBatch();
+    return route ? this._tiersOf(route) : [];
+  }
+
+  /** An endpoint that has a place for the item. */
+  choose(item: BatchItem, tiers: EndpointTiers): Endpoint | undefined {
+    const avoid = this._avoided.get(item.id) ?? new Set<string>();
+    const request = {
+      groupEndpointId: this._groupEndpoints.get(item.group),
+      isLong: item.expectedTokens >= this._longTokens || this._isBegun(item),
+      ownDomain: this._context.domain,
+      avoid,
+    };
+    for (const candidates of tiers) {
+      const place = placeItem(candidates.map(toPlacement), request);
+      const endpoint = candidates.find(candidate => candidate.id === place?.id);
+      if (endpoint) return endpoint;
+    }
+    // All were tried: the item may go anywhere again.
+    const tried = tiers.flat().length;
+    if (avoid.size > 0 && avoid.size >= tried) avoid.clear();
+    return undefined;
+  }
+
+  /** The item begins at the endpoint: the others of its group follow it there. */
+  began(item: BatchItem, endpoint: Endpoint): void {
+    this._groupEndpoints.set(item.group, endpoint.id);
+  }
+
+  /** The item is not to run at the endpoint again, until all others were tried. */
+  avoid(item: BatchItem, endpoint: Endpoint): void {
+    const avoided = this._avoided.get(item.id) ?? new Set<string>();
+    avoided.add(endpoint.id);
+    this._avoided.set(item.id, avoided);
+    if (this._groupEndpoints.get(item.group) === endpoint.id) this._groupEndpoints.delete(item.group);
+  }
+
+  /** True if another endpoint, at which the item has not failed of late, has a place for it. */
+  hasOtherPlace(item: BatchItem, attempt: ItemAttempt): boolean {
+    const route = this._routeOfBatch();
+    return route !== undefined && this._freeElsewhere(route, item, attempt).length > 0;
+  }
+
+  /** True if such an endpoint is so much quicker that the item should move there. */
+  hasQuickerPlace(item: BatchItem, attempt: ItemAttempt): boolean {
+    const route = itemRoute(this._ports.configuration, this._ledger.batch, item);
+    const paceMs = attempt.endpoint.paceMs();
+    if (!route || paceMs === undefined) return false;
+    return this._freeElsewhere(route, item, attempt).some(other => {
+      const otherMs = other.paceMs();
+      return otherMs !== undefined && shouldMove(attempt.ranMs(), paceMs, otherMs);
+    });
+  }
+
+  private _routeOfBatch(): Route | undefined {
+    return batchRoute(this._ports.configuration, this._ledger.batch);
+  }
+
+  /**
+   * The endpoints in the order in which they are asked: first those that load this model's versions, then the
+   * others. Without that the owners of two trainers' batches fill the same endpoints, and neither sees it in time.
+   */
+  private _tiersOf(route: Route): EndpointTiers {
+    const candidates = this._candidates(route);
+    const { model } = this._ledger.batch;
+    const pool = candidates[0]?.pool ?? '';
+    const { configuration, endpoints } = this._ports;
+    const { targets, shares } = modelShares(pool, configuration, endpoints);
+    if (targets.size < 2) return [candidates];
+    const own = new Set(shares.get(model) ?? []);
+    return [
+      candidates.filter(endpoint => own.has(endpoint.id)),
+      candidates.filter(endpoint => !own.has(endpoint.id)),
+    ];
+  }
+
+  /** Endpoints of the route's pools whose weights are new enough. */
+  private _candidates(route: Route): readonly Endpoint[] {
+    const { model, minVersion } = this._ledger.batch;
+    return route.pools
+      .filter(share => share.weight > 0)
+      .flatMap(share => this._ports.endpoints.ofPool(share.pool))
+      .filter(endpoint => !endpoint.isLeaving)
+      .filter(endpoint => model === '' || endpoint.versionOf(model) >= minVersion);
+  }
+
+  /** Endpoints with a free place, besides the attempt's own, at which the item has not failed of late. */
+  private _freeElsewhere(route: Route, item: BatchItem, attempt: ItemAttempt): readonly Endpoint[] {
+    const avoid = this._avoided.get(item.id);
+    return this._candidates(route)
+      .filter(other => other !== attempt.endpoint)
+      .filter(other => other.freePlaces() > 0 && !avoid?.has(other.id));
+  }
+
+  /** An item that was moved, or that its owner before left: what is left of it should go quickly. */
+  private _isBegun(item: BatchItem): boolean {
+    return this._ledger.progress(item.id).lastEvent() > 0;
+  }
+}
+
+/** An endpoint as the placement sees it. */
+function toPlacement(endpoint: Endpoint): PlacementEndpoint {
+  return {
+    id: endpoint.id,
+    domain: endpoint.domain,
+    freePlaces: endpoint.freePlaces(),
+    paceMs: endpoint.paceMs(),
+  };
+}
+
+/** The longest quarter of the items by their estimates; Infinity when there are none. */
+function longTokens(batch: Batch): number {
+  const estimates = batch.items.map(item => item.expectedTokens).sort((a, b) => b - a);
+  const limit = estimates[Math.floor(estimates.length * LONG_SHARE)] ?? 0;
+  return limit > 0 ? limit : Infinity;
+}
