Logs: what an owner acts on, and hosts that come and go in one line

Cause: the record of the incident could not tell the hypotheses apart: an item's attempt named neither the claim nor its age, no line told when a host began to run a batch, and of the 32 KB that are left of each host's log 31% were one line for each host seen. The volume was not measured again yet.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -30,6 +30,15 @@
   readonly claimLeaseMs: number;
 }
 
+/** What the log tells of an attempt beside its end. */
+interface AttemptFacts {
+  /** The attempts of the item so far, this one included. */
+  readonly number: number;
+  readonly tookMs: number;
+  /** When it began: the time since the store was asked for its last word that this host owns the batch. */
+  readonly claimAgeMs: number;
+}
+
 const STORE_TIMEOUT_MS = 1000;
 /** How often items that found no place look again. */
 const PLACE_INTERVAL_MS = 25;
@@ -211,9 +220,11 @@
     const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, mayLeave);
     this._attempts.set(item.id, attempt);
     const startedMs = this._context.clock.nowMs();
+    const claimAgeMs = this._lease.ageMs();
     const end = await attempt.run();
     this._attempts.delete(item.id);
-    this._logAttempt(item, endpoint, number, end, this._context.clock.nowMs() - startedMs);
+    const tookMs = this._context.clock.nowMs() - startedMs;
+    this._logAttempt(item, endpoint, { number, tookMs, claimAgeMs }, end);
     if (this._isStopped) return;
     this._settle(item, endpoint, end);
     this._place();
@@ -293,9 +304,8 @@
   private _logAttempt(
     item: BatchItem,
     endpoint: Endpoint,
-    attempt: number,
+    { number, tookMs, claimAgeMs }: AttemptFacts,
     end: AttemptEnd,
-    tookMs: number,
   ): void {
     this._context.metrics.attempts.inc({ kind: 'item', end: end.kind });
     this._context.log.info('item attempt', {
@@ -303,13 +313,15 @@
       itemId: item.id,
       group: item.group,
       endpointId: endpoint.id,
-      attempt,
+      attempt: number,
       end: end.kind,
       reason: 'text' in end ? end.text : 'reason' in end ? end.reason : undefined,
       status: 'status' in end ? end.status : undefined,
       events: this.ledger.progress(item.id).lastEvent(),
       tookMs: Math.round(tookMs),
       paceMs: Math.round(endpoint.paceMs() ?? 0),
+      claimRevision: this._lease.held.revision,
+      claimAgeMs: Math.round(claimAgeMs),
       endpointsAgeMs: Math.round(this._ports.endpoints.ageMs()),
     });
   }
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -265,6 +265,14 @@
     ]);
     owner.ledger.carry(before);
     owner.ledger.resume([...kept, ...unfinished]);
+    this._context.log.info('batch begun', {
+      batchId: id,
+      claimRevision: held.revision,
+      claimAgeMs: Math.round(this._context.clock.nowMs() - held.askedMs),
+      takeovers: held.claim.takeovers,
+      listed: stored.results.length,
+      unfinished: owner.ledger.unfinished().length,
+    });
     owner.start();
     // A host that shuts down still takes what arrives, and passes it on at once.
     if (this._isLeaving && this._owned.delete(id)) void this._handOver(owner);
--- /dev/null
+++ b/packages/gateway/src/hostChangeLog.ts
@@ -0,0 +1,43 @@
+/**
+ * Tells in the log which hosts came and went, those of one moment in one line.
+ *
+ * What goes wrong with a line for each: in a fleet of 60 hosts every process writes 60 lines when it starts and as many
+ * when a failure domain comes back. Of the last 32 KB of each host's log of a played day they were 31%, and what had
+ * happened to its batches was gone.
+ */
+import type { GatewayContext } from './gatewayContext.js';
+
+/** Hosts of a failure domain come and go within some hundred milliseconds of each other. */
+const GATHER_MS = 250;
+
+export class HostChangeLog {
+  private readonly _context: GatewayContext;
+  private _new: string[] = [];
+  private _gone: string[] = [];
+
+  constructor(context: GatewayContext) {
+    this._context = context;
+  }
+
+  /** `incarnation`: the process that is new at the host. */
+  came(hostId: string, incarnation: string): void {
+    this._gather();
+    this._new.push(`${hostId}@${incarnation}`);
+  }
+
+  went(hostId: string): void {
+    this._gather();
+    this._gone.push(hostId);
+  }
+
+  private _gather(): void {
+    const isGathering = this._new.length + this._gone.length > 0;
+    if (!isGathering) this._context.clock.after(GATHER_MS, () => this._write());
+  }
+
+  private _write(): void {
+    this._context.log.info('hosts', { new: this._new.join(' '), gone: this._gone.join(' ') });
+    this._new = [];
+    this._gone = [];
+  }
+}
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -14,6 +14,7 @@
 } from '@fuchsiahitch/protocol';
 import { z } from 'zod';
 import type { GatewayContext } from './gatewayContext.js';
+import { HostChangeLog } from './hostChangeLog.js';
 import { StoreLease } from './storeLease.js';
 import { StoreMirror } from './storeMirror.js';
 
@@ -90,6 +91,7 @@
   private readonly _values = new Map<string, string>();
   private readonly _links = new Map<string, PeerLink>();
   private readonly _gone = new GoneProcesses();
+  private readonly _changes: HostChangeLog;
   private readonly _hostGone: () => void;
 
   /** `hostGone`: told whenever a process is seen to be gone. */
@@ -102,6 +104,7 @@
     this._hostGone = hostGone;
     this._context = context;
     this._options = options;
+    this._changes = new HostChangeLog(context);
     this._mirror = new StoreMirror(context, store, MIRROR, {
       changed: item => this._changed(item.key, item.value),
       removed: key => this._removed(key),
@@ -202,7 +205,7 @@
     if (known && isSameOwner(known, owner)) return;
     this._gone.delete(owner);
     if (known) this._ended(known);
-    this._context.log.info('host', { change: 'new', peer: owner.hostId, peerIncarnation: owner.incarnation });
+    this._changes.came(owner.hostId, owner.incarnation);
   }
 
   private _ended(process: Owner): void {
@@ -217,7 +220,7 @@
     const known = this._owners.get(hostId);
     this._owners.delete(hostId);
     if (known) this._ended(known);
-    this._context.log.info('host', { change: 'gone', peer: hostId });
+    this._changes.went(hostId);
   }
 }
 
