--- a/tests/fakeStore.ts
+++ b/tests/fakeStore.ts
@@ -147,6 +147,8 @@
   mode: StoreMode = 'well';
   /** Each call takes so long. */
   slowMs = 0;
+  /** Each call takes effect at once, and its answer takes so long. */
+  slowAnswersMs = 0;
   calls = 0;
   private readonly _store: FakeStore;
   private readonly _clock: Clock;
@@ -199,6 +201,7 @@
       return err('unknown');
     }
     const result = this._store.transact(compares, writes);
+    if (this.slowAnswersMs > 0) await sleep(this._clock, this.slowAnswersMs);
     if (this._store.loseAnswers === 0) return ok(result);
     this._store.loseAnswers -= 1;
     return err('unknown');
@@ -229,6 +232,11 @@
     act: () => Result<T, StoreError>,
   ): Promise<Result<T, StoreError>> {
     const reach = await this._reach(call, deadline);
+    if (!reach && this.slowAnswersMs > 0) {
+      const answer = act();
+      await sleep(this._clock, this.slowAnswersMs);
+      return answer;
+    }
     return reach ? err(reach) : act();
   }
 
