Batches: what one reader was shown, every later reader is shown, also after the end

Cause, four ways to a list that is shorter at one host than what was shown elsewhere, each with a test that failed first (endedReads.spec.ts): an owner ends its batch while an append is under way or was not answered, and shows its own list from then on; a load of the store that began before the end is kept as the ended batch's results for good; a former owner's append or progress that is read back counts as a confirmation of a claim that is gone, so that it says "nothing yet". Change: an owner that ends with an unsettled append forgets the batch, and all read the store; only a load that began after the end was known is kept; a write that finds its value in place looks at the claim. Not shown: which of the ways it was that users saw.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -152,7 +152,11 @@
       return 'lost';
     }
     this._lease.changed(done.value);
+    // Results whose append is not answered may stand in the store, where hosts that can't ask this one read them. So that
+    // no reader is shown fewer here, the store alone is read from now on.
+    this._isLost = !this._lister.isSettled();
     this.stop('ended by the trainer');
+    if (this._isLost) this._lost();
     void this._keeper.finish();
     return 'ended';
   }
--- a/packages/gateway/src/batchStore.ts
+++ b/packages/gateway/src/batchStore.ts
@@ -273,7 +273,11 @@
     return done.ok;
   }
 
-  /** Writes a new key, as long as the claim stands. */
+  /**
+   * Writes a new key, as long as the claim stands. A write that finds its own value in place has been made by an earlier
+   * try, but says nothing of the claim since then: without a look at it an owner that lost its batch takes the old write
+   * for a word of the store that the batch is still its own, and tells readers that there is nothing more.
+   */
   private async _addOnce(
     batchId: string,
     held: HeldClaim,
@@ -288,6 +292,9 @@
     const done = await this._store.transact(compares, [{ kind: 'put', key, value }], deadline);
     if (!done.ok) return { kind: 'out-of-reach', error: done.error };
     if (done.value.succeeded) return { kind: 'done', value: undefined };
+    const claim = await this._store.get(claimKey(batchId), deadline);
+    if (!claim.ok) return { kind: 'out-of-reach', error: claim.error };
+    if (claim.value?.version !== held.revision) return { kind: 'lost' };
     const stored = await this._store.get(key, deadline);
     if (!stored.ok) return { kind: 'out-of-reach', error: stored.error };
     return stored.value?.value === value ? { kind: 'done', value: undefined } : { kind: 'lost' };
--- a/packages/gateway/src/resultLister.ts
+++ b/packages/gateway/src/resultLister.ts
@@ -50,6 +50,11 @@
     this._isStopped = true;
   }
 
+  /** False while a write is under way or was not answered: the store may have results that are not listed here. */
+  isSettled(): boolean {
+    return this._unsettled === undefined;
+  }
+
   /** One write at a time, until nothing is left. */
   private async _run(): Promise<void> {
     this._isListing = true;
--- a/packages/gateway/src/storedBatches.ts
+++ b/packages/gateway/src/storedBatches.ts
@@ -57,13 +57,17 @@
     return results.ok ? results.value : undefined;
   }
 
-  /** An ended batch never changes again, so that its last readers need one read of the store. */
+  /**
+   * An ended batch never changes again, so that its last readers need one read of the store. It must have ended before
+   * that read began: one that overlaps the end may hold fewer results than readers elsewhere are shown, for good.
+   */
   private async _load(batchId: string): Promise<StoredBatch | undefined> {
     const known = this._stored.get(batchId);
     if (known) return known;
+    const hadEnded = this._isEnded(batchId);
     const stored = await this._store.load(batchId, this._storeDeadline());
     if (!stored.ok) return undefined;
-    if (this._isEnded(batchId)) this._keep(batchId, stored.value);
+    if (hadEnded) this._keep(batchId, stored.value);
     return stored.value;
   }
 
