--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -74,6 +74,19 @@
     }
     this._nowMs = endMs;
   }
+
+  /**
+   * Lets time pass in which nothing runs, as where the process gets no processor time. The timers that fell due then run
+   * late and all of them before `read`, which takes what has arrived meanwhile: the order of the event loop.
+   */
+  async hold(durationMs: number, read: () => void): Promise<void> {
+    await settle();
+    this._nowMs += durationMs;
+    setImmediate(read);
+    for (let next = this._pending.popDue(this._nowMs); next; next = this._pending.popDue(this._nowMs))
+      if (!next.isCancelled) next.run();
+    await settle();
+  }
 }
 
 /** Timers in a binary heap, the earliest first. */
