Gateway: a late event loop no longer speaks against endpoints

A process that is held up runs the timers that fell due before it reads the bytes that arrived meanwhile, so that its own delay looked like the silence of all its endpoints: sound runs were given up, paces jumped, items moved, and each repetition made the loop later. A class of its own measures how late the loop runs; a silence timer lets the loop read first, two ticks (100 ms) more where it was late since the last event; no pace is taken of such a time; the bounds of silence are points in time now, so that the waiting of a late loop is not added up. The delay is a gauge too.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -10,4 +10,5 @@
 export * from './resetGuard.js';
 export * from './scorer.js';
 export * from './serviceClient.js';
+export * from './timeoutAfterReading.js';
 export * from './watchByChanges.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -157,5 +157,10 @@
       'Time since the store last answered',
       () => this.configuration.ageMs() / 1000,
     );
+    metrics.gauge(
+      'fuchsiahitch_event_loop_delay_seconds',
+      'Greatest delay of the event loop in the last seconds',
+      () => this._context.loop.recentMs() / 1000,
+    );
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 export * from './hostDirectory.js';
 export * from './itemAttempt.js';
 export * from './itemScoring.js';
+export * from './loopDelay.js';
 export * from './orphanedBatches.js';
 export * from './ports.js';
 export * from './reachMonitor.js';
--- a/packages/gateway/src/itemAttempt.ts
+++ b/packages/gateway/src/itemAttempt.ts
@@ -98,7 +98,9 @@
 
   event(event: GeneratedEvent): boolean {
     const nowMs = this._context.clock.nowMs();
-    if (this._lastEventMs !== undefined) this.endpoint.paced(nowMs - this._lastEventMs);
+    // Two events that a late loop reads at once, or late, tell nothing of the endpoint's pace.
+    if (this._lastEventMs !== undefined && this._context.loop.isPunctualSince(this._lastEventMs))
+      this.endpoint.paced(nowMs - this._lastEventMs);
     this._lastEventMs = nowMs;
     this._aliveWallMs = this._context.clock.wallMs();
     this._armSilence();
@@ -126,16 +128,25 @@
 
   private _armSilence(): void {
     const { suspectMs, giveUpMs } = silenceBounds(this._lastEventMs !== undefined, this.endpoint.paceMs());
+    this._watchSilence(suspectMs, this._context.clock.nowMs() + giveUpMs);
+  }
+
+  /** Waits, lets the loop read what has arrived, and decides. An event on the way puts an end to all three. */
+  private _watchSilence(waitMs: number, giveUpAtMs: number): void {
+    const { clock, loop } = this._context;
+    const sinceMs = this._lastEventMs ?? this._beganMs;
     this._stallTimer?.();
-    this._stallTimer = this._context.clock.after(suspectMs, () => this._suspect(giveUpMs - suspectMs));
+    this._stallTimer = clock.after(waitMs, () => {
+      this._stallTimer = loop.afterReading(sinceMs, () => this._suspect(giveUpAtMs));
+    });
   }
 
   /** Nothing came for a while. */
-  private _suspect(leftMs: number): void {
+  private _suspect(giveUpAtMs: number): void {
+    const leftMs = giveUpAtMs - this._context.clock.nowMs();
     const isOver = leftMs <= 0 || this._mayLeave(this);
     if (!isOver) {
-      const againMs = Math.min(leftMs, SUSPECT_AGAIN_MS);
-      this._stallTimer = this._context.clock.after(againMs, () => this._suspect(leftMs - againMs));
+      this._watchSilence(Math.min(leftMs, SUSPECT_AGAIN_MS), giveUpAtMs);
       return;
     }
     this._verdict ??= { kind: 'stalled' };
--- /dev/null
+++ b/packages/gateway/src/loopDelay.ts
@@ -0,0 +1,101 @@
+/**
+ * How late the event loop of this process runs.
+ *
+ * What goes wrong without it: a process that is held up runs the timers that fell due before it reads the bytes that
+ * arrived meanwhile, so that its own delay looks like the silence of all its endpoints. One notices it as attempts that
+ * end as `stalled` at endpoints that sent an event every 45 ms, and as paces that jump; each repetition costs processor
+ * time, and the loop is later still. Whoever is about to speak against an endpoint therefore lets the loop read first,
+ * and no pace is taken from a time in which the loop was late.
+ *
+ * The pause detector of the weight orders is no substitute, nor this one for that: it tells a machine that was suspended,
+ * by the monotonic clock that stood still meanwhile; where a process is merely late both clocks go on.
+ */
+import type { CancelTimer, Clock } from '@fuchsiahitch/base';
+
+/** How often the delay is measured: chosen so that the measuring costs a process some 20 short wake-ups a second. */
+const TICK_MS = 50;
+/** A delay that counts. About one event's time, and a seventh of the shortest silence that speaks against an endpoint. */
+const LATE_MS = 50;
+/** Ticks that a decision waits for a late loop: 100 ms where the loop is on time again, in which two events come. */
+const GRACE_TICKS = 2;
+/** The greatest delay is told of one to two such times. */
+const WINDOW_MS = 2500;
+
+export class LoopDelay {
+  private readonly _clock: Clock;
+  private readonly _stopped: AbortSignal;
+  private _dueMs: number;
+  /** Infinity while the loop is late. */
+  private _punctualSinceMs: number;
+  private _windowBeganMs: number;
+  private _greatestMs = 0;
+  private _greatestBeforeMs = 0;
+
+  /** Measures until the signal is aborted. */
+  constructor(clock: Clock, stopped: AbortSignal) {
+    this._clock = clock;
+    this._stopped = stopped;
+    const nowMs = clock.nowMs();
+    this._punctualSinceMs = nowMs;
+    this._windowBeganMs = nowMs;
+    this._dueMs = nowMs;
+    this._arm(nowMs);
+  }
+
+  /** The greatest delay of the last seconds. */
+  recentMs(): number {
+    return Math.max(this._greatestMs, this._greatestBeforeMs, this._overdueMs());
+  }
+
+  /** True if the loop has been on time from then until now, as far as was measured. */
+  isPunctualSince(sinceMs: number): boolean {
+    return sinceMs >= this._punctualSinceMs && this._overdueMs() <= LATE_MS;
+  }
+
+  /**
+   * Calls `decide` once the loop has read what has arrived by now. If it was late since `sinceMs` it gets two ticks more,
+   * and reads again after each: what it should have written late may not be answered yet.
+   */
+  afterReading(sinceMs: number, decide: () => void): CancelTimer {
+    return this._afterReading(sinceMs, GRACE_TICKS, decide);
+  }
+
+  private _afterReading(sinceMs: number, ticksLeft: number, decide: () => void): CancelTimer {
+    let cancel: CancelTimer = () => clearImmediate(reading);
+    const reading = setImmediate(() => {
+      if (ticksLeft === 0 || this.isPunctualSince(sinceMs)) {
+        decide();
+        return;
+      }
+      cancel = this._clock.after(TICK_MS, () => {
+        cancel = this._afterReading(sinceMs, ticksLeft - 1, decide);
+      });
+    });
+    return () => cancel();
+  }
+
+  private _overdueMs(): number {
+    return Math.max(0, this._clock.nowMs() - this._dueMs);
+  }
+
+  private _arm(nowMs: number): void {
+    this._dueMs = nowMs + TICK_MS;
+    this._clock.after(TICK_MS, () => {
+      if (!this._stopped.aborted) this._tick();
+    });
+  }
+
+  private _tick(): void {
+    const nowMs = this._clock.nowMs();
+    const delayMs = this._overdueMs();
+    if (delayMs > LATE_MS) this._punctualSinceMs = Infinity;
+    else if (this._punctualSinceMs === Infinity) this._punctualSinceMs = nowMs;
+    if (nowMs - this._windowBeganMs > WINDOW_MS) {
+      this._greatestBeforeMs = this._greatestMs;
+      this._greatestMs = 0;
+      this._windowBeganMs = nowMs;
+    }
+    this._greatestMs = Math.max(this._greatestMs, delayMs);
+    this._arm(nowMs);
+  }
+}
--- a/tests/gatewayWorld.ts
+++ b/tests/gatewayWorld.ts
@@ -6,6 +6,7 @@
 import type { Batch, BatchItem } from '@fuchsiahitch/batches';
 import {
   GatewayMetrics,
+  LoopDelay,
   type EndpointAnswer,
   type EndpointCall,
   type EndpointClient,
@@ -69,6 +70,7 @@
     log: new TestLog(),
     metrics: new GatewayMetrics(),
     tracing: new Tracing('', hostId),
+    loop: new LoopDelay(clock, stop.signal),
     stopped: stop.signal,
     stop,
   };
--- a/tests/lateLoop.spec.ts
+++ b/tests/lateLoop.spec.ts
@@ -128,6 +128,25 @@
   world.stop();
 });
 
+await tap.test('should tell how late the loop ran in the last seconds', async t => {
+  const world = new GatewayWorld();
+  const { loop } = world.start('a').context;
+  await world.clock.advance(1000);
+  t.equal(loop.recentMs(), 0);
+  const beforeMs = world.clock.nowMs();
+  t.ok(loop.isPunctualSince(beforeMs));
+  await world.clock.hold(1000, () => t.notOk(loop.isPunctualSince(beforeMs), 'while it reads late'));
+  t.ok(loop.recentMs() >= 950, 'a tick is due each 50 ms');
+  await world.clock.advance(100);
+  t.notOk(loop.isPunctualSince(beforeMs));
+  t.ok(loop.isPunctualSince(world.clock.nowMs()));
+  await world.clock.advance(2000);
+  t.ok(loop.recentMs() >= 950);
+  await world.clock.advance(4000);
+  t.equal(loop.recentMs(), 0);
+  world.stop();
+});
+
 /** How long a call may take: far longer than a local answer on a busy machine. */
 const ANSWER_MS = 600;
 /** The process is held up until after that. */
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -8,7 +8,7 @@
 import { spawnSync } from 'node:child_process';
 import tap from 'tap';
 import { SystemClock, SystemRandom } from '@fuchsiahitch/base';
-import { Gateway, GatewayMetrics, type GatewayContext } from '@fuchsiahitch/gateway';
+import { Gateway, GatewayMetrics, LoopDelay, type GatewayContext } from '@fuchsiahitch/gateway';
 import {
   CallerServer,
   decodeBatch,
@@ -273,6 +273,7 @@
     log: new TestLog(),
     metrics,
     tracing: new Tracing('', 'edge-1'),
+    loop: new LoopDelay(clock, stop.signal),
     stopped: stop.signal,
   };
   const identity = { hostId: 'edge-1', incarnation: '1', domain: 'tekapo', programVersion: '0' };
