Batches: an orphan's owner is asked once more before another host takes its batch

Cause: a host whose lease lapsed, for want of processor time or because the store revoked it, was taken for dead by the host that looks for orphans, and its batches were given away unasked, to hosts that then got short of processor time as well. Change: an adoption that the owner itself did not ask for asks the owner first, whether it runs the batch and the store confirms it.

--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -44,9 +44,18 @@
   .readonly();
 export type ItemEvents = z.infer<typeof itemEventsSchema>;
 
-/** A host that shuts down asks another to go on with a batch, and gives it what it had of the items. */
+/**
+ * Asks another host to go on with a batch: its owner shuts down, and gives what it had of the items; or its owner was
+ * seen to be gone.
+ */
 export const batchAdoptSchema = z
-  .strictObject({ batchId: z.string(), from: ownerSchema, unfinished: z.array(itemEventsSchema).readonly() })
+  .strictObject({
+    batchId: z.string(),
+    from: ownerSchema,
+    /** True if the owner itself asks. If not, it may live after all, and is asked first. */
+    isGivenUp: z.boolean(),
+    unfinished: z.array(itemEventsSchema).readonly(),
+  })
   .readonly();
 export type BatchAdopt = z.infer<typeof batchAdoptSchema>;
 
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -190,7 +190,7 @@
     const from = this._hosts.self();
     const unfinished = owner.ledger.unfinished();
     for (const peer of this._successors()) {
-      const request = { batchId, from, unfinished };
+      const request = { batchId, from, isGivenUp: true, unfinished };
       const reply = await this._hosts.call(peer.address, calls.batchAdopt, request, ADOPT_TIMEOUT_MS);
       const isAdopted = reply.ok && reply.value.isAdopted;
       this._context.log.info('batch handed over', { batchId, to: peer.hostId, isAdopted });
@@ -207,18 +207,34 @@
     return successors;
   }
 
-  /** Takes over a batch whose owner's process is gone. */
+  /** Takes over a batch whose owner's process was seen to be gone. */
   async adoptFrom(batchId: string, from: Owner): Promise<void> {
-    await this._adopt({ batchId, from, unfinished: [] });
+    await this._adopt({ batchId, from, isGivenUp: false, unfinished: [] });
   }
 
   private async _adopt(request: BatchAdopt): Promise<{ readonly isAdopted: boolean }> {
-    const { batchId, from, unfinished } = request;
+    const { batchId, from, isGivenUp, unfinished } = request;
     if (this._isLeaving) return { isAdopted: false };
+    if (!isGivenUp && (await this._isStillRun(batchId, from))) return { isAdopted: false };
     const located = await this._replaceOwner(batchId, from, true, unfinished);
     return { isAdopted: located.kind === 'here' };
   }
 
+  /**
+   * True if the owner, whose lease has ended, answers that it runs the batch and that the store confirms it. What goes wrong
+   * without the question: an owner that is short of processor time renews its lease too late and loses its batch, the next
+   * one gets short of processor time by taking it, and so on; one sees a batch with a `batch takeover` every two seconds.
+   */
+  private async _isStillRun(batchId: string, owner: Owner): Promise<boolean> {
+    if (this._isSelf(owner)) return false;
+    // No batch has so many results: the answer is empty, and vouches for the claim.
+    const request = { batchId, after: Number.MAX_SAFE_INTEGER, waitMs: 0 };
+    const reply = await this._hosts.call(owner.address, calls.batchRead, request, PEER_TIMEOUT_MS);
+    const isRun = reply.ok && reply.value.kind === 'page';
+    if (isRun) this._context.log.info('orphan left to its owner', { batchId, owner: owner.hostId });
+    return isRun;
+  }
+
   private async _accept(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
     const startedMs = this._context.clock.nowMs();
     const outcome = await this._ports.store.accept(batch, this._hosts.self(), deadline);
--- a/packages/gateway/src/orphanedBatches.ts
+++ b/packages/gateway/src/orphanedBatches.ts
@@ -20,8 +20,8 @@
 /** A store that is away comes back within seconds; its mirror then tells again who lives. */
 const TRIES = 5;
 const RETRY_MS = 700;
-/** Taking a batch over is two calls to the store and one read of it. */
-const ADOPT_TIMEOUT_MS = 1500;
+/** Taking a batch over is a question to its owner, two calls to the store and one read of it. */
+const ADOPT_TIMEOUT_MS = 2200;
 
 export class OrphanedBatches {
   private readonly _context: GatewayContext;
@@ -87,7 +87,7 @@
     const peers = this._hosts.peers();
     const drawn = this._context.random.below(peers.length + 1);
     const peer = peers[drawn];
-    const request = { batchId, from, unfinished: [] };
+    const request = { batchId, from, isGivenUp: false, unfinished: [] };
     const reply = peer && (await this._hosts.call(peer.address, calls.batchAdopt, request, ADOPT_TIMEOUT_MS));
     const isAdopted = reply?.ok === true && reply.value.isAdopted;
     if (!isAdopted) await this._adoptHere(batchId, from);
