Endpoints: a silence is told by a pace of the first pauses on

Cause: a pace that is told only after sixteen pauses left the bound of a silence at 1.2 s for that long; moves.spec.ts "should leave an endpoint that fell silent as soon as events are missed" failed after the change of the pace. Change: moves ask for the steady pace, the silence bound for a rough one, from the first pause on, as before.

--- a/packages/batches/src/pace.ts
+++ b/packages/batches/src/pace.ts
@@ -30,4 +30,9 @@
   ms(): number | undefined {
     return this._pauses >= MIN_PAUSES ? this._meanMs : undefined;
   }
+
+  /** As `ms`, from the first pause on: good enough to tell a silence of many events. */
+  roughMs(): number | undefined {
+    return this._pauses > 0 ? this._meanMs : undefined;
+  }
 }
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -192,4 +192,9 @@
   paceMs(): number | undefined {
     return this._pace.ms();
   }
+
+  /** As `paceMs`, from the first two events on. */
+  roughPaceMs(): number | undefined {
+    return this._pace.roughMs();
+  }
 }
--- a/packages/gateway/src/itemAttempt.ts
+++ b/packages/gateway/src/itemAttempt.ts
@@ -127,7 +127,7 @@
   }
 
   private _armSilence(): void {
-    const { suspectMs, giveUpMs } = silenceBounds(this._lastEventMs !== undefined, this.endpoint.paceMs());
+    const { suspectMs, giveUpMs } = silenceBounds(this._lastEventMs !== undefined, this.endpoint.roughPaceMs());
     this._watchSilence(suspectMs, this._context.clock.nowMs() + giveUpMs);
   }
 
