--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -126,8 +126,11 @@
       return err({ kind: 'timed-out' });
     }
     const handler = host.handlers.get(call.name);
-    const reply = call.reply.parse(await handler?.(request as never));
-    return ok(reply);
+    const answered = Promise.resolve(handler?.(request as never)).then(reply => ok(call.reply.parse(reply)));
+    const late = new Promise<Result<A, CallError>>(resolve => {
+      this._world.clock.after(timeoutMs, () => resolve(err({ kind: 'timed-out' })));
+    });
+    return Promise.race([answered, late]);
   }
 }
 
