Gateway: free places are looked up once for all items of a turn

The owner looked the free places and paces of all endpoints up anew for each waiting item, 40 times a second and at each end of an attempt, also where nothing was free: 136 of some 700 ms in the profile of a batch's first 3 s with fewer places than items. A tier of endpoints now holds them for one turn, counts them down, and answers at once when none is left.

--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -1,18 +1,12 @@
 /**
  * Chooses the endpoints at which the items of one batch run.
  */
-import {
-  placeItem,
-  shouldMove,
-  type Batch,
-  type BatchItem,
-  type BatchLedger,
-  type PlacementEndpoint,
-} from '@fuchsiahitch/batches';
+import { shouldMove, type Batch, type BatchItem, type BatchLedger } from '@fuchsiahitch/batches';
 import type { Route } from '@fuchsiahitch/rules';
 import { batchRoute } from './batchRoute.js';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
+import { EndpointTier } from './endpointTier.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ItemAttempt } from './itemAttempt.js';
@@ -24,7 +18,7 @@
 }
 
 /** Endpoints in the order in which they are asked: those of a later tier only if no earlier one has a place. */
-export type EndpointTiers = readonly (readonly Endpoint[])[];
+export type EndpointTiers = readonly EndpointTier[];
 
 /** Lengths have a long tail: about a tenth of the items is several times as long as the rest, and estimates err. */
 const LONG_SHARE = 0.25;
@@ -62,10 +56,11 @@
   /** The endpoints for the batch's items as they stand now; none if the items have no route. */
   tiers(): EndpointTiers {
     const route = this._routeOfBatch();
-    return route ? this._tiersOf(route) : [];
+    const tiers = route ? this._tiersOf(route) : [];
+    return tiers.map(endpoints => new EndpointTier(endpoints));
   }
 
-  /** An endpoint that has a place for the item. */
+  /** An endpoint that has a place for the item, which begins there at once. */
   choose(item: BatchItem, tiers: EndpointTiers): Endpoint | undefined {
     const avoid = this._avoided.get(item.id) ?? new Set<string>();
     const request = {
@@ -74,13 +69,12 @@
       ownDomain: this._context.domain,
       avoid,
     };
-    for (const candidates of tiers) {
-      const place = placeItem(candidates.map(toPlacement), request);
-      const endpoint = candidates.find(candidate => candidate.id === place?.id);
+    for (const tier of tiers) {
+      const endpoint = tier.take(request);
       if (endpoint) return endpoint;
     }
     // All were tried: the item may go anywhere again.
-    const tried = tiers.flat().length;
+    const tried = tiers.reduce((sum, tier) => sum + tier.size, 0);
     if (avoid.size > 0 && avoid.size >= tried) avoid.clear();
     return undefined;
   }
@@ -152,7 +146,7 @@
    * The endpoints in the order in which they are asked: first those that load this model's versions, then the
    * others. Without that the owners of two trainers' batches fill the same endpoints, and neither sees it in time.
    */
-  private _tiersOf(route: Route): EndpointTiers {
+  private _tiersOf(route: Route): readonly (readonly Endpoint[])[] {
     const candidates = this._candidates(route);
     const { model } = this._ledger.batch;
     const pool = candidates[0]?.pool ?? '';
@@ -190,16 +184,6 @@
   }
 }
 
-/** An endpoint as the placement sees it. */
-function toPlacement(endpoint: Endpoint): PlacementEndpoint {
-  return {
-    id: endpoint.id,
-    domain: endpoint.domain,
-    freePlaces: endpoint.freePlaces(),
-    paceMs: endpoint.paceMs(),
-  };
-}
-
 /** The longest quarter of the items by their estimates; Infinity when there are none. */
 function longTokens(batch: Batch): number {
   const estimates = batch.items.map(item => item.expectedTokens).sort((a, b) => b - a);
