Test: items that move must not outnumber the places for them

Each running item of a slow endpoint asks by itself whether a quicker endpoint has a place, so that all of them leave for the same one. Seen to fail on the code as it is: 4 runs are cut for one place ("should be equal", expected 1, actual 4), and three of the items then have no endpoint to go to.

--- a/tests/moves.spec.ts
+++ b/tests/moves.spec.ts
@@ -27,6 +27,33 @@
   world.stop();
 });
 
+await tap.test('should move no more items than there are places for', async t => {
+  // Symptom: items of a slow endpoint stand still for seconds. Sequence: a quick endpoint has one place left; every item
+  // of the slow one leaves for it, and all but one find it taken. Cause: each is asked by itself whether a place is free.
+  const world = new GatewayWorld();
+  const host = world.start('a');
+  await world.clock.advance(200);
+  world.client.script = call => {
+    const eventMs = call.endpoint.id === 'e1' ? 3 * EVENT_MS : EVENT_MS;
+    return { events: 100, end: { kind: 'done' }, eventMs };
+  };
+  const slow = ['a', 'b', 'c', 'd'].map(id => item(id, { group: 'g1' }));
+  const quick = ['x', 'y', 'z'].map(id => item(id, { group: 'g2' }));
+  const given = batch('b1', [...slow, ...quick]);
+  await world.until(host.batches.submit(given, Deadline.after(world.clock, 1000)));
+  t.same(
+    world.client.items.map(({ endpoint }) => endpoint.id),
+    ['e1', 'e1', 'e1', 'e1', 'e2', 'e2', 'e2'],
+  );
+  await world.clock.advance(3000);
+  t.equal(world.client.cancelled.length, 1);
+  t.same(
+    world.client.items.slice(7).map(({ endpoint }) => endpoint.id),
+    ['e2'],
+  );
+  world.stop();
+});
+
 await tap.test('should wait longer for a silent endpoint where no other has a place', async t => {
   const world = new GatewayWorld();
   world.store.remove(`${keys.endpointPrefix}e2`);
