Gateway: no more items move than there are places for

Each running item of a slow endpoint asked by itself whether a quicker endpoint had a place. All of them left for the same one, their runs were cut, and all but one then waited without an endpoint, since they avoid the one that they left. The places are looked up once and counted down now.

--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -30,10 +30,12 @@
  */
 const MOVE_INTERVAL_MS = 250;
 
-/** An endpoint with a free place, and its pace; Infinity before any is known. */
+/** An endpoint with free places, and its pace; Infinity before any is known. */
 interface PacedPlace {
   readonly endpoint: Endpoint;
   readonly paceMs: number;
+  /** Places that no item has left for yet. */
+  left: number;
 }
 
 export class ItemPlacer {
@@ -107,7 +109,7 @@
     if (nowMs < this._movesAgainMs) return [];
     this._movesAgainMs = nowMs + MOVE_INTERVAL_MS;
     const places = this._pacedPlaces();
-    const leaving = attempts.filter(attempt => this._hasQuickerPlace(attempt, places));
+    const leaving = attempts.filter(attempt => this._takeQuickerPlace(attempt, places));
     for (const { itemId, endpoint } of leaving) {
       const item = this._ledger.item(itemId);
       if (item) this.avoid(item, endpoint);
@@ -120,22 +122,30 @@
     const route = this._routeOfBatch();
     const candidates = route ? this._candidates(route) : [];
     return candidates
-      .filter(endpoint => endpoint.freePlaces() > 0)
-      .map(endpoint => ({ endpoint, paceMs: endpoint.paceMs() ?? Infinity }));
+      .map(endpoint => ({ endpoint, paceMs: endpoint.paceMs() ?? Infinity, left: endpoint.freePlaces() }))
+      .filter(({ left }) => left > 0);
   }
 
-  private _hasQuickerPlace(attempt: ItemAttempt, places: readonly PacedPlace[]): boolean {
+  /**
+   * Takes a place at a quicker endpoint for the attempt's item, if there is one. The places are counted down: without that
+   * every item of a slow endpoint leaves for the same place, and all but one of them then wait for another.
+   */
+  private _takeQuickerPlace(attempt: ItemAttempt, places: readonly PacedPlace[]): boolean {
     const { endpoint, itemId } = attempt;
     const paceMs = endpoint.paceMs();
     if (paceMs === undefined || endpoint.isLeaving) return false;
     const avoid = this._avoided.get(itemId);
     const ranMs = attempt.ranMs();
-    return places.some(
+    const place = places.find(
       other =>
+        other.left > 0 &&
         other.endpoint !== endpoint &&
         !avoid?.has(other.endpoint.id) &&
         shouldMove(ranMs, paceMs, other.paceMs),
     );
+    if (!place) return false;
+    place.left -= 1;
+    return true;
   }
 
   private _routeOfBatch(): Route | undefined {
