--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -1,18 +1,12 @@
 /**
  * Chooses the endpoints at which the items of one batch run.
  */
-import {
-  placeItem,
-  shouldMove,
-  type Batch,
-  type BatchItem,
-  type BatchLedger,
-  type PlacementEndpoint,
-} from '@fuchsiahitch/batches';
+import { shouldMove, type Batch, type BatchItem, type BatchLedger } from '@fuchsiahitch/batches';
 import type { Route } from '@fuchsiahitch/rules';
 import { batchRoute } from './batchRoute.js';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
+import { EndpointTier } from './endpointTier.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ItemAttempt } from './itemAttempt.js';
@@ -24,7 +18,7 @@
 }
 
 /** Endpoints in the order in which they are asked: those of a later tier only if no earlier one has a place. */
-export type EndpointTiers = readonly (readonly Endpoint[])[];
+export type EndpointTiers = readonly EndpointTier[];
 
 /** Lengths have a long tail: about a tenth of the items is several times as long as the rest, and estimates err. */
 const LONG_SHARE = 0.25;
@@ -36,10 +30,12 @@
  */
 const MOVE_INTERVAL_MS = 250;
 
-/** An endpoint with a free place, and its pace; Infinity before any is known. */
+/** An endpoint with free places, and its pace; Infinity before any is known. */
 interface PacedPlace {
   readonly endpoint: Endpoint;
   readonly paceMs: number;
+  /** Places that no item has left for yet. */
+  left: number;
 }
 
 export class ItemPlacer {
@@ -62,10 +58,11 @@
   /** The endpoints for the batch's items as they stand now; none if the items have no route. */
   tiers(): EndpointTiers {
     const route = this._routeOfBatch();
-    return route ? this._tiersOf(route) : [];
+    const tiers = route ? this._tiersOf(route) : [];
+    return tiers.map(endpoints => new EndpointTier(endpoints));
   }
 
-  /** An endpoint that has a place for the item. */
+  /** An endpoint that has a place for the item, which begins there at once. */
   choose(item: BatchItem, tiers: EndpointTiers): Endpoint | undefined {
     const avoid = this._avoided.get(item.id) ?? new Set<string>();
     const request = {
@@ -74,13 +71,12 @@
       ownDomain: this._context.domain,
       avoid,
     };
-    for (const candidates of tiers) {
-      const place = placeItem(candidates.map(toPlacement), request);
-      const endpoint = candidates.find(candidate => candidate.id === place?.id);
+    for (const tier of tiers) {
+      const endpoint = tier.take(request);
       if (endpoint) return endpoint;
     }
     // All were tried: the item may go anywhere again.
-    const tried = tiers.flat().length;
+    const tried = tiers.reduce((sum, tier) => sum + tier.size, 0);
     if (avoid.size > 0 && avoid.size >= tried) avoid.clear();
     return undefined;
   }
@@ -113,7 +109,7 @@
     if (nowMs < this._movesAgainMs) return [];
     this._movesAgainMs = nowMs + MOVE_INTERVAL_MS;
     const places = this._pacedPlaces();
-    const leaving = attempts.filter(attempt => this._hasQuickerPlace(attempt, places));
+    const leaving = attempts.filter(attempt => this._takeQuickerPlace(attempt, places));
     for (const { itemId, endpoint } of leaving) {
       const item = this._ledger.item(itemId);
       if (item) this.avoid(item, endpoint);
@@ -126,22 +122,30 @@
     const route = this._routeOfBatch();
     const candidates = route ? this._candidates(route) : [];
     return candidates
-      .filter(endpoint => endpoint.freePlaces() > 0)
-      .map(endpoint => ({ endpoint, paceMs: endpoint.paceMs() ?? Infinity }));
+      .map(endpoint => ({ endpoint, paceMs: endpoint.paceMs() ?? Infinity, left: endpoint.freePlaces() }))
+      .filter(({ left }) => left > 0);
   }
 
-  private _hasQuickerPlace(attempt: ItemAttempt, places: readonly PacedPlace[]): boolean {
+  /**
+   * Takes a place at a quicker endpoint for the attempt's item, if there is one. The places are counted down: without that
+   * every item of a slow endpoint leaves for the same place, and all but one of them then wait for another.
+   */
+  private _takeQuickerPlace(attempt: ItemAttempt, places: readonly PacedPlace[]): boolean {
     const { endpoint, itemId } = attempt;
     const paceMs = endpoint.paceMs();
     if (paceMs === undefined || endpoint.isLeaving) return false;
     const avoid = this._avoided.get(itemId);
     const ranMs = attempt.ranMs();
-    return places.some(
+    const place = places.find(
       other =>
+        other.left > 0 &&
         other.endpoint !== endpoint &&
         !avoid?.has(other.endpoint.id) &&
         shouldMove(ranMs, paceMs, other.paceMs),
     );
+    if (!place) return false;
+    place.left -= 1;
+    return true;
   }
 
   private _routeOfBatch(): Route | undefined {
@@ -152,7 +156,7 @@
    * The endpoints in the order in which they are asked: first those that load this model's versions, then the
    * others. Without that the owners of two trainers' batches fill the same endpoints, and neither sees it in time.
    */
-  private _tiersOf(route: Route): EndpointTiers {
+  private _tiersOf(route: Route): readonly (readonly Endpoint[])[] {
     const candidates = this._candidates(route);
     const { model } = this._ledger.batch;
     const pool = candidates[0]?.pool ?? '';
@@ -190,16 +194,6 @@
   }
 }
 
-/** An endpoint as the placement sees it. */
-function toPlacement(endpoint: Endpoint): PlacementEndpoint {
-  return {
-    id: endpoint.id,
-    domain: endpoint.domain,
-    freePlaces: endpoint.freePlaces(),
-    paceMs: endpoint.paceMs(),
-  };
-}
-
 /** The longest quarter of the items by their estimates; Infinity when there are none. */
 function longTokens(batch: Batch): number {
   const estimates = batch.items.map(item => item.expectedTokens).sort((a, b) => b - a);
