Batches: nothing begun is written on an old word of the store; an end begins nothing; living owners keep their batches

Cause, found by a reader who had not seen the work: what was begun within the lease was not looked at again before it was written, up to a second later or after a hold-up of the process; the forwarder repeats requests for scores for a second; an end at a host whose owner was gone took the batch over and began it; an owner asked for the end went on where the store was silent; a lapsed owner had to ask a slow store before it could say that it lives. Change: when the lease runs out, or an end is asked, attempts without an answer and requests for scores are taken back; an end is written to the store, never begun; a call batchRuns answers from the lease, and every takeover of a batch whose owner did not give it up asks it; a store that answers in 0.7 s keeps the lease; a repeated submission resumes what this process owns and does not run.

--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -76,6 +76,12 @@
   .readonly();
 export type EndpointVersion = z.infer<typeof endpointVersionSchema>;
 
+/** Asks a host that owns a batch whether it lives and runs it. */
+export const batchRunsSchema = z.strictObject({ batchId: z.string() }).readonly();
+
+/** `isRun`: the host runs the batch, and the store has confirmed that within the lease of the claim. */
+export const batchRunsReplySchema = z.strictObject({ isRun: z.boolean() }).readonly();
+
 export const batchEndSchema = z.strictObject({ batchId: z.string() }).readonly();
 
 export const batchEndReplySchema = z.discriminatedUnion('kind', [
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -35,6 +35,8 @@
   /** The attempts of the item so far, this one included. */
   readonly number: number;
   readonly tookMs: number;
+  /** The claim on which it began. */
+  readonly claimRevision: number;
   /** When it began: the time since the store was asked for its last word that this host owns the batch. */
   readonly claimAgeMs: number;
 }
@@ -60,6 +62,7 @@
   private readonly _lease: ClaimLease;
   private readonly _placer: ItemPlacer;
   private _isStopped = false;
+  private _isEnding = false;
   private _isLost = false;
   private _placeTimer: CancelTimer | undefined;
   private _wake: (() => void)[] = [];
@@ -140,9 +143,18 @@
     return { kind: 'page', ...pageFrom(this.ledger.listed(), this.ledger.total(), after) };
   }
 
-  /** Ends the batch for good. False if that could not be agreed with the store. */
+  /** True while something new may be sent for the batch. */
+  mayAct(): boolean {
+    return !this._isEnding && !this._isStopped && this._lease.mayAct();
+  }
+
+  /**
+   * Ends the batch for good. Nothing is sent from the moment in which the end is asked, also where it can't be agreed with
+   * the store: the trainer wants no more, and asks again.
+   */
   async end(): Promise<'ended' | 'lost' | 'out-of-reach'> {
     if (this.isEnded()) return 'ended';
+    this._isEnding = true;
     const deadline = this._storeDeadline();
     const { store } = this._ports;
     const done = await store.changeClaim(this.batchId, this._lease.held, { isEnded: true }, deadline);
@@ -196,11 +208,21 @@
   private _place(): void {
     if (this._isStopped) return;
     this._placeTimer?.();
-    if (this._lease.mayAct()) this._sendWaiting();
+    if (this.mayAct()) this._sendWaiting();
+    else this._holdBack();
     if (!this.ledger.isFinished())
       this._placeTimer = this._context.clock.after(PLACE_INTERVAL_MS, () => this._place());
   }
 
+  /**
+   * Takes back what was begun and may not be written yet: a connection takes up to a second, and a process that is held up
+   * writes seconds later. Runs that an endpoint has answered go on.
+   */
+  private _holdBack(): void {
+    this._scoring.interrupt();
+    for (const attempt of this._attempts.values()) if (!attempt.isAnswered()) attempt.stop();
+  }
+
   /** Sends every waiting item for which an endpoint has a place, and asks for scores. */
   private _sendWaiting(): void {
     this._scoring.run();
@@ -219,16 +241,17 @@
     const number = this.ledger.begin(item.id);
     this._placer.began(item, endpoint);
     const mayLeave = (asking: ItemAttempt): boolean =>
-      this._lease.mayAct() && this._placer.hasOtherPlace(item, asking);
+      this.mayAct() && this._placer.hasOtherPlace(item, asking);
     const { client } = this._ports;
     const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, mayLeave);
     this._attempts.set(item.id, attempt);
     const startedMs = this._context.clock.nowMs();
     const claimAgeMs = this._lease.ageMs();
+    const claimRevision = this._lease.held.revision;
     const end = await attempt.run();
     this._attempts.delete(item.id);
     const tookMs = this._context.clock.nowMs() - startedMs;
-    this._logAttempt(item, endpoint, { number, tookMs, claimAgeMs }, end);
+    this._logAttempt(item, endpoint, { number, tookMs, claimRevision, claimAgeMs }, end);
     if (this._isStopped) return;
     this._settle(item, endpoint, end);
     this._place();
@@ -302,7 +325,7 @@
   private _logAttempt(
     item: BatchItem,
     endpoint: Endpoint,
-    { number, tookMs, claimAgeMs }: AttemptFacts,
+    { number, tookMs, claimRevision, claimAgeMs }: AttemptFacts,
     end: AttemptEnd,
   ): void {
     this._context.metrics.attempts.inc({ kind: 'item', end: end.kind });
@@ -318,7 +341,7 @@
       events: this.ledger.progress(item.id).lastEvent(),
       tookMs: Math.round(tookMs),
       paceMs: Math.round(endpoint.paceMs() ?? 0),
-      claimRevision: this._lease.held.revision,
+      claimRevision,
       claimAgeMs: Math.round(claimAgeMs),
       endpointsAgeMs: Math.round(this._ports.endpoints.ageMs()),
     });
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -4,7 +4,7 @@
  * Any host takes any call. The claim in the store says who owns a batch; the owner is asked, and if it is gone
  * this host takes the batch over and goes on with it. So what drives a takeover is the trainer that reads.
  */
-import { Deadline, type Result } from '@fuchsiahitch/base';
+import { Deadline, err, type Result } from '@fuchsiahitch/base';
 import type {
   Batch,
   BatchAdopt,
@@ -75,6 +75,9 @@
     server.handle(calls.batchRead, request => this._readHere(request));
     server.handle(calls.batchItem, request => this._itemHere(request));
     server.handle(calls.batchAdopt, request => this._adopt(request));
+    server.handle(calls.batchRuns, ({ batchId }) => ({
+      isRun: this._owned.get(batchId)?.mayAct() ?? false,
+    }));
     server.handle(calls.batchEnd, request => this._endHere(request.batchId));
   }
 
@@ -107,10 +110,7 @@
     const reply = await this._atOwner<BatchReadReply>(
       batchId,
       owner => owner.read(after, deadline.leftMs()),
-      (address, isGone) =>
-        isGone
-          ? this._hosts.call(address, calls.batchRead, { ...request, waitMs: 0 }, GONE_PROBE_MS)
-          : this._hosts.call(address, calls.batchRead, request, waitMs + PEER_TIMEOUT_MS),
+      address => this._hosts.call(address, calls.batchRead, request, waitMs + PEER_TIMEOUT_MS),
     );
     switch (reply.kind) {
       case 'page':
@@ -130,8 +130,7 @@
     const reply = await this._atOwner<BatchItemReply>(
       batchId,
       owner => itemOf(owner.ledger.batch, itemId),
-      (address, isGone) =>
-        this._hosts.call(address, calls.batchItem, request, isGone ? GONE_PROBE_MS : PEER_TIMEOUT_MS),
+      address => this._hosts.call(address, calls.batchItem, request, PEER_TIMEOUT_MS),
     );
     switch (reply.kind) {
       case 'body':
@@ -147,22 +146,34 @@
     }
   }
 
+  /** Ends a batch at its owner, or in the store where its owner does not answer: a batch is not begun in order to end it. */
   async end(batchId: string): Promise<EndOutcome> {
-    const reply = await this._atOwner<BatchEndReply>(
-      batchId,
-      async owner => endReply(await owner.end()),
-      address => this._hosts.call(address, calls.batchEnd, { batchId }, STORE_TIMEOUT_MS + PEER_TIMEOUT_MS),
-    );
-    switch (reply.kind) {
-      case 'ended':
-        return 'ended';
+    const located = await this._locate(batchId, false, false);
+    const reply = await this._endAt(batchId, located);
+    if (reply === 'ended' || reply === 'no-batch') return reply;
+    const held = await this._ports.store.readClaim(batchId, this._storeDeadline());
+    if (!held.ok) return 'unsure';
+    if (!held.value) return 'no-batch';
+    this._remember(batchId, held.value);
+    return held.value.claim.isEnded ? 'ended' : this._endStored(batchId, held.value);
+  }
+
+  /** Ends a batch where it was found. `unsure` also where that is no longer its owner. */
+  private async _endAt(batchId: string, located: Located): Promise<EndOutcome> {
+    switch (located.kind) {
+      case 'here':
+        return (await located.owner.end()) === 'ended' ? 'ended' : 'unsure';
+      case 'peer': {
+        const { address } = located.held.claim.owner;
+        const timeoutMs = STORE_TIMEOUT_MS + PEER_TIMEOUT_MS;
+        const reply = await this._hosts.call(address, calls.batchEnd, { batchId }, timeoutMs);
+        return reply.ok && reply.value.kind === 'ended' ? 'ended' : 'unsure';
+      }
       case 'stored':
-        return reply.held.claim.isEnded ? 'ended' : this._endStored(batchId, reply.held);
+        return located.held.claim.isEnded ? 'ended' : 'unsure';
       case 'no-batch':
-        return 'no-batch';
-      case 'not-owner':
       case 'unsure':
-        return 'unsure';
+        return located.kind;
     }
   }
 
@@ -215,23 +226,19 @@
   private async _adopt(request: BatchAdopt): Promise<{ readonly isAdopted: boolean }> {
     const { batchId, from, isGivenUp, unfinished } = request;
     if (this._isLeaving) return { isAdopted: false };
-    if (!isGivenUp && (await this._isStillRun(batchId, from))) return { isAdopted: false };
-    const located = await this._replaceOwner(batchId, from, true, unfinished);
+    const located = await this._replaceOwner(batchId, from, isGivenUp, unfinished);
     return { isAdopted: located.kind === 'here' };
   }
 
   /**
-   * True if the owner, whose lease has ended, answers that it runs the batch and that the store confirms it. What goes wrong
-   * without the question: an owner that is short of processor time renews its lease too late and loses its batch, the next
-   * one gets short of processor time by taking it, and so on; one sees a batch with a `batch takeover` every two seconds.
+   * True if the owner, whose lease has ended, answers that it runs the batch. What goes wrong without the question: an owner
+   * that is short of processor time renews its lease too late and loses its batch, the next one gets short of processor
+   * time by taking it, and so on; one sees a batch with a `batch takeover` every two seconds.
    */
   private async _isStillRun(batchId: string, owner: Owner): Promise<boolean> {
-    if (this._isSelf(owner)) return false;
-    // No batch has so many results: the answer is empty, and vouches for the claim.
-    const request = { batchId, after: Number.MAX_SAFE_INTEGER, waitMs: 0 };
-    const reply = await this._hosts.call(owner.address, calls.batchRead, request, PEER_TIMEOUT_MS);
-    const isRun = reply.ok && reply.value.kind === 'page';
-    if (isRun) this._context.log.info('orphan left to its owner', { batchId, owner: owner.hostId });
+    const reply = await this._hosts.call(owner.address, calls.batchRuns, { batchId }, GONE_PROBE_MS);
+    const isRun = reply.ok && reply.value.isRun;
+    if (isRun) this._context.log.info('batch left to its owner', { batchId, owner: owner.hostId });
     return isRun;
   }
 
@@ -256,7 +263,8 @@
         void this._begin(outcome.held, { batch, results: [] }, []);
         return { kind: 'accepted' };
       case 'known':
-        this._claims.set(batch.id, outcome.held);
+        this._remember(batch.id, outcome.held);
+        this._resume(batch.id, outcome.held);
         return { kind: 'accepted' };
       case 'not-done':
         return { kind: 'not-run', reason: 'the store is out of reach', retryAfterMs: RETRY_AFTER_MS };
@@ -267,6 +275,12 @@
     }
   }
 
+  /** Takes up an open batch that this process has accepted and does not run: an acceptance whose answer was lost. */
+  private _resume(batchId: string, { claim }: HeldClaim): void {
+    const isOwn = this._isSelf(claim.owner) && !claim.isEnded;
+    if (isOwn && !this._owned.has(batchId)) void this._replaceOwner(batchId, claim.owner, true);
+  }
+
   /** Runs a batch here. What was generated of its items before is read first: it is a few calls to the store. */
   private async _begin(
     held: HeldClaim,
@@ -324,7 +338,7 @@
   private async _atOwner<A extends { readonly kind: string }>(
     batchId: string,
     here: (owner: BatchOwner) => Promise<A> | A,
-    there: (address: string, isGone: boolean) => Promise<Result<A, unknown>>,
+    there: (address: string) => Promise<Result<A, unknown>>,
   ): Promise<A | Exclude<Located, { readonly kind: 'here' | 'peer' }>> {
     for (let tries = 0; tries < 3; tries++) {
       const located = await this._locate(batchId, tries > 0);
@@ -347,23 +361,22 @@
     return { kind: 'unsure' };
   }
 
-  /** Asks the owner; as soon as its process is seen to be gone, only whether it lives after all. */
+  /** Asks the owner; as soon as its process is seen to be gone, its answer is not waited for. */
   private async _askOwner<A>(
     owner: Owner,
-    ask: (address: string, isGone: boolean) => Promise<Result<A, unknown>>,
+    ask: (address: string) => Promise<Result<A, unknown>>,
   ): Promise<Result<A, unknown>> {
     let cancel = (): void => undefined;
-    const probe = new Promise<Result<A, unknown>>(resolve => {
-      cancel = this._hosts.onGone(owner, () => {
-        void ask(owner.address, true).then(resolve);
-      });
+    const gone = new Promise<Result<A, unknown>>(resolve => {
+      cancel = this._hosts.onGone(owner, () => resolve(err('gone')));
     });
-    const reply = await Promise.race([probe, ask(owner.address, false)]);
+    const reply = await Promise.race([gone, ask(owner.address)]);
     cancel();
     return reply;
   }
 
-  private async _locate(batchId: string, isAgain: boolean): Promise<Located> {
+  /** `mayTakeOver`: whether a batch that this process owns by its claim, and does not run, is taken up. */
+  private async _locate(batchId: string, isAgain: boolean, mayTakeOver = true): Promise<Located> {
     const owner = await this._ownerHere(batchId);
     if (owner) return { kind: 'here', owner };
     const known = this._claims.get(batchId);
@@ -372,9 +385,9 @@
     if (!held.ok) return known ? toLocated(known) : { kind: 'unsure' };
     if (!held.value) return { kind: 'no-batch' };
     this._remember(batchId, held.value);
-    if (this._isSelf(held.value.claim.owner))
-      return this._replaceOwner(batchId, held.value.claim.owner, true);
-    return toLocated(held.value);
+    const { owner: named } = held.value.claim;
+    if (!this._isSelf(named)) return toLocated(held.value);
+    return mayTakeOver ? this._replaceOwner(batchId, named, true) : { kind: 'stored', held: held.value };
   }
 
   /**
@@ -411,6 +424,7 @@
     if (this._isLeaving) return { kind: 'unsure' };
     const isGone = deniedIt || (this._hosts.isSynced() && !this._hosts.isAlive(claim.owner));
     if (!isGone) return { kind: 'stored', held: held.value };
+    if (!deniedIt && (await this._isStillRun(batchId, from))) return { kind: 'stored', held: held.value };
     const change = { owner: this._hosts.self(), takeovers: claim.takeovers + 1 };
     const done = await store.changeClaim(batchId, held.value, change, this._storeDeadline());
     this._logTakeover(batchId, from, deniedIt, done.kind);
--- a/packages/gateway/src/claimLease.ts
+++ b/packages/gateway/src/claimLease.ts
@@ -17,18 +17,21 @@
  * The store is asked once it has confirmed nothing for so long. An owner whose items run writes what they generate every
  * second, and each write confirms the claim: this is a little longer, so that it costs no call of its own.
  */
-const RENEW_AFTER_MS = 1250;
+const RENEW_AFTER_MS = 1100;
 /** A short lease is renewed after this part of it, so that a question and its repetition fit in. */
 const RENEW_SHARE = 0.6;
-/** Part of the time in which an item may still arrive: it connects within 0.6 s, or not at all. The rest is for a busy process. */
+/**
+ * Part of the time in which an item may still arrive, for what was written just before the lease ran out. What was begun and
+ * is not answered by then is taken back.
+ */
 const SEND_MARGIN_MS = 1000;
 /** How often it is looked at whether the store must be asked. Also the pause after a question that got no answer. */
 const LOOK_INTERVAL_MS = 125;
 /**
- * A question has this long: a slow store answers in a quarter of a second, and one that is silent must be given up early
- * enough that a second question, by way of a peer, is answered within the lease.
+ * A question has this long: a slow store answers in 0.3 s, and one that is silent must be given up early enough that a second
+ * question, by way of a peer, is answered about when the lease runs out.
  */
-const ASK_TIMEOUT_MS = 500;
+const ASK_TIMEOUT_MS = 700;
 /**
  * A reader is told that there is nothing yet only by an owner that the store has confirmed this recently; a result read
  * elsewhere must be shown by everybody within a second.
--- a/packages/gateway/src/itemAttempt.ts
+++ b/packages/gateway/src/itemAttempt.ts
@@ -25,6 +25,7 @@
   private readonly _beganMs: number;
   private readonly _mayLeave: (attempt: ItemAttempt) => boolean;
   private _verdict: AttemptEnd | undefined;
+  private _isAnswered = false;
   private _lastEventMs: number | undefined;
   /** When the endpoint showed last that it works on this attempt, by this host's wall clock. */
   private _aliveWallMs: number;
@@ -59,6 +60,11 @@
     this._abort.abort();
   }
 
+  /** True once the endpoint has begun to answer: the item has reached it. */
+  isAnswered(): boolean {
+    return this._isAnswered;
+  }
+
   /** How long the attempt has run. */
   ranMs(): number {
     return this._context.clock.nowMs() - this._beganMs;
@@ -84,6 +90,7 @@
 
   began(version: number | undefined, load: EndpointLoad | undefined): boolean {
     const { model, minVersion } = this._ledger.batch;
+    this._isAnswered = true;
     if (load) this.endpoint.loaded(load);
     // An endpoint that goes on after a text's last event generates nothing, and names no version.
     if (version === undefined) return true;
@@ -127,7 +134,10 @@
   }
 
   private _armSilence(): void {
-    const { suspectMs, giveUpMs } = silenceBounds(this._lastEventMs !== undefined, this.endpoint.roughPaceMs());
+    const { suspectMs, giveUpMs } = silenceBounds(
+      this._lastEventMs !== undefined,
+      this.endpoint.roughPaceMs(),
+    );
     this._watchSilence(suspectMs, this._context.clock.nowMs() + giveUpMs);
   }
 
--- a/packages/gateway/src/itemScoring.ts
+++ b/packages/gateway/src/itemScoring.ts
@@ -44,7 +44,10 @@
   private readonly _ledger: BatchLedger;
   private readonly _maxItemFailures: number;
   private readonly _ended: () => void;
-  private readonly _stop = new AbortController();
+  private _asking = newAborter();
+  /** True if something was asked for since the last interruption. */
+  private _isAsking = false;
+  private _isStopped = false;
   private readonly _pauses: ItemPauses;
 
   /** `maxItemFailures`: the failures after which the route of the items lets one go. `ended`: a result is there. */
@@ -61,15 +64,14 @@
     this._maxItemFailures = maxItemFailures;
     this._ended = ended;
     this._pauses = new ItemPauses(context, ledger.batch.id, 'scoring');
-    // Each request that is under way listens: a batch has as many as items end at a time.
-    setMaxListeners(0, this._stop.signal);
   }
 
   /** Asks for every score that is missing and not paused. */
   run(): void {
-    if (this._stop.signal.aborted) return;
+    if (this._isStopped) return;
     for (const item of this._pauses.ready(this._ledger.unscored())) {
       if (!item.scoring) continue;
+      this._isAsking = true;
       this._ledger.beginScoring(item.id);
       void this._score(item, item.scoring);
     }
@@ -77,23 +79,37 @@
 
   /** Drops what is being asked for: endpoints stop when their connections close. */
   stop(): void {
-    this._stop.abort();
+    this._isStopped = true;
+    this._asking.abort();
+  }
+
+  /** As `stop`, for the time being: `run` asks again. */
+  interrupt(): void {
+    if (this._isStopped || !this._isAsking) return;
+    this._isAsking = false;
+    this._asking.abort();
+    this._asking = newAborter();
   }
 
   private async _score(item: BatchItem, request: ScoreRequest): Promise<void> {
     const startedMs = this._context.clock.nowMs();
+    const { signal } = this._asking;
     const routed = this._ports.configuration.route(request.host, request.path);
     const end: ScoreEnd =
       routed.kind === 'routed'
-        ? await this._ask(request, routed.route)
+        ? await this._ask(request, routed.route, signal)
         : { kind: 'not-scored', reason: 'no route' };
-    if (this._stop.signal.aborted) return;
+    if (this._isStopped) return;
+    if (signal.aborted) {
+      this._ledger.scoringInterrupted(item.id);
+      return;
+    }
     this._log(item, request, end, this._context.clock.nowMs() - startedMs);
     const maxFailures = routed.kind === 'routed' ? routed.route.maxAttempts : 1;
     this._settle(item.id, end, Math.max(maxFailures, this._maxItemFailures));
   }
 
-  private async _ask(request: ScoreRequest, route: Route): Promise<ScoreEnd> {
+  private async _ask(request: ScoreRequest, route: Route, signal: AbortSignal): Promise<ScoreEnd> {
     const call: CallerRequest = {
       id: request.id,
       host: request.host,
@@ -104,11 +120,7 @@
       waitMs: SCORE_TIMEOUT_MS,
       isBackground: true,
     };
-    const outcome = await this._ports.forwarder.forward(
-      call,
-      { ...route, run: 'idempotent' },
-      this._stop.signal,
-    );
+    const outcome = await this._ports.forwarder.forward(call, { ...route, run: 'idempotent' }, signal);
     return toScoreEnd(outcome);
   }
 
@@ -146,6 +158,13 @@
   }
 }
 
+/** Each request that is under way listens: a batch has as many as items end at a time. */
+function newAborter(): AbortController {
+  const aborter = new AbortController();
+  setMaxListeners(0, aborter.signal);
+  return aborter;
+}
+
 /** What an answer to a request for a score says. Only a whole success with its proof of origin is a score. */
 export function toScoreEnd(outcome: ForwardOutcome): ScoreEnd {
   if (outcome.kind !== 'answered') {
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -11,6 +11,8 @@
   batchReadReplySchema,
   batchReadSchema,
   endpointVersionSchema,
+  batchRunsReplySchema,
+  batchRunsSchema,
 } from '@fuchsiahitch/batches';
 import { leavingNoticeSchema, memberDocumentSchema, memberUpdateSchema } from '@fuchsiahitch/membership';
 import {
@@ -147,6 +149,7 @@
   versionSeen: defineCall('versionSeen', endpointVersionSchema, emptySchema),
   loadBegan: defineCall('loadBegan', endpointVersionSchema, emptySchema),
   batchAdopt: defineCall('batchAdopt', batchAdoptSchema, batchAdoptReplySchema),
+  batchRuns: defineCall('batchRuns', batchRunsSchema, batchRunsReplySchema),
   batchEnd: defineCall('batchEnd', batchEndSchema, batchEndReplySchema),
   heldSamples: defineCall('heldSamples', heldSamplesSchema, heldSamplesReplySchema),
 } as const;
--- a/tests/claimLease.spec.ts
+++ b/tests/claimLease.spec.ts
@@ -11,20 +11,28 @@
 /** How old the store's last word may be when something is sent, and one look at it more. */
 const LEASE_MS = 2000 + 30;
 
-/** Endpoints whose connections take a while: when items were written to them. Each is broken off after that. */
-function connectSlowly(world: GatewayWorld, connectMs: number): readonly number[] {
+/** When items began, and when they were written to an endpoint. */
+interface Sent {
+  readonly begunMs: readonly number[];
+  readonly writtenMs: readonly number[];
+}
+
+/** Endpoints whose connections take a while. Each item is broken off after it was written. */
+function connectSlowly(world: GatewayWorld, connectMs: number): Sent {
+  const begunMs: number[] = [];
   const writtenMs: number[] = [];
   world.client.runItem = async (
     _call: ItemCall,
     _listener: ItemListener,
     signal: AbortSignal,
   ): Promise<ItemEnd> => {
+    begunMs.push(world.clock.nowMs());
     await new Promise<void>(resolve => world.clock.after(connectMs, resolve));
     if (signal.aborted) return { kind: 'cancelled' };
     writtenMs.push(world.clock.nowMs());
     return { kind: 'broken', text: 'reset' };
   };
-  return writtenMs;
+  return { begunMs, writtenMs };
 }
 
 await tap.test('should write no item once the store’s word is older than the lease', async t => {
@@ -34,7 +42,7 @@
   for (const connectMs of [50, 700, 1600]) {
     const [world, a] = await started('a');
     if (!a) return;
-    const writtenMs = connectSlowly(world, connectMs);
+    const { begunMs, writtenMs } = connectSlowly(world, connectMs);
     await submit(world, a);
     await world.clock.advance(2000);
     const silentMs = world.clock.nowMs();
@@ -42,7 +50,7 @@
     await world.clock.advance(8000);
     const lateMs = writtenMs.map(ms => ms - silentMs).filter(ms => ms > LEASE_MS);
     t.same(lateMs, [], `connections take ${connectMs} ms`);
-    t.ok(writtenMs.length > 0, 'items are written before');
+    t.ok(begunMs.length > 0, 'items are begun before');
     world.stop();
   }
 });
