--- /dev/null
+++ b/tests/lateLoopPeers.spec.ts
@@ -0,0 +1,186 @@
+/**
+ * An event loop that runs late: what other hosts have sent is read before they count as silent.
+ */
+import tap from 'tap';
+import { Deadline, SystemClock, VirtualClock, type Clock, type Result } from '@fuchsiahitch/base';
+import { defineCall, PeerLink, PeerServer, type CallError, type PeerIdentity } from '@fuchsiahitch/protocol';
+import { z } from 'zod';
+
+const KEY = 'fleet-key-for-tests';
+const empty = z.strictObject({});
+const echo = defineCall('echo', empty, empty);
+const asked = defineCall('asked', empty, empty);
+const never = defineCall('never', empty, empty);
+
+type Reply = Promise<Result<unknown, CallError>>;
+
+class Counters {
+  readonly refusals: string[] = [];
+  refused(reason: string): void {
+    this.refusals.push(reason);
+  }
+  sent(): void {
+    // Bytes don't matter here.
+  }
+  received(): void {
+    // Nor here.
+  }
+}
+
+function identity(hostId: string): PeerIdentity {
+  return { hostId, incarnation: '1', domain: 'tekapo', programVersion: '0' };
+}
+
+/** A link to a peer that answers `asked` when the test says so, and `never` not at all. */
+class Peer<T extends Clock> {
+  readonly counters = new Counters();
+  /** Calls of `echo` that were carried out. */
+  echoed = 0;
+  /** Called when `asked` has come. */
+  onAsked: () => void = () => undefined;
+  /** Lets the peer answer `asked`. */
+  answer: () => void = () => undefined;
+  private readonly _clock: T;
+  private readonly _server: PeerServer;
+  private _link: PeerLink | undefined;
+
+  constructor(clock: T) {
+    this._clock = clock;
+    const common = { fleetKey: KEY, clock, counters: new Counters() };
+    this._server = new PeerServer({ ...common, address: '127.0.0.1:0', identity: identity('a') });
+    this._server.handle(echo, () => {
+      this.echoed += 1;
+      return {};
+    });
+    this._server.handle(never, async () => new Promise(() => undefined));
+    this._server.handle(asked, async () => {
+      const answered = new Promise<void>(resolve => {
+        this.answer = resolve;
+      });
+      this.onAsked();
+      await answered;
+      return {};
+    });
+  }
+
+  async open(): Promise<PeerLink> {
+    const address = await this._server.listen();
+    const common = { fleetKey: KEY, clock: this._clock, counters: this.counters };
+    this._link = new PeerLink({ ...common, address, identity: identity('b') });
+    return this._link;
+  }
+
+  /** Resolves when the peer has a call of `asked`. */
+  async hasBeenAsked(): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.onAsked = resolve;
+    });
+  }
+
+  async close(): Promise<void> {
+    this._link?.close();
+    await this._server.close();
+  }
+}
+
+/** The process gets no processor time: nothing in it runs. */
+function holdUp(durationMs: number): void {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+}
+
+await tap.test('should take a reply that arrived while the process was held up', async t => {
+  // Symptom: batches are taken over whose owners live, and confirmed it. Sequence: the reply of a peer arrives; the
+  // process is held up until the call's time is over. Cause: the time-out comes before the reading.
+  const clock = new SystemClock();
+  const peer = new Peer(clock);
+  const link = await peer.open();
+  await link.call(echo, {}, Deadline.after(clock, 5000));
+  peer.onAsked = () => {
+    // The reply is written when this handler has returned, before the next round of the loop begins.
+    peer.answer();
+    setImmediate(() => holdUp(800));
+  };
+  const reply = link.call(asked, {}, Deadline.after(clock, 600));
+  t.same(await reply, { ok: true, value: {} });
+  await peer.close();
+});
+
+await tap.test('should keep a sound link whose replies come as a late loop reads again', async t => {
+  // Symptom: all calls to a sound peer fail at once as `broken`, relays to the store pause for 2 s. Sequence: a call
+  // waits; the process is held up for longer than a link may be silent; the peer's reply comes as it goes on. Cause: the
+  // process's own delay counts as the silence of the link.
+  const clock = new VirtualClock();
+  const peer = new Peer(clock);
+  const link = await peer.open();
+  await link.call(echo, {}, Deadline.after(clock, 5000));
+  await clock.advance(10);
+  const isAsked = peer.hasBeenAsked();
+  const short: Reply = link.call(asked, {}, Deadline.after(clock, 300));
+  let isLongOver = false;
+  const long = link.call(never, {}, Deadline.after(clock, 30_000)).finally(() => {
+    isLongOver = true;
+  });
+  await isAsked;
+  await clock.hold(2000, () => peer.answer());
+  t.same(await short, { ok: true, value: {} });
+  t.same(await link.call(echo, {}, Deadline.after(clock, 1000)), { ok: true, value: {} });
+  await clock.advance(1000);
+  t.same(peer.counters.refusals, [], 'the link was kept');
+  t.notOk(isLongOver, 'its other call waits on');
+  await peer.close();
+  t.match(await long, { ok: false, error: { kind: 'broken' } });
+});
+
+await tap.test('should give a silent peer up within 100 ms after the process was held up', async t => {
+  const clock = new VirtualClock();
+  const peer = new Peer(clock);
+  const link = await peer.open();
+  await link.call(echo, {}, Deadline.after(clock, 5000));
+  await clock.advance(10);
+  const isAsked = peer.hasBeenAsked();
+  const first: Reply = link.call(asked, {}, Deadline.after(clock, 300));
+  await isAsked;
+  await clock.hold(2000, () => undefined);
+  await clock.advance(100);
+  t.match(await first, { ok: false, error: { kind: 'timed-out' } });
+  t.same(peer.counters.refusals, ['silent']);
+  await peer.close();
+});
+
+await tap.test('should give a call up at its limit while the loop is on time', async t => {
+  const clock = new VirtualClock();
+  const peer = new Peer(clock);
+  const link = await peer.open();
+  await link.call(echo, {}, Deadline.after(clock, 5000));
+  let isOver = false;
+  const reply = link.call(never, {}, Deadline.after(clock, 300)).then(result => {
+    isOver = true;
+    return result;
+  });
+  await clock.advance(299);
+  t.notOk(isOver);
+  await clock.advance(1);
+  t.ok(isOver);
+  t.match(await reply, { ok: false, error: { kind: 'timed-out' } });
+  await peer.close();
+});
+
+await tap.test(
+  'should take up a connection whose handshake came late, and write no call on it too late',
+  async t => {
+    // Symptom: a sound peer gets no calls for a while after a host was held up. Sequence: a connection is made; the process
+    // is held up for longer than that may take; the peer's part of the handshake has arrived. Cause: the time-out of the
+    // connection comes before the reading. A call whose own time is over by then must not be written any more.
+    const clock = new VirtualClock();
+    const peer = new Peer(clock);
+    const link = await peer.open();
+    const short = link.call(echo, {}, Deadline.after(clock, 300));
+    const long = link.call(echo, {}, Deadline.after(clock, 30_000));
+    await clock.hold(2000, () => undefined);
+    t.same(await long, { ok: true, value: {} });
+    t.match(await short, { ok: false, error: { kind: 'not-sent' } });
+    t.equal(peer.echoed, 1, 'the call whose time was over was not written');
+    await peer.close();
+  },
+);
