Protocol: a late event loop no longer speaks against peers

Cause: a process that is held up runs the timers that fell due before it reads, so that replies that had come counted as timed out, and the sound link on which they came was dropped as silent, with all its calls; a connection whose handshake had come was given up in the same way. A call whose time is over when its connection comes up is still not written. Not measured: what it is worth on hosts with a third of a core.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,4 +1,5 @@
 /** What every package shares. */
+export * from './afterReading.js';
 export * from './clock.js';
 export * from './deadline.js';
 export * from './hash.js';
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -3,6 +3,7 @@
  */
 import net from 'node:net';
 import {
+  afterReading,
   err,
   ok,
   splitAddress,
@@ -67,6 +68,7 @@
   ): Promise<Result<A, CallError>> {
     const connection = await this._connected();
     if (!connection) return err({ kind: 'not-sent', text: `no connection to ${this._options.address}` });
+    // The connection may have come up late, as a late loop reads once more: what is over is not written.
     if (deadline.isOver()) return err({ kind: 'not-sent', text: 'no time left' });
     if (this._pending.size >= MAX_PENDING_CALLS)
       return err({ kind: 'not-sent', text: 'too many calls wait' });
@@ -94,7 +96,7 @@
     const frame = encodeFrame({ t: 'call', id, name, body, ...(trace === undefined ? {} : { trace }) });
     return new Promise(resolve => {
       const sentMs = this._options.clock.nowMs();
-      const cancelTimer = this._options.clock.after(deadline.leftMs(), () => {
+      const cancelTimer = afterReading(this._options.clock, deadline.leftMs(), () => {
         this._settle(id, err({ kind: 'timed-out' }));
         this._dropIfSilent(socket, sentMs);
       });
@@ -140,7 +142,7 @@
     socket.setNoDelay(true);
     this._socket = socket;
     return new Promise(resolve => {
-      const cancel = this._options.clock.after(CONNECT_TIMEOUT_MS, () => socket.destroy());
+      const cancel = afterReading(this._options.clock, CONNECT_TIMEOUT_MS, () => socket.destroy());
       const handshake = new ClientHandshake(this._options, socket, peer => {
         cancel();
         resolve({ socket, peer });
