Tests: a host that reads the store's answers late takes itself for cut off; fails

A host that is held up again and again judges by the time since it last read of the store, before it reads what has arrived.

--- a/tests/lateLoopPeers.spec.ts
+++ b/tests/lateLoopPeers.spec.ts
@@ -2,9 +2,21 @@
  * An event loop that runs late: what other hosts have sent is read before they count as silent.
  */
 import tap from 'tap';
-import { Deadline, SystemClock, VirtualClock, type Clock, type Result } from '@fuchsiahitch/base';
+import {
+  Deadline,
+  err,
+  ok,
+  sleep,
+  SystemClock,
+  VirtualClock,
+  type Clock,
+  type Result,
+} from '@fuchsiahitch/base';
+import { ReachMonitor, RelayedStore, type Hosts } from '@fuchsiahitch/gateway';
 import { defineCall, PeerLink, PeerServer, type CallError, type PeerIdentity } from '@fuchsiahitch/protocol';
 import { z } from 'zod';
+import { FakeStore } from './fakeStore.js';
+import { testContext } from './gatewayWorld.js';
 
 const KEY = 'fleet-key-for-tests';
 const empty = z.strictObject({});
@@ -184,3 +196,73 @@
     await peer.close();
   },
 );
+
+interface Watched {
+  readonly clock: VirtualClock;
+  readonly monitor: ReachMonitor;
+  /** The store's answer to the question under way is read, and the next one asked. */
+  readonly storeAnswers: () => void;
+  readonly stop: AbortController;
+}
+
+/** A host that has a question at the store at all times, and whose peers are silent. */
+function watched(): Watched {
+  const clock = new VirtualClock();
+  const context = testContext(clock);
+  const direct = new FakeStore(clock).client();
+  let answer: () => void = () => undefined;
+  direct.get = async () => {
+    await new Promise<void>(resolve => {
+      answer = resolve;
+    });
+    return ok(undefined);
+  };
+  const store = new RelayedStore(context, direct);
+  const ask = (): void => void store.get('k', Deadline.after(clock, 60_000));
+  ask();
+  const storeAnswers = (): void => {
+    answer();
+    ask();
+  };
+  const monitor = new ReachMonitor(context, store, silentHosts(clock));
+  monitor.start();
+  return { clock, monitor, storeAnswers, stop: context.stop };
+}
+
+function silentHosts(clock: VirtualClock): Hosts {
+  return {
+    self: () => ({ hostId: 'a', incarnation: '1', address: 'a' }),
+    isSynced: () => true,
+    isAlive: () => true,
+    onGone: () => () => undefined,
+    isGone: () => false,
+    isOwnDomain: () => false,
+    isHeld: () => false,
+    lastOrders: () => undefined,
+    peers: () => [{ hostId: 'b', incarnation: '1', address: 'b' }],
+    call: async (_address, _call, _request, timeoutMs) => {
+      await sleep(clock, timeoutMs);
+      return err({ kind: 'timed-out' });
+    },
+  };
+}
+
+await tap.test('should not take itself for cut off while it reads the answers of the store late', async t => {
+  // Symptom: hosts are not ready for seconds though the store answers them. Sequence: the process is held up again and
+  // again, for longer than the store may be silent; each time the store's answer has arrived. Cause: the host judges by
+  // the time since it last read, before it reads.
+  const { clock, monitor, storeAnswers, stop } = watched();
+  for (let i = 0; i < 12; i++) {
+    await clock.hold(1000, storeAnswers);
+    t.notOk(monitor.isCutOff(), `held up ${i + 1} times`);
+  }
+  stop.abort();
+});
+
+await tap.test('should take itself for cut off though it is held up again and again', async t => {
+  const { clock, monitor, stop } = watched();
+  let heldMs = 0;
+  for (; heldMs < 6000 && !monitor.isCutOff(); heldMs += 200) await clock.hold(200, () => undefined);
+  t.ok(heldMs <= 2400, `known after ${heldMs} ms`);
+  stop.abort();
+});
