--- a/packages/gateway/src/claimLease.ts
+++ b/packages/gateway/src/claimLease.ts
@@ -9,7 +9,7 @@
  * asked: whatever happened to the claim since then, it was confirmed to others at most that long ago. Runs that have
  * begun go on, and their results are listed when the store answers again.
  */
-import { Deadline, sleep } from '@fuchsiahitch/base';
+import { Deadline, sleep, type Clock } from '@fuchsiahitch/base';
 import type { BatchStore, HeldClaim } from './batchStore.js';
 import type { GatewayContext } from './gatewayContext.js';
 
@@ -36,7 +36,7 @@
  * A reader is told that there is nothing yet only by an owner that the store has confirmed this recently; a result read
  * elsewhere must be shown by everybody within a second.
  */
-const SURE_MS = 600;
+export const SURE_MS = 600;
 const SURE_TIMEOUT_MS = 1000;
 
 /** The lease of a claim, from how long after the end of a batch was confirmed its items may still reach endpoints. */
@@ -52,6 +52,8 @@
   private readonly _renewAfterMs: number;
   private readonly _lost: () => void;
   private _held: HeldClaim;
+  /** The wall clock less the monotonic one, when the claim was last confirmed. */
+  private _wallAheadMs: number;
   private _isStopped = false;
   private _isOut = false;
 
@@ -71,6 +73,7 @@
     this._leaseMs = leaseMs;
     this._renewAfterMs = Math.min(RENEW_AFTER_MS, leaseMs * RENEW_SHARE);
     this._lost = lost;
+    this._wallAheadMs = wallAheadMs(context.clock);
   }
 
   /** The claim with its revision, which every write names. */
@@ -78,9 +81,14 @@
     return this._held;
   }
 
-  /** Time since the store was asked for the answer that last confirmed the claim. */
+  /**
+   * Time since the store was asked for the answer that last confirmed the claim. The monotonic clock stands still while a
+   * machine is suspended, and the wall clock does not: whichever says more counts.
+   */
   ageMs(): number {
-    return this._context.clock.nowMs() - this._held.askedMs;
+    const { clock } = this._context;
+    const nowMs = Math.max(clock.nowMs(), clock.wallMs() - this._wallAheadMs);
+    return nowMs - this._held.askedMs;
   }
 
   /** True while something new may be sent for the batch. */
@@ -99,7 +107,10 @@
 
   /** The store confirmed the claim when it was asked at that time. */
   confirmed(askedMs: number): void {
-    if (askedMs > this._held.askedMs) this._held = { ...this._held, askedMs };
+    if (askedMs > this._held.askedMs) {
+      this._held = { ...this._held, askedMs };
+      this._wallAheadMs = wallAheadMs(this._context.clock);
+    }
     if (!this._isOut || !this.mayAct()) return;
     this._isOut = false;
     this._log('claim confirmed again');
@@ -152,3 +163,7 @@
     this._context.log.warn(text, { batchId: this._batchId, claimRevision: revision, ageMs });
   }
 }
+
+function wallAheadMs(clock: Clock): number {
+  return clock.wallMs() - clock.nowMs();
+}
--- a/packages/gateway/src/relayedStore.ts
+++ b/packages/gateway/src/relayedStore.ts
@@ -32,6 +32,8 @@
 const RELAY_SLACK_MS = 300;
 /** Of a call's time the direct way gets at most this much before it counts as failing. */
 const DIRECT_TIMEOUT_MS = 900;
+/** A call that had less time than this and got no answer says nothing of the direct way: a slow store takes 0.3 s. */
+const FAIR_TIMEOUT_MS = 600;
 /** A peer that could not help is not asked again for a while. */
 const PEER_PAUSE_MS = 2000;
 
@@ -150,12 +152,16 @@
     waitMs: number,
   ): Promise<Result<T, E | StoreError>> {
     if (this._isFailing) return this._relay<T>(toRequest, deadline, waitMs);
+    const limitMs = Math.min(deadline.leftMs(), DIRECT_TIMEOUT_MS + waitMs) - waitMs;
     const result = await direct(deadline.atMost(DIRECT_TIMEOUT_MS + waitMs));
     if (result.ok || result.error === 'compacted') {
       this._reachedMs = this._context.clock.nowMs();
       return result;
     }
-    this._startFailing(result.error);
+    // A caller that waits for a moment only learns nothing of the direct way: a store that is merely slow would be given up
+    // for all calls of the host.
+    const isFair = result.error !== 'unknown' || limitMs >= FAIR_TIMEOUT_MS;
+    if (isFair) this._startFailing(result.error);
     // Only a call that was certainly not done may go another way at once; for any other the caller decides.
     if (result.error === 'unknown') return result;
     return this._relay<T>(toRequest, deadline, waitMs);
