Gateway: a host lets its loop read before it takes itself for cut off

Cause: a host judged by the time since it last heard the store, in a timer that a late loop runs before it reads; its own delay counted as the store's silence, and two such rounds made it not ready. No grace is added, so that a host that is cut off knows it as soon as before. Not measured on hosts with a third of a core.

--- a/packages/base/src/afterReading.ts
+++ b/packages/base/src/afterReading.ts
@@ -30,6 +30,11 @@
   return () => cancel();
 }
 
+/** Resolves when the loop has read once more: what has arrived by now is known then. */
+export async function haveRead(): Promise<void> {
+  await new Promise<void>(resolve => onceRead(resolve));
+}
+
 function onceRead(run: () => void): CancelTimer {
   const reading = setImmediate(run);
   return () => clearImmediate(reading);
--- a/packages/gateway/src/reachMonitor.ts
+++ b/packages/gateway/src/reachMonitor.ts
@@ -5,8 +5,12 @@
  * their batches, and every read is refused until the cut ends. A host that says that it is not ready sends its
  * callers to other domains, whose hosts take the batches over. When only the store is away, other domains answer
  * and the host stays ready: elsewhere it would be no better.
+ *
+ * A process that is held up comes here before it has read what arrived meanwhile, so that its own delay looks like the
+ * silence of the store; one notices it as hosts that are not ready for seconds while the store answers them. The loop
+ * therefore reads before the store counts as silent, and again before a round does.
  */
-import { every } from '@fuchsiahitch/base';
+import { every, haveRead } from '@fuchsiahitch/base';
 import type { GatewayContext } from './gatewayContext.js';
 import type { Hosts } from './hostDirectory.js';
 import type { RelayedStore } from './relayedStore.js';
@@ -42,13 +46,19 @@
   }
 
   private async _check(): Promise<void> {
-    const sinceReachedMs = this._store.sinceReachedMs();
-    const isReached = sinceReachedMs < SUSPECT_MS || (await this._someoneAnswers());
+    const isReached =
+      (await this._isStoreReached()) || (await this._someoneAnswers()) || (await this._isStoreReached());
     const wasCutOff = this.isCutOff();
     this._silentRounds = isReached ? 0 : this._silentRounds + 1;
     if (this.isCutOff() === wasCutOff) return;
     const change = this.isCutOff() ? 'cut off' : 'connected';
-    this._context.log.warn('reach', { change, sinceStoreMs: Math.round(sinceReachedMs) });
+    this._context.log.warn('reach', { change, sinceStoreMs: Math.round(this._store.sinceReachedMs()) });
+  }
+
+  private async _isStoreReached(): Promise<boolean> {
+    if (this._store.sinceReachedMs() < SUSPECT_MS) return true;
+    await haveRead();
+    return this._store.sinceReachedMs() < SUSPECT_MS;
   }
 
   /** True if a host of another domain answers, or there is none to ask. */
