Tests: a request is sent twice though its answer has arrived; fails

A process that is held up begins the second send of a request before it reads the answer of the first endpoint. Seen to fail: two sends where one answer had arrived (and the answer passed on was the second's). The test that nothing is sent after the time of a request fails too, since now the second send comes at 1450 ms, in time; with the late loop's 100 ms more it would come after the end at 1500.

--- a/tests/lateLoopPeers.spec.ts
+++ b/tests/lateLoopPeers.spec.ts
@@ -12,11 +12,27 @@
   type Clock,
   type Result,
 } from '@fuchsiahitch/base';
-import { ReachMonitor, RelayedStore, type Hosts } from '@fuchsiahitch/gateway';
+import {
+  EndpointDirectory,
+  Forwarder,
+  ReachMonitor,
+  RelayedStore,
+  type EndpointReply,
+  type ForwardOutcome,
+  type Hosts,
+} from '@fuchsiahitch/gateway';
 import { defineCall, PeerLink, PeerServer, type CallError, type PeerIdentity } from '@fuchsiahitch/protocol';
 import { z } from 'zod';
 import { FakeStore } from './fakeStore.js';
-import { testContext } from './gatewayWorld.js';
+import {
+  answer,
+  endpointRecord,
+  keys,
+  PlainRecords,
+  route,
+  ScriptedClient,
+  testContext,
+} from './gatewayWorld.js';
 
 const KEY = 'fleet-key-for-tests';
 const empty = z.strictObject({});
@@ -210,10 +226,10 @@
   const clock = new VirtualClock();
   const context = testContext(clock);
   const direct = new FakeStore(clock).client();
-  let answer: () => void = () => undefined;
+  let answerGet: () => void = () => undefined;
   direct.get = async () => {
     await new Promise<void>(resolve => {
-      answer = resolve;
+      answerGet = resolve;
     });
     return ok(undefined);
   };
@@ -221,7 +237,7 @@
   const ask = (): void => void store.get('k', Deadline.after(clock, 60_000));
   ask();
   const storeAnswers = (): void => {
-    answer();
+    answerGet();
     ask();
   };
   const monitor = new ReachMonitor(context, store, silentHosts(clock));
@@ -266,3 +282,71 @@
   t.ok(heldMs <= 2400, `known after ${heldMs} ms`);
   stop.abort();
 });
+
+interface Forwarding {
+  readonly clock: VirtualClock;
+  readonly client: ScriptedClient;
+  readonly outcome: Promise<ForwardOutcome>;
+  /** The answer of the first endpoint arrives. */
+  readonly answerFirst: () => void;
+  readonly stop: AbortController;
+}
+
+/** A request that may be sent to a second endpoint after 120 ms, and waits for the first. */
+async function forwarding(): Promise<Forwarding> {
+  const clock = new VirtualClock();
+  const store = new FakeStore(clock);
+  const context = testContext(clock);
+  const endpoints = new EndpointDirectory(context, store.client(), keys, new PlainRecords(), () => undefined);
+  for (const id of ['e1', 'e2']) store.put(`${keys.endpointPrefix}${id}`, endpointRecord());
+  endpoints.start();
+  await clock.advance(100);
+  const client = new ScriptedClient(clock);
+  let answerFirst: () => void = () => undefined;
+  const first = new Promise<EndpointReply>(resolve => {
+    answerFirst = () => resolve({ kind: 'answered', answer: answer(200, 'first') });
+  });
+  const second: EndpointReply = { kind: 'answered', answer: answer(200, 'second') };
+  client.reply = async () => (client.sends.length === 1 ? first : second);
+  const safe = route({ run: 'idempotent', maxAttempts: 2, targetMs: 200, timeoutMs: 1500 });
+  const request = { id: 'r1', host: 'quests', method: 'GET', target: '/', headers: [], body: undefined };
+  const forwarder = new Forwarder(context, endpoints, client);
+  const outcome = forwarder.forward({ ...request, waitMs: 1500 }, safe, new AbortController().signal);
+  return { clock, client, outcome, answerFirst, stop: context.stop };
+}
+
+await tap.test('should send no request twice whose answer arrived while the process was held up', async t => {
+  // Symptom: a host with little processor time sends its endpoints every request twice, and gets later still. Sequence: a
+  // request is sent; the process is held up until a second send is due; the answer has arrived. Cause: the second send
+  // comes before the reading.
+  const { clock, client, outcome, answerFirst, stop } = await forwarding();
+  await clock.hold(400, answerFirst);
+  await clock.advance(200);
+  const end = await outcome;
+  t.ok(end.kind === 'answered' && end.answer.body.toString() === 'first');
+  t.equal(client.sends.length, 1);
+  stop.abort();
+});
+
+await tap.test('should send a late request twice within 100 ms after the process was held up', async t => {
+  const { clock, client, outcome, stop } = await forwarding();
+  await clock.hold(400, () => undefined);
+  await clock.advance(100);
+  const end = await outcome;
+  t.ok(end.kind === 'answered' && end.answer.body.toString() === 'second');
+  t.equal(client.sends.length, 2);
+  stop.abort();
+});
+
+await tap.test(
+  'should send nothing after the time of a request, also where the loop reads once more',
+  async t => {
+    // The second send is due at 120 ms and the request over at 1500: a late loop's 100 ms more reach past the end.
+    const { clock, client, outcome, stop } = await forwarding();
+    await clock.hold(1450, () => undefined);
+    await clock.advance(1000);
+    t.equal((await outcome).kind, 'unknown');
+    t.equal(client.sends.length, 1);
+    stop.abort();
+  },
+);
