Gateway: a late event loop begins no second sends of answered requests

Cause: the second send of an idempotent request is begun by a timer, and a late loop runs that before it reads the answer that has arrived; each such send costs processor time, and the loop is later still. Not done: the end of a request's time (504) still comes before the reading; a wait there could write a request late whose connection comes up meanwhile. Not measured on hosts with a third of a core.

--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -5,7 +5,7 @@
  * is late. Any other request is sent again only after proof that it did not run. One place counts attempts, so
  * that no two layers retry the same request.
  */
-import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
+import { afterReading, Deadline, type CancelTimer } from '@fuchsiahitch/base';
 import { EndpointPicker, RetryBudget, type PickRequest } from '@fuchsiahitch/requests';
 import type { Route } from '@fuchsiahitch/rules';
 import type { Endpoint } from './endpoint.js';
@@ -383,7 +383,9 @@
   private _armHedge(): CancelTimer {
     if (this._route.run !== 'idempotent') return () => undefined;
     const afterMs = Math.max(MIN_HEDGE_MS, this._route.targetMs * HEDGE_SHARE);
-    return this._context.clock.after(afterMs, () => {
+    // A late loop that sent before it read would send what is answered already, and be later still. What falls due only
+    // after the deadline by that is not sent: `_start` looks at the time.
+    return afterReading(this._context.clock, afterMs, () => {
       if (this._running === 1 && this._forwarder.mayHedge()) this._start();
     });
   }
