--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -5,7 +5,7 @@
 import { BatchLedger, pageFrom, type BatchItem, type BatchReadReply } from '@fuchsiahitch/batches';
 import { batchRoute } from './batchRoute.js';
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
-import { ClaimLease, SURE_MS } from './claimLease.js';
+import { ClaimLease } from './claimLease.js';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -138,7 +138,7 @@
   async read(after: number, waitMs: number): Promise<BatchReadReply> {
     const deadline = Deadline.after(this._context.clock, waitMs);
     while (this._hasNothingAfter(after) && !deadline.isOver()) await this._changed(deadline);
-    if (this._hasNothingAfter(after) && !(await this._isSure())) return { kind: 'unsure' };
+    if (this._hasNothingAfter(after) && !(await this._lease.isSure())) return { kind: 'unsure' };
     if (this._isLost) return { kind: 'not-owner' };
     return { kind: 'page', ...pageFrom(this.ledger.listed(), this.ledger.total(), after) };
   }
@@ -182,11 +182,6 @@
     this._lost();
   }
 
-  /** Whether "there is nothing more" is known. An append that waits for its answer may be read elsewhere already. */
-  private async _isSure(): Promise<boolean> {
-    return this._lister.unansweredMs() < SURE_MS && this._lease.isSure();
-  }
-
   private _hasNothingAfter(after: number): boolean {
     const isMore = after < this.ledger.listed().length;
     return !isMore && !this.ledger.isDone() && !this._isStopped;
