Tests: the time until a host knows that it is cut off, told after the reading

The bound was 2.4 s though 1.8 s were measured before the mend, and the test looked before the round of the loop in which the host now decides, so that it told 2000 ms after the mend.

--- a/tests/lateLoopPeers.spec.ts
+++ b/tests/lateLoopPeers.spec.ts
@@ -6,6 +6,7 @@
   Deadline,
   err,
   ok,
+  settle,
   sleep,
   SystemClock,
   VirtualClock,
@@ -278,8 +279,12 @@
 await tap.test('should take itself for cut off though it is held up again and again', async t => {
   const { clock, monitor, stop } = watched();
   let heldMs = 0;
-  for (; heldMs < 6000 && !monitor.isCutOff(); heldMs += 200) await clock.hold(200, () => undefined);
-  t.ok(heldMs <= 2400, `known after ${heldMs} ms`);
+  for (; heldMs < 6000 && !monitor.isCutOff(); heldMs += 200) {
+    await clock.hold(200, () => undefined);
+    // The host decides in the round of the loop after its timer; no time passes in it.
+    await settle();
+  }
+  t.ok(heldMs <= 1800, `known after ${heldMs} ms`);
   stop.abort();
 });
 
