--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -31,9 +31,9 @@
 /** How often items that found no place look again. */
 const PLACE_INTERVAL_MS = 25;
 /**
- * Runs that begin in one turn of the loop. Each takes a third to half of a millisecond of processor time, and a host with a third
- * of a core reads nothing meanwhile: with all 144 in one turn its loop was late by 267 and 303 ms (first and second batch,
- * means of three runs over sockets), with 16 by 197 and 170; without a limit by 87 and 49, and 44 and 15.
+ * Runs that begin in one turn of the loop. Each takes a third to half of a millisecond of processor time, and a host with
+ * a third of a core reads nothing meanwhile: with all 144 in one turn its loop was late by 267 and 303 ms (first and second
+ * batch, means of three runs over sockets), with 16 by 197 and 170; without a limit by 87 and 49, and 44 and 15.
  */
 const MAX_BEGUN = 16;
 /**
