Gateway: the bound of a late loop counts runs that were cut, not items

What was counted for the bound of 25 ms were attempts that ended as cancelled, and an item may be cut more than once; the comment called them items. The figures are the same: 45 and 112 with 50 ms, 12 and 24 with 25 ms. Nothing else changes.

--- a/packages/gateway/src/loopDelay.ts
+++ b/packages/gateway/src/loopDelay.ts
@@ -16,8 +16,8 @@
 const TICK_MS = 50;
 /**
  * A delay that counts: half of the time from one event to the next. A process that is held to a third of a core stands
- * still for up to 68 ms of each 100. With 50 ms the paces taken from such a time moved 45 and 112 of 144 items (first and
- * second batch, means of three runs over sockets), with 25 ms 12 and 24.
+ * still for up to 68 ms of each 100. With 50 ms the paces taken from such a time cut 45 and 112 runs of a batch of 144 items
+ * (first and second batch, means of three trials over sockets), with 25 ms 12 and 24.
  */
 const LATE_MS = 25;
 /** Ticks that a decision waits for a late loop: 100 ms where the loop is on time again, in which two events come. */
