Logs: an attempt tells how late the event loop ran

The line of an item's attempt has loopDelayMs, the greatest delay of the process's event loop in the last seconds: with it a silence or a slow pace can be told from a host that is short of processor time.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -363,6 +363,7 @@
       paceMs: Math.round(endpoint.paceMs() ?? 0),
       claimRevision,
       claimAgeMs: Math.round(claimAgeMs),
+      loopDelayMs: Math.round(this._context.loop.recentMs()),
       endpointsAgeMs: Math.round(this._ports.endpoints.ageMs()),
     });
   }
