--- a/tests/endedReads.spec.ts
+++ b/tests/endedReads.spec.ts
@@ -199,6 +199,35 @@
   world.stop();
 });
 
+await tap.test('should show a result of a batch that runs whose append waits for its answer', async t => {
+  // Symptom: a reader is shown twenty results, and at the owner another is told seconds later that there is none after the
+  // second. Sequence: an append takes effect, the owner's way to the store falls silent before the answer comes; others
+  // read the store; the store answers the owner again. Cause: the claim is confirmed before the append is repeated, and that
+  // was enough to say "nothing yet".
+  const found: string[] = [];
+  for (const silentMs of [900, 1300, 2000, 2600]) {
+    const { world, a, b, c, readers, startMs } = await underWay(FOUR, ({ itemId }) => {
+      if (itemId === 'z') return ENDLESS;
+      return itemId === 'y' ? HALF_SECOND : SHORT;
+    });
+    world.store.loseAnswers = 1;
+    await advanceTo(world, startMs + WHOLE_MS + 160);
+    t.equal(world.store.loseAnswers, 0, 'the append took effect without an answer');
+    a.storeClient.mode = 'silent';
+    await world.clock.advance(silentMs);
+    await readers.read(c, 'from the store');
+    t.equal(readers.shown(), 3);
+    a.storeClient.mode = 'well';
+    for (let passedMs = 0; passedMs < 1500; passedMs += 50) {
+      await readers.readAt([a, b], `${passedMs} ms after ${silentMs} ms without the store`);
+      await world.clock.advance(50);
+    }
+    found.push(...readers.broken);
+    world.stop();
+  }
+  t.same(found, []);
+});
+
 await tap.test(
   'should show a result whose append got no answer, when the batch ended at another host',
   async t => {
