Batches: while an append waits for its answer, the store is read for those who ask for more

Cause: an owner whose append had taken effect, and whose way to the store had been away, said "nothing more" as soon as its claim was confirmed again, up to a second before it repeated the append; hosts that can't reach it had shown the results already. Change: an owner with an append that has waited for 0.6 s answers such readers with what the store has.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -5,7 +5,7 @@
 import { BatchLedger, pageFrom, type BatchItem, type BatchReadReply } from '@fuchsiahitch/batches';
 import { batchRoute } from './batchRoute.js';
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
-import { ClaimLease } from './claimLease.js';
+import { ClaimLease, SURE_MS } from './claimLease.js';
 import type { ConfigurationService } from './configurationService.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -144,11 +144,24 @@
   async read(after: number, waitMs: number): Promise<BatchReadReply> {
     const deadline = Deadline.after(this._context.clock, waitMs);
     while (this._hasNothingAfter(after) && !deadline.isOver()) await this._changed(deadline);
+    if (this._hasNothingAfter(after) && this._lister.unansweredMs() >= SURE_MS)
+      return this._readStored(after);
     if (this._hasNothingAfter(after) && !(await this._lease.isSure())) return { kind: 'unsure' };
     if (this._isLost) return { kind: 'not-owner' };
     return { kind: 'page', ...pageFrom(this.ledger.listed(), this.ledger.total(), after) };
   }
 
+  /**
+   * What the store has, while an append waits for its answer. The append may have taken effect, and hosts that can't reach
+   * this one then show its results: a confirmed claim alone does not allow to say that there is nothing more.
+   */
+  private async _readStored(after: number): Promise<BatchReadReply> {
+    const results = await this._ports.store.results(this.batchId, this._storeDeadline());
+    if (!results.ok) return { kind: 'unsure' };
+    if (this._isLost) return { kind: 'not-owner' };
+    return { kind: 'page', ...pageFrom(results.value, this.ledger.total(), after) };
+  }
+
   /** True while something new may be sent for the batch. */
   mayAct(): boolean {
     return !this._isEnding && !this._isStopped && this._lease.mayAct();
--- a/packages/gateway/src/claimLease.ts
+++ b/packages/gateway/src/claimLease.ts
@@ -36,7 +36,7 @@
  * A reader is told that there is nothing yet only by an owner that the store has confirmed this recently; a result read
  * elsewhere must be shown by everybody within a second.
  */
-const SURE_MS = 600;
+export const SURE_MS = 600;
 const SURE_TIMEOUT_MS = 1000;
 
 /** The lease of a claim, from how long after the end of a batch was confirmed its items may still reach endpoints. */
--- a/packages/gateway/src/resultLister.ts
+++ b/packages/gateway/src/resultLister.ts
@@ -23,6 +23,7 @@
   private _isStopped = false;
   /** A write that was not confirmed is repeated as it was: it may have taken effect. */
   private _unsettled: readonly ItemResult[] | undefined;
+  private _unsettledSinceMs = 0;
 
   /** `startedMs`: when this host began to run the batch. `listed`: told of results that were not listed before. */
   constructor(
@@ -50,6 +51,11 @@
     this._isStopped = true;
   }
 
+  /** How long a write has waited for its answer, over all its repetitions; 0 if none waits. */
+  unansweredMs(): number {
+    return this._unsettled ? this._context.clock.nowMs() - this._unsettledSinceMs : 0;
+  }
+
   /** False while a write is under way or was not answered: the store may have results that are not listed here. */
   isSettled(): boolean {
     return this._unsettled === undefined;
@@ -74,6 +80,7 @@
 
   private async _listOnce(): Promise<boolean> {
     if (this._isStopped) return true;
+    if (!this._unsettled) this._unsettledSinceMs = this._context.clock.nowMs();
     const results = this._unsettled ?? this._next();
     this._unsettled = results;
     const position = this._ledger.listed().length;
