Tests: a file that ends in the middle is not explained by its listed failure

Cause: a listed failure hid a crash of the rest of its file, as a reader found: the verdict looked for any failed test of the file only. Change: a file that prints no plan has ended in the middle and counts as failed.

--- a/tests/knownRed.spec.ts
+++ b/tests/knownRed.spec.ts
@@ -15,6 +15,7 @@
   return [
     `# Subtest: dist/tests/${file}`,
     ...lines,
+    `    1..${tests.length}`,
     `${isFailed ? 'not ok' : 'ok'} 1 - dist/tests/${file}`,
     '',
   ].join('\n');
@@ -45,6 +46,12 @@
   t.end();
 });
 
+await tap.test('should fail for a file that ends in the middle, also after a listed failure', t => {
+  const output = tapOf('orders.spec.js', 'not ok 1 - should wait').replace('    1..1\n', '');
+  t.match(verdict(t, output, LISTED), /^0 passed, 1 failed$/m);
+  t.end();
+});
+
 await tap.test('should say that a listed test did not fail', t => {
   const output = tapOf('orders.spec.js', 'ok 1 - should wait');
   t.match(verdict(t, output, LISTED), /did not fail in this run/);
--- a/utils/testVerdict.mjs
+++ b/utils/testVerdict.mjs
@@ -22,21 +22,25 @@
   });
 }
 
-/** The tests of a TAP output, each named `FILE: TITLE`, and the files that failed without a failed test. */
+/**
+ * The tests of a TAP output, each named `FILE: TITLE`, and the files that failed without a failed test or ended before
+ * their plan: a file that ends in the middle prints no plan, and its last tests never ran.
+ */
 function readTap(output) {
   const tests = [];
   const brokenFiles = [];
   let file = '';
+  let hasPlan = false;
   for (const line of output.split('\n')) {
     const opened = /^# Subtest: (.*)$/.exec(line);
     if (opened) file = opened[1].replace(/^.*\//, '').replace(/\.js$/, '.ts');
+    if (opened) hasPlan = false;
+    if (/^ {4}1\.\.\d+/.test(line)) hasPlan = true;
     const test = /^ {4}(not )?ok \d+ - (.*?)(?: # time=.*)?(?: \{)?$/.exec(line);
     if (test) tests.push({ name: `${file}: ${test[2]}`, isFailed: test[1] !== undefined });
-    if (
-      /^not ok \d+/.test(line) &&
-      !tests.some(({ name, isFailed }) => isFailed && name.startsWith(`${file}: `))
-    )
-      brokenFiles.push(file);
+    const isExplained =
+      hasPlan && tests.some(({ name, isFailed }) => isFailed && name.startsWith(`${file}: `));
+    if (/^not ok \d+/.test(line) && !isExplained) brokenFiles.push(file);
   }
   return { tests, brokenFiles };
 }
@@ -64,7 +68,9 @@
 }
 
 if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) {
-  const verdict = verdictOf(fs.readFileSync(0, 'utf8'), readKnownRed(process.argv[2] ?? 'KNOWN-RED.txt'), 1);
+  const output = fs.readFileSync(0, 'utf8');
+  const status = /^not ok/m.test(output) ? 1 : 0;
+  const verdict = verdictOf(output, readKnownRed(process.argv[2] ?? 'KNOWN-RED.txt'), status);
   for (const note of verdict.notes) console.log(note);
   console.log(`${verdict.passed} passed, ${verdict.failed} failed`);
 }
