--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -37,7 +37,7 @@
   readonly tookMs: number;
   /** The claim on which it began. */
   readonly claimRevision: number;
-  /** When it began: the time since the store was asked for its last word that this host owns the batch. */
+  /** When it began: the time since the store was asked for its last confirmation that this host owns the batch. */
   readonly claimAgeMs: number;
 }
 
--- a/packages/gateway/src/batchStore.ts
+++ b/packages/gateway/src/batchStore.ts
@@ -276,7 +276,7 @@
   /**
    * Writes a new key, as long as the claim stands. A write that finds its own value in place has been made by an earlier
    * try, but says nothing of the claim since then: without a look at it an owner that lost its batch takes the old write
-   * for a word of the store that the batch is still its own, and tells readers that there is nothing more.
+   * for a confirmation that the batch is still its own, and tells readers that there is nothing more.
    */
   private async _addOnce(
     batchId: string,
--- a/tests/claimLease.spec.ts
+++ b/tests/claimLease.spec.ts
@@ -1,5 +1,5 @@
 /**
- * What an owner may send on the store's last word, and who keeps a batch whose owner is late.
+ * What an owner may send on the store's last confirmation, and who keeps a batch whose owner is late.
  */
 import tap from 'tap';
 import type { ItemCall, ItemEnd, ItemListener } from '@fuchsiahitch/gateway';
@@ -8,7 +8,7 @@
 import { answer, batch, scoredItem } from './gatewayWorld.js';
 import { Deadline } from '@fuchsiahitch/base';
 
-/** How old the store's last word may be when something is sent, and one look at it more. */
+/** How old the store's last confirmation may be when something is sent, and one look at it more. */
 const LEASE_MS = 2000 + 30;
 
 /** When items began, and when they were written to an endpoint. */
@@ -35,7 +35,7 @@
   return { begunMs, writtenMs };
 }
 
-await tap.test('should write no item once the store’s word is older than the lease', async t => {
+await tap.test('should write no item once the store’s confirmation is older than the lease', async t => {
   // Symptom: an item reaches an endpoint after its batch's end, from an owner that had stopped to begin items. Sequence: it
   // begins within the lease, its connection takes a second or its process is held up, and it is written then. Cause: what
   // is begun is not looked at again before it is written.
@@ -55,7 +55,7 @@
   }
 });
 
-await tap.test('should ask for no score once the store’s word is older than the lease', async t => {
+await tap.test('should ask for no score once the store’s confirmation is older than the lease', async t => {
   // The same with requests for scores, which the forwarder repeats for up to a second.
   const [world, a] = await started('a');
   if (!a) return;
