Start: what few starts use is loaded on demand

Cause, by a processor profile of a start: compiling one file of 3.1 MB, and setting up Nest with fastify twice, for readiness and for metrics, spans' SDK, the reader of rule files and all languages of the schema library, at each start of each host.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -3,6 +3,7 @@
 export * from './clock.js';
 export * from './deadline.js';
 export * from './hash.js';
+export * from './listenAt.js';
 export * from './outcome.js';
 export * from './random.js';
 export * from './settings.js';
--- a/packages/base/src/settings.ts
+++ b/packages/base/src/settings.ts
@@ -3,7 +3,7 @@
  * A flag goes before the variable, the variable before the default.
  */
 import { parseArgs } from 'node:util';
-import { z } from 'zod';
+import * as z from 'zod';
 import { err, ok, type Result } from './outcome.js';
 
 /** One setting: its flag, what it must be, and a line for `--help`. */
--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -1,7 +1,7 @@
 /**
  * What hosts ask the owner of a batch.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { generatedEventSchema } from './itemProgress.js';
 import { itemResultSchema, ownerSchema } from './model.js';
 
--- a/packages/batches/src/itemProgress.ts
+++ b/packages/batches/src/itemProgress.ts
@@ -6,7 +6,7 @@
  * goes on after the last whole one; versions come from the streams alone, never from what was ordered.
  */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** One whole event of a stream. */
 export const generatedEventSchema = z
--- a/packages/batches/src/model.ts
+++ b/packages/batches/src/model.ts
@@ -2,7 +2,7 @@
  * A batch: many generations that a trainer submits at once, that are kept until they are done, and whose
  * results are read by position.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The request that asks for the score of an item's text. It may be repeated; the service knows the text by itself. */
 export const scoreRequestSchema = z
--- a/packages/batches/src/records.ts
+++ b/packages/batches/src/records.ts
@@ -2,7 +2,7 @@
  * The records of a batch in the store, and how they are read back.
  */
 import { err, ok, type Result } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 import { itemEventsSchema, type ItemEvents } from './batchMessages.js';
 import { batchSchema, itemResultSchema, ownerSchema, type Batch, type ItemResult } from './model.js';
 
--- a/packages/clients/src/etcdStore.ts
+++ b/packages/clients/src/etcdStore.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Deadline, type Result } from '@fuchsiahitch/base';
 import { Agent, request, type Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   Compare,
   KeyValueStore,
--- a/packages/clients/src/httpEngineClient.ts
+++ b/packages/clients/src/httpEngineClient.ts
@@ -4,7 +4,7 @@
 import type { Deadline } from '@fuchsiahitch/base';
 import { createParser } from 'eventsource-parser';
 import { request, type Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   EngineClient,
   EngineReport,
--- a/packages/clients/src/scorer.ts
+++ b/packages/clients/src/scorer.ts
@@ -4,7 +4,7 @@
  */
 import type { Deadline } from '@fuchsiahitch/base';
 import { request, type Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { isUnwritten } from './httpTools.js';
 
 export interface ScoreRequest {
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -2,7 +2,7 @@
  * The operators' command line.
  */
 import { integerSchema, PROGRAM_VERSION, readSettings, stopWith, SystemRandom } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 import { OperatorClient } from './operatorClient.js';
 import type { CommandResult } from './output.js';
 import { applyFile, checkFile, editRule, explain, getRules, simulateFile, usage } from './ruleCommands.js';
--- a/packages/ctl/src/ruleCommands.ts
+++ b/packages/ctl/src/ruleCommands.ts
@@ -14,7 +14,7 @@
   type Rule,
   type RuleDocument,
 } from '@fuchsiahitch/rules';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { OperatorClient, Unreachable } from './operatorClient.js';
 import { exitCodes, table, type CommandResult } from './output.js';
 
--- a/packages/ctl/src/statusCommands.ts
+++ b/packages/ctl/src/statusCommands.ts
@@ -1,7 +1,7 @@
 /**
  * Commands that show the state of the fleet.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { OperatorClient } from './operatorClient.js';
 import { exitCodes, table, type CommandResult } from './output.js';
 import { unreachable } from './ruleCommands.js';
--- a/packages/demo/src/supervisor.ts
+++ b/packages/demo/src/supervisor.ts
@@ -3,7 +3,7 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const START_TIMEOUT_MS = 30_000;
 const END_TIMEOUT_MS = 15_000;
--- a/packages/entry/src/callerInput.ts
+++ b/packages/entry/src/callerInput.ts
@@ -2,7 +2,7 @@
  * What callers, trainers and operators may send, checked before anything happens.
  */
 import { err, ok, type Result } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_PROMPT = 100_000;
 const MAX_TOKENS = 100_000;
--- a/packages/entry/src/entryHost.ts
+++ b/packages/entry/src/entryHost.ts
@@ -72,7 +72,8 @@
     const stop = new AbortController();
     // One listener for each loop of the services; there are more of them than the default warning allows.
     setMaxListeners(0, stop.signal);
-    const context = makeContext(settings, clock, random, stop.signal, Math.floor(clock.wallMs()));
+    const tracing = await Tracing.open(settings['trace-file'], settings['host-id']);
+    const context = makeContext(settings, clock, random, tracing, stop.signal);
     const peers = new PeerDirectory(context);
     const server = new PeerServer({
       address: settings['peers-address'],
@@ -137,8 +138,8 @@
   settings: EntrySettings,
   clock: Clock,
   random: Random,
+  tracing: Tracing,
   stopped: AbortSignal,
-  incarnation: number,
 ): HostContext {
   const hostId = settings['host-id'];
   const { domain } = settings;
@@ -147,12 +148,12 @@
     hostId,
     domain,
     domains: settings.domains,
-    incarnation,
+    incarnation: Math.floor(clock.wallMs()),
     clock,
     random,
     log: new RoarrLogger(settings['log-level'], { program: 'fuchsiahitch-entry', hostId, domain }),
     metrics: new Metrics(),
-    tracing: new Tracing(settings['trace-file'], hostId),
+    tracing,
     stopped,
   };
 }
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -3,7 +3,7 @@
  */
 import { addressSchema, integerSchema, nameSchema, type SettingValues } from '@fuchsiahitch/base';
 import { logLevels } from '@fuchsiahitch/telemetry';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MIN_KEY = 16;
 const url = z.string().regex(/^http:\/\/\d+\.\d+\.\d+\.\d+:\d+$/, 'not a URL http://IP:port');
--- a/packages/entry/src/operatorsController.ts
+++ b/packages/entry/src/operatorsController.ts
@@ -5,7 +5,7 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { editSchema, ruleListSchema, simulate, type RequestFacts } from '@fuchsiahitch/rules';
 import { SystemClock } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 import { check, readJson } from './callerInput.js';
 import { FleetStatus } from './fleetStatus.js';
 import { Metrics } from './metrics.js';
--- a/packages/listener/src/index.ts
+++ b/packages/listener/src/index.ts
@@ -1,2 +1,3 @@
 /** HTTP listeners of the daemons. */
 export * from './listener.js';
+export * from './statusServer.js';
--- a/packages/listener/src/listener.ts
+++ b/packages/listener/src/listener.ts
@@ -3,6 +3,7 @@
  * own address and limits.
  */
 import 'reflect-metadata';
+import type http from 'node:http';
 import { Module, type DynamicModule, type Provider, type Type } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
@@ -17,15 +18,22 @@
 @Module({})
 class ListenerModule {}
 
-/** What one listener serves. */
-export interface ListenerOptions {
-  readonly address: string;
+/** What an application serves. */
+export interface ApplicationOptions {
   readonly controller: Type;
   readonly providers: readonly Provider[];
   /** If given, calls need this bearer token; probes and metrics don't. */
   readonly token?: string;
 }
 
+/** What one listener serves, and where. */
+export interface ListenerOptions extends ApplicationOptions {
+  readonly address: string;
+}
+
+/** Takes a request that another server has received, and answers it. */
+export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
+
 const OPEN_PATHS = new Set(['/healthz', '/readyz', '/metrics']);
 
 export class Listener {
@@ -38,29 +46,7 @@
   }
 
   static async start(options: ListenerOptions): Promise<Listener> {
-    const adapter = new FastifyAdapter({
-      bodyLimit: MAX_BODY_BYTES,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      http: { maxHeaderSize: MAX_HEADER_BYTES },
-      forceCloseConnections: 'idle',
-    });
-    const module: DynamicModule = {
-      module: ListenerModule,
-      controllers: [options.controller],
-      providers: [...options.providers],
-    };
-    // Nest declares its options as a class and documents them as plain objects.
-    // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-    const app = await NestFactory.create<NestFastifyApplication>(module, adapter, {
-      logger: false,
-      bodyParser: false,
-    });
-    const fastify = adapter.getInstance();
-    fastify.removeAllContentTypeParsers();
-    // Bodies stay bytes: a call to a service is passed on as it came, everything else is checked by a schema.
-    fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
-    if (options.token !== undefined) requireToken(adapter, options.token);
+    const app = await createApplication(options);
     const { ip, port } = splitAddress(options.address);
     await app.listen(port, ip);
     const bound = app.getHttpServer().address();
@@ -74,6 +60,42 @@
   }
 }
 
+/** An application without an address of its own: its requests come from another server. */
+export async function applicationHandler(options: ApplicationOptions): Promise<RequestHandler> {
+  const app = await createApplication(options);
+  await app.init();
+  const fastify = app.getHttpAdapter().getInstance();
+  await fastify.ready();
+  return (request, response) => fastify.routing(request, response);
+}
+
+async function createApplication(options: ApplicationOptions): Promise<NestFastifyApplication> {
+  const adapter = new FastifyAdapter({
+    bodyLimit: MAX_BODY_BYTES,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    http: { maxHeaderSize: MAX_HEADER_BYTES },
+    forceCloseConnections: 'idle',
+  });
+  const module: DynamicModule = {
+    module: ListenerModule,
+    controllers: [options.controller],
+    providers: [...options.providers],
+  };
+  // Nest declares its options as a class and documents them as plain objects.
+  // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+  const app = await NestFactory.create<NestFastifyApplication>(module, adapter, {
+    logger: false,
+    bodyParser: false,
+  });
+  const fastify = adapter.getInstance();
+  fastify.removeAllContentTypeParsers();
+  // Bodies stay bytes: a call to a service is passed on as it came, everything else is checked by a schema.
+  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+  if (options.token !== undefined) requireToken(adapter, options.token);
+  return app;
+}
+
 function requireToken(adapter: FastifyAdapter, token: string): void {
   adapter.getInstance().addHook('onRequest', async (request, reply) => {
     const [path = ''] = request.url.split('?');
--- a/packages/listener/src/metricsApplication.ts
+++ b/packages/listener/src/metricsApplication.ts
@@ -1,35 +1,30 @@
 /**
- * Readiness for the platform's balancer, and metrics.
+ * Metrics of a process, as text. Loaded on demand: it brings Nest and fastify along.
  */
-import { Controller, Get, Header, HttpCode, Inject, Res } from '@nestjs/common';
-import type { FastifyReply } from 'fastify';
+import { Controller, Get, Header, HttpCode, Inject } from '@nestjs/common';
 import type { Registry } from 'prom-client';
+import { applicationHandler, type RequestHandler } from './listener.js';
 
-/** What the controller asks of the process. */
-export interface ProcessStatus {
-  isReady(): boolean;
-  readonly registry: Registry;
-}
-
-export const PROCESS_STATUS = Symbol('process status');
+const METRICS_REGISTRY = Symbol('metrics registry');
 
 @Controller()
-export class StatusController {
-  private readonly _status: ProcessStatus;
-
-  constructor(@Inject(PROCESS_STATUS) status: unknown) {
-    this._status = status as ProcessStatus;
-  }
+class MetricsController {
+  private readonly _registry: Registry;
 
-  @Get('/v1/readyz')
-  ready(@Res() reply: FastifyReply): void {
-    void reply.status(this._status.isReady() ? 200 : 503).send('');
+  constructor(@Inject(METRICS_REGISTRY) registry: unknown) {
+    this._registry = registry as Registry;
   }
 
   @Get('/metrics')
   @HttpCode(200)
   @Header('Content-Type', 'text/plain; version=0.0.4')
   async metrics(): Promise<string> {
-    return this._status.registry.metrics();
+    return this._registry.metrics();
   }
 }
+
+/** The application that serves the registry's metrics. */
+export async function metricsApplication(registry: Registry): Promise<RequestHandler> {
+  const providers = [{ provide: METRICS_REGISTRY, useValue: registry }];
+  return applicationHandler({ controller: MetricsController, providers });
+}
--- a/packages/membership/src/hostView.ts
+++ b/packages/membership/src/hostView.ts
@@ -6,7 +6,7 @@
  * and whatever must not happen twice is fenced by an epoch instead (docs/design/keys.md).
  */
 import type { Clock, Random } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const memberStates = ['live', 'suspect', 'dead', 'leaving'] as const;
 export type MemberState = (typeof memberStates)[number];
--- a/packages/membership/src/leavingEvidence.ts
+++ b/packages/membership/src/leavingEvidence.ts
@@ -6,7 +6,7 @@
  * not bring it back.
  */
 import type { Clock } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What a peer passes on: the endpoint's identifier and the start that is leaving. */
 export const leavingNoticeSchema = z.strictObject({ endpointId: z.string(), startId: z.string() }).readonly();
--- a/packages/membership/src/memberDocument.ts
+++ b/packages/membership/src/memberDocument.ts
@@ -2,7 +2,7 @@
  * What the platform's membership list says of one failure domain. The list lags; it is one source of
  * evidence among others.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_NAME = 63;
 const name = z.string().min(1).max(MAX_NAME);
--- a/packages/orders/src/model.ts
+++ b/packages/orders/src/model.ts
@@ -4,7 +4,7 @@
  * Targets are absolute, so that an order that comes twice changes nothing, and each carries the fencing token
  * of the lease under which it was given.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What operators or trainers want of a pool. Grows by `sequence`; a lower one never replaces a higher. */
 export const weightTargetSchema = z
--- a/packages/orders/src/ordersHandover.ts
+++ b/packages/orders/src/ordersHandover.ts
@@ -6,7 +6,7 @@
  * seconds at each planned restart. A holder that gives its right up therefore writes down how long ago it ordered
  * each endpoint, and its successor waits for those alone.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const handoverSchema = z
   .strictObject({
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -48,7 +48,7 @@
   workPullReplySchema,
   workPullSchema,
 } from '@fuchsiahitch/steps';
-import { z } from 'zod';
+import * as z from 'zod';
 import { defineCall } from './channel.js';
 
 const count = z.number().int().min(0);
--- a/packages/protocol/src/channel.ts
+++ b/packages/protocol/src/channel.ts
@@ -2,7 +2,7 @@
  * Typed calls: a name, the schema of what is sent and the schema of what comes back. Client and server
  * are thin around these definitions, and both check what they read.
  */
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 /** A call that has one reply. */
 export interface CallDefinition<Q, A> {
--- a/packages/protocol/src/envelope.ts
+++ b/packages/protocol/src/envelope.ts
@@ -1,7 +1,7 @@
 /**
  * Checks what arrives on a connection before any field is used.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_NAME = 64;
 const MAX_TRACE = 128;
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -2,7 +2,7 @@
  * The listening side of the inner protocol.
  */
 import net from 'node:net';
-import { messageOf, splitAddress, type Clock } from '@fuchsiahitch/base';
+import { messageOf, listenAt, type Clock } from '@fuchsiahitch/base';
 import type { CallDefinition, Envelope, PeerIdentity } from './channel.js';
 import { challengeSchema, envelopeSchema, helloSchema } from './envelope.js';
 import { encodeFrame, FrameReader, MAX_FRAME_BYTES, MAX_HELLO_BYTES } from './frameCodec.js';
@@ -62,13 +62,7 @@
 
   /** Starts to listen; resolves with the address, which tells the port when 0 was asked. */
   async listen(): Promise<string> {
-    const { ip, port } = splitAddress(this._options.address);
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject);
-      this._server.listen(port, ip, resolve);
-    });
-    const bound = this._server.address();
-    return typeof bound === 'object' && bound ? `${ip}:${bound.port}` : this._options.address;
+    return listenAt(this._server, this._options.address);
   }
 
   async close(): Promise<void> {
--- a/packages/requests/src/keyMessages.ts
+++ b/packages/requests/src/keyMessages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages about idempotency keys between hosts.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_KEY = 255;
 const keySchema = z.string().min(1).max(MAX_KEY);
--- a/packages/requests/src/slotMap.ts
+++ b/packages/requests/src/slotMap.ts
@@ -6,7 +6,7 @@
  * takes no part in the earlier one (docs/design/keys.md).
  */
 import { hash32, rendezvous } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Slots of one failure domain. At 33 hosts each owns four and copies four. */
 export const SLOTS_A_DOMAIN = 128;
--- a/packages/rules/src/edit.ts
+++ b/packages/rules/src/edit.ts
@@ -2,7 +2,7 @@
  * Edits: small operations on one rule, replayed on top of what other teams accepted meanwhile.
  */
 import { digest, err, ok, type Result } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 import { KEPT_EDITS, ruleSchema, type Rule, type RuleDocument } from './model.js';
 
 const place = z
--- a/packages/rules/src/model.ts
+++ b/packages/rules/src/model.ts
@@ -4,7 +4,7 @@
  * Conditions are plain typed fields and not an expression language, so that a check can prove that one rule
  * hides another, and a decision costs the same whatever a team writes (docs/design/rules.md).
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_NAME = 63;
 const MAX_RULES = 4000;
--- a/packages/rules/src/ruleFile.ts
+++ b/packages/rules/src/ruleFile.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result } from '@fuchsiahitch/base';
 import { LineCounter, parseDocument, stringify } from 'yaml';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { ruleListSchema, type Rule } from './model.js';
 
 /** One problem in a file. Lines count from 1. */
--- a/packages/standins/src/engineStandIn.ts
+++ b/packages/standins/src/engineStandIn.ts
@@ -3,7 +3,7 @@
  */
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { hash32 } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 import { pause } from './faults.js';
 import { StandIn } from './standIn.js';
 
--- a/packages/standins/src/faults.ts
+++ b/packages/standins/src/faults.ts
@@ -2,7 +2,7 @@
  * Faults that a stand-in takes by request: `POST /faults` with a JSON body replaces the faults in force.
  */
 import type { FastifyInstance } from 'fastify';
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const faultsSchema = z
   .strictObject({
--- a/packages/standins/src/keyValueStandIn.ts
+++ b/packages/standins/src/keyValueStandIn.ts
@@ -3,7 +3,7 @@
  */
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import type { ServerResponse } from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import { StandIn } from './standIn.js';
 
 const MS_A_SECOND = 1000;
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -9,7 +9,7 @@
   readSettings,
   stopWith,
 } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 import { EngineStandIn } from './engineStandIn.js';
 import { KeyValueStandIn } from './keyValueStandIn.js';
 import { MemberStandIn } from './memberStandIn.js';
--- a/packages/standins/src/memberStandIn.ts
+++ b/packages/standins/src/memberStandIn.ts
@@ -1,7 +1,7 @@
 /**
  * The platform's membership list, with a lag.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { StandIn } from './standIn.js';
 
 const hostSchema = z.strictObject({
--- a/packages/standins/src/scorerStandIn.ts
+++ b/packages/standins/src/scorerStandIn.ts
@@ -2,7 +2,7 @@
  * The service that scores samples, and counts how often it scored each.
  */
 import { hash32 } from '@fuchsiahitch/base';
-import { z } from 'zod';
+import * as z from 'zod';
 import { StandIn } from './standIn.js';
 
 const scoreSchema = z.object({ sample_id: z.string(), prompt: z.string(), text: z.string() });
--- a/packages/steps/src/model.ts
+++ b/packages/steps/src/model.ts
@@ -5,7 +5,7 @@
  * is filled by exactly one sample. A sample has an identifier of its own, so that a second attempt at a slot
  * is another sample and never mistaken for the first.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_NAME = 63;
 const MAX_PROMPT = 20_000;
--- a/packages/steps/src/stepMessages.ts
+++ b/packages/steps/src/stepMessages.ts
@@ -1,7 +1,7 @@
 /**
  * The trainer's calls, and messages about steps between hosts.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { sampleSchema, stepSpecSchema } from './model.js';
 
 const count = z.number().int().min(0);
--- a/packages/steps/src/stepStore.ts
+++ b/packages/steps/src/stepStore.ts
@@ -2,7 +2,7 @@
  * What the owner of a step keeps in the platform's key-value service: who owns it, what was asked for, and
  * one manifest for each sealed chunk. Calls grow with chunks, not with samples.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Result } from '@fuchsiahitch/base';
 import type { StepSpec } from './model.js';
 import { stepSpecSchema } from './model.js';
--- a/packages/telemetry/src/tracing.ts
+++ b/packages/telemetry/src/tracing.ts
@@ -1,14 +1,6 @@
 /**
- * A trace with a span for each hop, by OpenTelemetry, exported as JSON lines to a file.
+ * A trace with a span for each hop.
  */
-import fs from 'node:fs';
-import { context, trace, type Span, type SpanContext, type Tracer } from '@opentelemetry/api';
-import {
-  BasicTracerProvider,
-  SimpleSpanProcessor,
-  type ReadableSpan,
-  type SpanExporter,
-} from '@opentelemetry/sdk-trace-base';
 
 /** The hops that have a span of their own. */
 export type HopName = 'caller' | 'peer' | 'endpoint' | 'scoring' | 'delivery' | 'store';
@@ -19,79 +11,27 @@
   end(attributes?: Readonly<Record<string, string | number>>): void;
 }
 
-const TRACEPARENT = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/;
-
-export class Tracing {
-  private readonly _tracer: Tracer | undefined;
-
-  /** An empty file name records nothing and passes `traceparent` on as it came. */
-  constructor(file: string, hostId: string) {
-    if (file === '') return;
-    const provider = new BasicTracerProvider({
-      spanProcessors: [new SimpleSpanProcessor(new FileExporter(file, hostId))],
-    });
-    this._tracer = provider.getTracer('fuchsiahitch');
-  }
-
-  begin(name: HopName, parent: string | undefined): Hop {
-    if (!this._tracer) return { traceparent: parent, end: () => undefined };
-    const parentContext = readTraceparent(parent);
-    const base = parentContext ? trace.setSpanContext(context.active(), parentContext) : context.active();
-    const span = this._tracer.startSpan(name, {}, base);
-    return { traceparent: writeTraceparent(span), end: attributes => endSpan(span, attributes) };
-  }
-}
-
-function endSpan(span: Span, attributes: Readonly<Record<string, string | number>> = {}): void {
-  span.setAttributes(attributes);
-  span.end();
+/** Where spans go. */
+export interface SpanRecorder {
+  begin(name: HopName, parent: string | undefined): Hop;
 }
 
-function readTraceparent(text: string | undefined): SpanContext | undefined {
-  const match = TRACEPARENT.exec(text ?? '');
-  if (!match) return undefined;
-  const [, traceId = '', spanId = '', flags = '00'] = match;
-  return { traceId, spanId, traceFlags: Number.parseInt(flags, 16), isRemote: true };
-}
-
-function writeTraceparent(span: Span): string {
-  const { traceId, spanId, traceFlags } = span.spanContext();
-  return `00-${traceId}-${spanId}-${traceFlags.toString(16).padStart(2, '0')}`;
-}
-
-/** Appends one line a span. Tracing must not fail a request: a file that cannot be written is given up. */
-class FileExporter implements SpanExporter {
-  private readonly _hostId: string;
-  private readonly _stream: fs.WriteStream;
-
-  constructor(file: string, hostId: string) {
-    this._hostId = hostId;
-    this._stream = fs.createWriteStream(file, { flags: 'a' });
-    this._stream.on('error', () => this._stream.destroy());
-  }
+export class Tracing {
+  private readonly _recorder: SpanRecorder | undefined;
 
-  export(spans: ReadableSpan[], done: (result: { code: number }) => void): void {
-    for (const span of spans) {
-      if (!this._stream.destroyed) this._stream.write(`${JSON.stringify(this._line(span))}\n`);
-    }
-    done({ code: 0 });
+  /** Without a recorder nothing is recorded, and `traceparent` is passed on as it came. */
+  constructor(recorder?: SpanRecorder) {
+    this._recorder = recorder;
   }
 
-  async shutdown(): Promise<void> {
-    await new Promise<void>(resolve => this._stream.end(resolve));
+  /** Spans as JSON lines in a file; none for an empty name. The library for spans is loaded where there is a file only. */
+  static async open(file: string, hostId: string): Promise<Tracing> {
+    if (file === '') return new Tracing();
+    const { FileSpans } = await import('./fileSpans.js');
+    return new Tracing(new FileSpans(file, hostId));
   }
 
-  private _line(span: ReadableSpan): unknown {
-    const { traceId, spanId } = span.spanContext();
-    return {
-      traceId,
-      spanId,
-      parentSpanId: span.parentSpanContext?.spanId,
-      name: span.name,
-      host: this._hostId,
-      startTime: span.startTime,
-      duration: span.duration,
-      attributes: span.attributes,
-    };
+  begin(name: HopName, parent: string | undefined): Hop {
+    return this._recorder?.begin(name, parent) ?? { traceparent: parent, end: () => undefined };
   }
 }
--- a/packages/testkit/src/simFleet.ts
+++ b/packages/testkit/src/simFleet.ts
@@ -279,7 +279,7 @@
       random: this.random,
       log: SILENT,
       metrics: new Metrics(),
-      tracing: new Tracing('', host.id),
+      tracing: new Tracing(),
       stopped: this._stop.signal,
     };
   }
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -225,7 +225,7 @@
 await tap.test('should record a span for each hop of a request', async t => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'spans-'));
   const file = path.join(folder, 'spans.jsonl');
-  const { client, forwarder, stop } = await forwarding(new Tracing(file, 'host-a'));
+  const { client, forwarder, stop } = await forwarding(await Tracing.open(file, 'host-a'));
   const replies: EndpointReply[] = [
     { kind: 'not-run', reason: 'refused', load: undefined },
     { kind: 'answered', answer: answer(200, 'whole') },
--- a/tests/protocol.spec.ts
+++ b/tests/protocol.spec.ts
@@ -14,7 +14,7 @@
   PeerServer,
   type PeerIdentity,
 } from '@fuchsiahitch/protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 import { fuzzRuns } from './fuzzRuns.js';
 import { eventually } from '@fuchsiahitch/testkit';
 
