--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -2,11 +2,11 @@
  * The operators' configuration in force on this host, and the versions that trainers named. It only moves
  * forward, whatever order changes arrive in.
  */
-import type { RevisionedStore, StoredValue } from '@fuchsiahitch/clients';
+import type { StoredValue } from '@fuchsiahitch/clients';
 import { RuleBook, RuleHistory, type Decision, type Route } from '@fuchsiahitch/rules';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallerLimits, FleetConfiguration, RecordDecoder, RecordKeys } from './ports.js';
-import { StoreMirror } from './storeMirror.js';
+import { StoreMirror, type MirrorSource } from './storeMirror.js';
 
 /**
  * A change must be in force within two seconds. A watch may fall silent, as one that goes through a host of a failure
@@ -39,7 +39,7 @@
   private _book: RuleBook | undefined;
   private _configuration: FleetConfiguration | undefined;
 
-  constructor(context: GatewayContext, store: RevisionedStore, keys: RecordKeys, decoder: RecordDecoder) {
+  constructor(context: GatewayContext, store: MirrorSource, keys: RecordKeys, decoder: RecordDecoder) {
     this._context = context;
     this._keys = keys;
     this._decoder = decoder;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,22 +3,23 @@
  */
 import { sleep } from '@fuchsiahitch/base';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
-import type { PeerServer } from '@fuchsiahitch/protocol';
 import { BatchService } from './batchService.js';
 import { BatchStore } from './batchStore.js';
 import { BatchSweeper } from './batchSweeper.js';
+import { CallerStore, type StoreCaller } from './callerStore.js';
 import { claimLeaseMs } from './claimLease.js';
 import { ConfigurationService } from './configurationService.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { HostDirectory, type HostDirectoryOptions } from './hostDirectory.js';
+import { HostDirectory, LIVE_PREFIX, type CallRegistry, type HostDirectoryOptions } from './hostDirectory.js';
 import { ReachMonitor } from './reachMonitor.js';
 import { OrphanedBatches } from './orphanedBatches.js';
 import { RelayedStore } from './relayedStore.js';
 import { SharedWatch } from './sharedWatch.js';
 import { storeRelayCall } from './storeRelayMessages.js';
 import type { EndpointClient, RecordDecoder, RecordKeys } from './ports.js';
+import type { WatchedPrefix } from './watchFeed.js';
 import { serveVersions, WeightOrders, type WeightOrdersOptions } from './weightOrders.js';
 
 export interface GatewayOptions {
@@ -37,6 +38,12 @@
 }
 
 const SERVING_POLL_MS = 100;
+/**
+ * Endpoints write every second or so, and a leaving one must be known within two seconds: one call a second reads what all of
+ * them wrote. Hosts that start or end together are heard of in few calls, and each soon against the seconds of its lease.
+ */
+const ENDPOINT_SPACING_MS = 900;
+const HOST_SPACING_MS = 250;
 /** The balancer asks once a second and stops sending after two misses. */
 const ARRIVAL_MS = 3200;
 
@@ -49,7 +56,7 @@
   readonly orders: readonly WeightOrders[];
   private readonly _context: GatewayContext;
   private readonly _store: RelayedStore;
-  private readonly _endpointWatch: SharedWatch;
+  private readonly _watch: SharedWatch;
   private readonly _reach: ReachMonitor;
   private readonly _sweeper: BatchSweeper;
   private readonly _orphans: OrphanedBatches;
@@ -59,12 +66,16 @@
   constructor(context: GatewayContext, options: GatewayOptions) {
     const { client, keys, decoder } = options;
     const store = new RelayedStore(context, options.store);
+    const storeOf = (caller: StoreCaller): CallerStore => new CallerStore(store, caller, context.metrics);
     this._context = context;
     this._store = store;
-    this.configuration = new ConfigurationService(context, store, keys, decoder);
-    this.hosts = new HostDirectory(context, store, options.hosts, () => this._orphans.hostGone());
-    this._endpointWatch = new SharedWatch(context, store, this.hosts, keys.endpointPrefix);
-    this.endpoints = new EndpointDirectory(context, this._endpointWatch, keys, decoder, address =>
+    this._watch = new SharedWatch(context, storeOf('watch'), watchedPrefixes(keys, decoder));
+    this.configuration = new ConfigurationService(context, this._watch, keys, decoder);
+    this.hosts = new HostDirectory(context, storeOf('host-lease'), this._watch, options.hosts, () =>
+      this._orphans.hostGone(),
+    );
+    this._watch.useHosts(this.hosts);
+    this.endpoints = new EndpointDirectory(context, this._watch, keys, decoder, address =>
       client.restarted(address),
     );
     const { hosts: peers } = this;
@@ -75,29 +86,29 @@
     this._reach = new ReachMonitor(context, store, this.hosts);
     this.forwarder = new Forwarder(context, this.endpoints, client);
     const ports = {
-      store: new BatchStore(context, store),
+      store: new BatchStore(context, storeOf('batches')),
       endpoints: this.endpoints,
       configuration: this.configuration,
       client,
       forwarder: this.forwarder,
       claimLeaseMs: claimLeaseMs(options.batchEndMs),
     };
-    this._sweeper = new BatchSweeper(context, store, ports.store, options.batchReadableMs);
+    this._sweeper = new BatchSweeper(context, storeOf('sweep'), ports.store, options.batchReadableMs);
     this.batches = new BatchService(context, ports, this.hosts);
     this._orphans = new OrphanedBatches(context, ports.store, this.hosts, (batchId, from) =>
       this.batches.adoptFrom(batchId, from),
     );
     const { configuration, endpoints, hosts } = this;
-    const orderPorts = { store, configuration, endpoints, hosts, client };
+    const orderPorts = { store: storeOf('orders-lease'), configuration, endpoints, hosts, client };
     this.orders = options.domains.map(
       domain => new WeightOrders(context, orderPorts, domain, options.orders),
     );
     this._registerGauges();
   }
 
-  start(server: PeerServer): void {
+  start(server: CallRegistry): void {
     this._store.serve(server);
-    this._endpointWatch.serve(server);
+    this._watch.serve(server);
     this.batches.serve(server);
     serveVersions(server, this.endpoints);
     this.configuration.start();
@@ -168,3 +179,13 @@
     );
   }
 }
+
+/** What every host must know of the store. A new configuration is told at once. */
+function watchedPrefixes(keys: RecordKeys, decoder: RecordDecoder): readonly WatchedPrefix[] {
+  const newsOf = (value: string): string => decoder.endpointNews(value);
+  return [
+    { prefix: keys.operatorPrefix, spacingMs: 0 },
+    { prefix: keys.endpointPrefix, spacingMs: ENDPOINT_SPACING_MS, newsOf },
+    { prefix: LIVE_PREFIX, spacingMs: HOST_SPACING_MS },
+  ];
+}
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -1,25 +1,20 @@
 /**
  * The hosts that live, by keys in the store that end with their leases, and calls to them.
  */
-import { Deadline, err, type CancelTimer, type Result } from '@fuchsiahitch/base';
+import type { CancelTimer, Result } from '@fuchsiahitch/base';
 import { isSameOwner, ownerFields, ROOT, type Owner } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import { decodeHandover, type OrdersHandover } from '@fuchsiahitch/orders';
-import {
-  PeerLink,
-  type CallDefinition,
-  type CallError,
-  type PeerIdentity,
-  type PeerServer,
-} from '@fuchsiahitch/protocol';
-import { z } from 'zod';
+import type { CallDefinition, CallError, PeerServer } from '@fuchsiahitch/protocol';
+import * as z from 'zod';
 import type { GatewayContext } from './gatewayContext.js';
 import { HostChangeLog } from './hostChangeLog.js';
+import type { PeerCaller } from './peerCaller.js';
 import { StoreLease } from './storeLease.js';
-import { StoreMirror } from './storeMirror.js';
+import { StoreMirror, type MirrorSource } from './storeMirror.js';
 
 /** Keys that end with the process that wrote them. */
-const LIVE_PREFIX = `${ROOT}live/`;
+export const LIVE_PREFIX = `${ROOT}live/`;
 const HOST_PREFIX = `${LIVE_PREFIX}host/`;
 
 /** The key of what the last holder of a domain's orders left. It outlives the holder's lease. */
@@ -39,11 +34,11 @@
 const HOST_LEASE = { ttlMs: 2000, renewMs: 600 };
 /** Ended processes that are remembered: a fleet of 330 hosts restarts 610 a day. */
 const MAX_GONE = 1000;
-const MIRROR = { prefix: LIVE_PREFIX, waitMs: 4000, spacingMs: 0 };
+/** A neighbour is told nothing by a host that the store has told nothing for longer. */
+const MIRROR = { prefix: LIVE_PREFIX, waitMs: 1000, spacingMs: 0 };
 
 export interface HostDirectoryOptions {
-  readonly identity: PeerIdentity;
-  readonly fleetKey: string;
+  readonly peers: PeerCaller;
   /** Where this host's peers reach it. */
   readonly address: string;
 }
@@ -66,6 +61,8 @@
   isOwnDomain(hostId: string): boolean;
   /** True if some host holds the key. */
   isHeld(key: string): boolean;
+  /** Runs something whenever the key's holder may have changed, and once the hosts that live are known. */
+  onKey(key: string, run: () => void): void;
   /** What the last holder of a domain's orders left, also when nobody holds them now. */
   lastOrders(domain: string): OrdersHandover | undefined;
   /** The other hosts that live. */
@@ -89,15 +86,16 @@
   private readonly _owners = new Map<string, Owner>();
   private readonly _domains = new Map<string, string>();
   private readonly _values = new Map<string, string>();
-  private readonly _links = new Map<string, PeerLink>();
+  private readonly _keyWatches = new Map<string, () => void>();
   private readonly _gone = new GoneProcesses();
   private readonly _changes: HostChangeLog;
   private readonly _hostGone: () => void;
 
-  /** `hostGone`: told whenever a process is seen to be gone. */
+  /** `source`: where the living hosts are read. `hostGone`: told whenever a process is seen to be gone. */
   constructor(
     context: GatewayContext,
     store: RevisionedStore,
+    source: MirrorSource,
     options: HostDirectoryOptions,
     hostGone: () => void,
   ) {
@@ -105,13 +103,14 @@
     this._context = context;
     this._options = options;
     this._changes = new HostChangeLog(context);
-    this._mirror = new StoreMirror(context, store, MIRROR, {
+    this._mirror = new StoreMirror(context, source, MIRROR, {
       changed: item => this._changed(item.key, item.value),
       removed: key => this._removed(key),
+      readWhole: () => this._keyWatches.forEach(run => run()),
     });
     this._lease = new StoreLease(context, store, `${HOST_PREFIX}${context.hostId}`, HOST_LEASE, false, {
       value: () => JSON.stringify({ ...this.self(), domain: context.domain }),
-      wants: () => true,
+      wantsInMs: () => 0,
       held: () => undefined,
       lost: reason => context.log.warn('host lease lost', { reason }),
     });
@@ -132,7 +131,7 @@
   }
 
   close(): void {
-    for (const link of this._links.values()) link.close();
+    this._options.peers.close();
   }
 
   self(): Owner {
@@ -157,6 +156,10 @@
     return this._values.has(key);
   }
 
+  onKey(key: string, run: () => void): void {
+    this._keyWatches.set(key, run);
+  }
+
   lastOrders(domain: string): OrdersHandover | undefined {
     const value = this._values.get(lastOrdersKey(domain));
     return value === undefined ? undefined : decodeHandover(value);
@@ -176,23 +179,12 @@
     request: Q,
     timeoutMs: number,
   ): Promise<Result<A, CallError>> {
-    if (address === '') return err({ kind: 'not-sent', text: 'no such host' });
-    const deadline = Deadline.after(this._context.clock, timeoutMs);
-    return this._link(address).call(call, request, deadline);
-  }
-
-  private _link(address: string): PeerLink {
-    const known = this._links.get(address);
-    if (known) return known;
-    const { identity, fleetKey } = this._options;
-    const { clock, metrics } = this._context;
-    const link = new PeerLink({ address, fleetKey, identity, clock, counters: metrics });
-    this._links.set(address, link);
-    return link;
+    return this._options.peers.call(address, call, request, timeoutMs);
   }
 
   private _changed(key: string, value: string): void {
     this._values.set(key, value);
+    this._keyWatches.get(key)?.();
     if (!key.startsWith(HOST_PREFIX)) return;
     const owner = readOwner(value);
     if (!owner) {
@@ -215,6 +207,7 @@
 
   private _removed(key: string): void {
     this._values.delete(key);
+    this._keyWatches.get(key)?.();
     if (!key.startsWith(HOST_PREFIX)) return;
     const hostId = key.slice(HOST_PREFIX.length);
     const known = this._owners.get(hostId);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -161,6 +161,8 @@
   configuration(value: string): FleetConfiguration | undefined;
   /** Undefined for a value that describes no endpoint, as one of another writer may. */
   endpoint(id: string, value: string): EndpointInfo | undefined;
+  /** An endpoint's record without what changes at each of its heartbeats: the same text as long as there is no news. */
+  endpointNews(value: string): string;
   /** The newest version that a trainer named for a model. */
   namedVersion(value: string): { readonly model: string; readonly version: number } | undefined;
 }
--- a/packages/gateway/src/sharedWatch.ts
+++ b/packages/gateway/src/sharedWatch.ts
@@ -1,60 +1,52 @@
 /**
  * One watch of the store for all hosts of a failure domain.
  *
- * What goes wrong without it: every host asks the store for the same changes, so that calls grow with the fleet. On
- * 55 hosts and a quiet day these were 95 of the 125 calls of a host in 44 s. So the host with the lowest identifier
- * watches, and its neighbours follow it. A follower must not depend on a host that is silent, or that the store is
- * silent to: it waits for a short time only, hears nothing from a host whose own view is old, and watches by itself
- * for a while whenever that happens.
+ * What goes wrong without it: every host asks the store for the same changes, so that calls grow with the fleet, and with its
+ * square while all hosts start and each writes that it lives. One notices it as calls to the store, most of them watches, on
+ * a fleet that nobody asks anything. So the host with the lowest identifier watches, and its neighbours follow it, with one
+ * call at a time for all prefixes. A follower must not depend on a host that is silent, or that the store is silent to: it
+ * waits for a short time only, hears nothing from a host whose own view is old, and watches by itself for a while whenever
+ * that happens.
  */
 import { sleep, type Deadline, type Result } from '@fuchsiahitch/base';
-import type { Changes, RevisionedStore, Snapshot, StoreError, WatchEvent } from '@fuchsiahitch/clients';
+import type { Changes, Snapshot, StoreError } from '@fuchsiahitch/clients';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallRegistry, Hosts } from './hostDirectory.js';
 import type { MirrorSource } from './storeMirror.js';
-import { followCall, type FollowReply, type FollowRequest } from './storeRelayMessages.js';
+import { followCall, type FollowReply, type FollowRequest, type Revisions } from './storeRelayMessages.js';
+import { WatchFeed, type WatchedPrefix } from './watchFeed.js';
 
-/**
- * A change takes up to this long to be read, and one watch for all changes of that time is one call to the
- * store. Endpoints write every second or so; a leaving one must be known within two seconds.
- */
-const SPACING_MS = 900;
-/** A follower's question waits this long for a change, and its answer this much longer for the network. */
+/** A follower's question waits this long for news, and its answer this much longer for the network. */
 const FOLLOW_WAIT_MS = 600;
 const FOLLOW_SLACK_MS = 300;
 /** A host that watches tells nothing once the store has been silent to it for so long: leaving endpoints count on two seconds. */
 const VIEW_VALID_MS = 1400;
 /** After a question that failed, a follower watches by itself for this long. */
 const OWN_WATCH_MS = 2000;
-/** Changes that are kept for followers: several seconds of a pool of hundreds of endpoints. */
-const MAX_EVENTS = 2000;
-const STALE_CHECK_MS = 100;
+
+/** What decides whom to follow. */
+export type Neighbours = Pick<Hosts, 'isSynced' | 'self' | 'peers' | 'isOwnDomain' | 'call'>;
 
 export class SharedWatch implements MirrorSource {
   private readonly _context: GatewayContext;
-  private readonly _store: Pick<RevisionedStore, 'snapshot' | 'changes'>;
-  private readonly _hosts: Hosts;
-  private readonly _prefix: string;
-  private _events: WatchEvent[] = [];
-  /** The events are all changes after `_fromRevision`, up to `_revision`. */
-  private _fromRevision = Infinity;
-  private _revision = 0;
-  private _heardMs = -Infinity;
+  private readonly _store: MirrorSource;
+  private readonly _feeds: ReadonlyMap<string, WatchFeed>;
+  private _hosts: Neighbours | undefined;
   private _ownUntilMs = -Infinity;
   private _followed: string | undefined;
+  /** The question to the watching host that is on its way, for all prefixes. */
+  private _question: Promise<boolean> | undefined;
   private _wake: (() => void)[] = [];
 
-  /** Watches what stands under `prefix`. */
-  constructor(
-    context: GatewayContext,
-    store: Pick<RevisionedStore, 'snapshot' | 'changes'>,
-    hosts: Hosts,
-    prefix: string,
-  ) {
+  constructor(context: GatewayContext, store: MirrorSource, prefixes: readonly WatchedPrefix[]) {
     this._context = context;
     this._store = store;
+    this._feeds = new Map(prefixes.map(watched => [watched.prefix, new WatchFeed(watched)]));
+  }
+
+  /** Until then this host watches by itself: which hosts live is itself learnt by a watch. */
+  useHosts(hosts: Neighbours): void {
     this._hosts = hosts;
-    this._prefix = prefix;
   }
 
   serve(server: CallRegistry): void {
@@ -63,7 +55,7 @@
 
   async snapshot(prefix: string, deadline: Deadline): Promise<Result<Snapshot, StoreError>> {
     const snapshot = await this._store.snapshot(prefix, deadline);
-    if (snapshot.ok) this._restart(snapshot.value.revision);
+    if (snapshot.ok) this._feed(prefix).restart(snapshot.value, this._context.clock.nowMs());
     return snapshot;
   }
 
@@ -73,96 +65,130 @@
     waitMs: number,
     deadline: Deadline,
   ): Promise<Result<Changes, StoreError | 'compacted'>> {
-    const followed = await this._follow(afterRevision);
-    if (followed) return { ok: true, value: followed };
-    await this._space();
+    const feed = this._feed(prefix);
+    const told =
+      feed.hasNewsAfter(afterRevision) || (await this._follow()) ? feed.after(afterRevision) : undefined;
+    if (told) return { ok: true, value: told };
+    await this._space(feed);
     const changes = await this._store.changes(prefix, afterRevision, waitMs, deadline);
-    if (changes.ok) this._heard(afterRevision, changes.value);
-    return changes;
+    if (!changes.ok) return changes;
+    if (feed.take(afterRevision, changes.value, this._context.clock.nowMs())) this._wakeFollowers();
+    return { ok: true, value: feed.after(afterRevision) ?? changes.value };
+  }
+
+  private _feed(prefix: string): WatchFeed {
+    const feed = this._feeds.get(prefix);
+    if (!feed) throw new Error(`no watch of '${prefix}'`);
+    return feed;
   }
 
-  /** What the watching host tells; undefined when this host watches by itself. */
-  private async _follow(afterRevision: number): Promise<Changes | undefined> {
+  /** Hears what the watching host tells, of all prefixes; false when this host watches by itself. */
+  private async _follow(): Promise<boolean> {
     const watcher = this._watcher();
     if (!watcher) {
       this._noteSource(undefined, 'this host watches');
-      return undefined;
+      return false;
     }
-    const request: FollowRequest = { afterRevision, waitMs: FOLLOW_WAIT_MS };
-    const reply = await this._hosts.call(
-      watcher.address,
-      followCall,
-      request,
-      FOLLOW_WAIT_MS + FOLLOW_SLACK_MS,
-    );
-    if (reply.ok && reply.value.kind === 'changes') {
+    this._question ??= this._ask(watcher).finally(() => {
+      this._question = undefined;
+    });
+    return this._question;
+  }
+
+  private async _ask(watcher: { readonly hostId: string; readonly address: string }): Promise<boolean> {
+    const after = this._revisions();
+    const request: FollowRequest = { after, waitMs: FOLLOW_WAIT_MS };
+    const timeoutMs = FOLLOW_WAIT_MS + FOLLOW_SLACK_MS;
+    const reply = await this._hosts?.call(watcher.address, followCall, request, timeoutMs);
+    if (reply?.ok && reply.value.kind === 'changes') {
       this._noteSource(watcher.hostId, 'it watches');
-      return { events: reply.value.events, revision: reply.value.revision };
+      this._take(after, reply.value.changes);
+      return true;
     }
     this._ownUntilMs = this._context.clock.nowMs() + OWN_WATCH_MS;
-    this._noteSource(undefined, reply.ok ? 'the watching host has no fresh view' : reply.error.kind);
-    return undefined;
+    this._noteSource(
+      undefined,
+      reply?.ok === false ? reply.error.kind : 'the watching host has no fresh view',
+    );
+    return false;
+  }
+
+  /** The prefixes that were read whole, and up to where their changes are known. */
+  private _revisions(): Revisions {
+    const feeds = [...this._feeds].filter(([, feed]) => feed.revision > 0);
+    return Object.fromEntries(feeds.map(([prefix, feed]) => [prefix, feed.revision]));
+  }
+
+  private _take(after: Revisions, told: Readonly<Record<string, Changes>>): void {
+    const nowMs = this._context.clock.nowMs();
+    for (const [prefix, revision] of Object.entries(after)) {
+      const changes = told[prefix];
+      if (changes) this._feeds.get(prefix)?.take(revision, changes, nowMs);
+    }
   }
 
   /** The host to follow: the one of the own domain with the lowest identifier, unless that is this host. */
   private _watcher(): { readonly hostId: string; readonly address: string } | undefined {
-    if (!this._hosts.isSynced() || this._context.clock.nowMs() < this._ownUntilMs) return undefined;
-    let lowest = this._hosts.self();
-    for (const peer of this._hosts.peers())
-      if (this._hosts.isOwnDomain(peer.hostId) && peer.hostId < lowest.hostId) lowest = peer;
-    return lowest.hostId === this._hosts.self().hostId ? undefined : lowest;
+    const hosts = this._hosts;
+    if (!hosts?.isSynced() || this._context.clock.nowMs() < this._ownUntilMs) return undefined;
+    const self = hosts.self();
+    let lowest = self;
+    for (const peer of hosts.peers())
+      if (peer.hostId < lowest.hostId && hosts.isOwnDomain(peer.hostId)) lowest = peer;
+    return lowest.hostId === self.hostId ? undefined : lowest;
   }
 
   private _noteSource(hostId: string | undefined, reason: string): void {
     if (hostId === this._followed) return;
     this._followed = hostId;
-    const { log } = this._context;
-    log.info('watch', { prefix: this._prefix, follows: hostId ?? 'the store', reason });
+    this._context.log.info('watch', { follows: hostId ?? 'the store', reason });
   }
 
   /** Changes that come close together are read in one call. */
-  private async _space(): Promise<void> {
+  private async _space({ watched, heardMs }: WatchFeed): Promise<void> {
     const { clock, stopped } = this._context;
-    const leftMs = this._heardMs + SPACING_MS - clock.nowMs();
+    const leftMs = heardMs + watched.spacingMs - clock.nowMs();
     if (leftMs > 0) await sleep(clock, leftMs, stopped);
   }
 
-  private _restart(revision: number): void {
-    this._events = [];
-    this._fromRevision = revision;
-    this._revision = revision;
-    this._heardMs = this._context.clock.nowMs();
+  private async _serveFollower({ after, waitMs }: FollowRequest): Promise<FollowReply> {
+    const { clock } = this._context;
+    const endMs = clock.nowMs() + waitMs;
+    while (this._freshForMs(after) > 0 && !this._hasNews(after) && clock.nowMs() < endMs)
+      await this._change(Math.min(this._freshForMs(after), endMs - clock.nowMs()));
+    return this._freshForMs(after) > 0 ? this._replyOf(after) : { kind: 'not-watching' };
   }
 
-  private _heard(afterRevision: number, changes: Changes): void {
-    // After a time of following, the changes before are not known here.
-    if (afterRevision !== this._revision) this._restart(afterRevision);
-    this._events.push(...changes.events);
-    const surplus = this._events.splice(0, Math.max(0, this._events.length - MAX_EVENTS));
-    this._fromRevision = surplus.at(-1)?.version ?? this._fromRevision;
-    this._revision = Math.max(this._revision, changes.revision);
-    this._heardMs = this._context.clock.nowMs();
-    const wake = this._wake;
-    this._wake = [];
-    for (const run of wake) run();
+  private _replyOf(after: Revisions): FollowReply {
+    const changes: Record<string, Changes> = {};
+    for (const [prefix, revision] of Object.entries(after)) {
+      const told = this._feeds.get(prefix)?.after(revision);
+      if (!told) return { kind: 'not-watching' };
+      changes[prefix] = told;
+    }
+    return { kind: 'changes', changes };
   }
 
-  private async _serveFollower({ afterRevision, waitMs }: FollowRequest): Promise<FollowReply> {
-    const { clock } = this._context;
-    const endMs = clock.nowMs() + waitMs;
-    while (this._isFresh() && this._revision <= afterRevision && clock.nowMs() < endMs)
-      await this._change(Math.min(STALE_CHECK_MS, endMs - clock.nowMs()));
-    if (!this._isFresh() || afterRevision < this._fromRevision) return { kind: 'not-watching' };
-    const events = this._events.filter(event => event.version > afterRevision);
-    return { kind: 'changes', events, revision: Math.max(this._revision, afterRevision) };
+  private _hasNews(after: Revisions): boolean {
+    return Object.entries(after).some(([prefix, revision]) =>
+      this._feeds.get(prefix)?.hasNewsAfter(revision),
+    );
+  }
+
+  /** How long this host's view of all these prefixes is still good; 0 if it does not watch the store itself. */
+  private _freshForMs(after: Revisions): number {
+    if (this._followed !== undefined) return 0;
+    const heardMs = Object.keys(after).map(prefix => this._feeds.get(prefix)?.heardMs ?? -Infinity);
+    return Math.max(0, Math.min(...heardMs) + VIEW_VALID_MS - this._context.clock.nowMs());
   }
 
-  /** True if this host watches the store itself, and has heard of it a moment ago. */
-  private _isFresh(): boolean {
-    return this._followed === undefined && this._context.clock.nowMs() - this._heardMs < VIEW_VALID_MS;
+  private _wakeFollowers(): void {
+    const wake = this._wake;
+    this._wake = [];
+    for (const run of wake) run();
   }
 
-  /** Resolves at the next change, or after the time. */
+  /** Resolves at the next news, or after the time. */
   private async _change(waitMs: number): Promise<void> {
     await new Promise<void>(resolve => {
       const cancel = this._context.clock.after(waitMs, resolve);
--- a/packages/gateway/src/storeLease.ts
+++ b/packages/gateway/src/storeLease.ts
@@ -14,8 +14,11 @@
 export interface LeaseHolder {
   /** The key's value. */
   value(): string;
-  /** True if it should be taken now. */
-  wants(): boolean;
+  /**
+   * How long to wait before the key is taken: 0 to take it now, Infinity as things stand. Whoever knows that things have
+   * changed calls `look`.
+   */
+  wantsInMs(): number;
   /** Taken or renewed: `sentMs` is when the store was asked, `token` grows with each holder. */
   held(token: number, sentMs: number): void;
   lost(reason: string): void;
@@ -24,8 +27,8 @@
 }
 
 const CALL_TIMEOUT_MS = 800;
-/** How often a key that is not held is looked at. */
-const IDLE_MS = 150;
+/** The pause after a key could not be taken, or its lease not be renewed. */
+const RETRY_MS = 150;
 
 export class StoreLease {
   private readonly _context: GatewayContext;
@@ -38,6 +41,7 @@
   private _leaseId: string | undefined;
   private _token = 0;
   private _isReleased = false;
+  private _wake: () => void = () => undefined;
 
   constructor(
     context: GatewayContext,
@@ -59,9 +63,15 @@
     void this._run();
   }
 
+  /** Asks the holder again whether it wants the key. */
+  look(): void {
+    this._wake();
+  }
+
   /** Gives the key up at once, so that others need not wait for its end. */
   async release(): Promise<void> {
     this._isReleased = true;
+    this._wake();
     const leaseId = this._leaseId;
     this._leaseId = undefined;
     if (leaseId === undefined) return;
@@ -75,13 +85,33 @@
   private async _run(): Promise<void> {
     const { clock, stopped } = this._context;
     while (!stopped.aborted && !this._isReleased) {
+      const waitMs = this._leaseId === undefined ? this._holder.wantsInMs() : 0;
+      if (waitMs > 0) {
+        await this._rest(waitMs);
+        continue;
+      }
       const isHeld = this._leaseId === undefined ? await this._take() : await this._renew(this._leaseId);
-      await sleep(clock, isHeld ? this._times.renewMs : IDLE_MS, stopped);
+      await sleep(clock, isHeld ? this._times.renewMs : RETRY_MS, stopped);
     }
   }
 
+  /** Ends after the time, when somebody asks to look, or when the process stops. */
+  private async _rest(waitMs: number): Promise<void> {
+    const { clock, stopped } = this._context;
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        cancel();
+        stopped.removeEventListener('abort', end);
+        this._wake = () => undefined;
+        resolve();
+      };
+      const cancel = waitMs === Infinity ? () => undefined : clock.after(waitMs, end);
+      stopped.addEventListener('abort', end);
+      this._wake = end;
+    });
+  }
+
   private async _take(): Promise<boolean> {
-    if (!this._holder.wants()) return false;
     const sentMs = this._context.clock.nowMs();
     const lease = await this._store.grantLease(this._times.ttlMs, this._deadline());
     if (!lease.ok || this._isReleased) return false;
--- a/packages/gateway/src/storeMirror.ts
+++ b/packages/gateway/src/storeMirror.ts
@@ -28,6 +28,8 @@
   changed(value: StoredValue): void;
   /** A key is gone. */
   removed(key: string): void;
+  /** The prefix was read whole, and is synced. */
+  readWhole?(): void;
 }
 
 /** Beyond the watch's own wait: a round trip to a slow store. */
@@ -95,6 +97,7 @@
     for (const item of snapshot.value.items) this._take(item);
     for (const key of [...this._known.keys()]) if (!present.has(key)) this._drop(key);
     this._revision = snapshot.value.revision;
+    this._listener.readWhole?.();
     return true;
   }
 
--- a/packages/gateway/src/storeRelayMessages.ts
+++ b/packages/gateway/src/storeRelayMessages.ts
@@ -2,7 +2,7 @@
  * Store calls that one host makes for another.
  */
 import { defineCall } from '@fuchsiahitch/protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const count = z.number().int().min(0);
 
@@ -63,24 +63,31 @@
   z.strictObject({ isStoreReachable: z.boolean() }).readonly(),
 );
 
-/** Asks the host that watches the store for a domain what changed. */
-export const followRequestSchema = z.strictObject({ afterRevision: count, waitMs: z.number() }).readonly();
+/** A revision of the store for each of some prefixes. */
+export type Revisions = Readonly<Record<string, number>>;
+
+/** Asks the host that watches the store for a domain what changed under each prefix after its revision. */
+export const followRequestSchema = z
+  .strictObject({ after: z.record(z.string(), count).readonly(), waitMs: z.number() })
+  .readonly();
 export type FollowRequest = z.infer<typeof followRequestSchema>;
 
 const watchEventSchema = z
   .strictObject({ key: z.string(), value: z.string().optional(), version: count })
   .transform(event => ({ ...event, value: event.value }))
   .readonly();
+const changesSchema = z
+  .strictObject({ events: z.array(watchEventSchema).readonly(), revision: count })
+  .readonly();
 
 /** `not-watching`: the host follows another, or its own view is old, or it does not know changes from so long ago. */
 export const followReplySchema = z.discriminatedUnion('kind', [
   z.strictObject({
     kind: z.literal('changes'),
-    events: z.array(watchEventSchema).readonly(),
-    revision: count,
+    changes: z.record(z.string(), changesSchema).readonly(),
   }),
   z.strictObject({ kind: z.literal('not-watching') }),
 ]);
 export type FollowReply = z.infer<typeof followReplySchema>;
 
-export const followCall = defineCall('follow', followRequestSchema, followReplySchema);
+export const followCall = defineCall('followPrefixes', followRequestSchema, followReplySchema);
--- /dev/null
+++ b/packages/gateway/src/watchFeed.ts
@@ -0,0 +1,95 @@
+/**
+ * What a host has heard of the changes under one prefix of the store, kept for a while for its own mirror and its neighbours.
+ */
+import type { Changes, Snapshot, WatchEvent } from '@fuchsiahitch/clients';
+
+/** Changes that are kept: several seconds of a pool of hundreds of endpoints. */
+const MAX_EVENTS = 2000;
+
+/** One prefix that is watched. */
+export interface WatchedPrefix {
+  readonly prefix: string;
+  /** Changes that come in this time are read in one call to the store. */
+  readonly spacingMs: number;
+  /** What of a value is news; the whole value where it is left out. A write that brings no news is not told. */
+  readonly newsOf?: (value: string) => string;
+}
+
+export class WatchFeed {
+  readonly watched: WatchedPrefix;
+  /** The news of each key, to tell a write without any. */
+  private readonly _news = new Map<string, string>();
+  private _events: WatchEvent[] = [];
+  /** The events are all news after `_fromRevision`, up to `_revision`. */
+  private _fromRevision = Infinity;
+  private _revision = 0;
+  private _heardMs = -Infinity;
+
+  constructor(watched: WatchedPrefix) {
+    this.watched = watched;
+  }
+
+  /** The revision up to which changes are known; 0 before any. */
+  get revision(): number {
+    return this._revision;
+  }
+
+  /** When the store was last heard of, by the monotonic clock. */
+  get heardMs(): number {
+    return this._heardMs;
+  }
+
+  /** The prefix was read whole. */
+  restart({ items, revision }: Snapshot, nowMs: number): void {
+    this._news.clear();
+    for (const { key, value } of items) this._isNews(key, value);
+    this._goOnFrom(revision);
+    this._heardMs = nowMs;
+  }
+
+  /** Takes changes in that came after a revision; true if there was news among them. */
+  take(afterRevision: number, changes: Changes, nowMs: number): boolean {
+    // What came between is not known here: the feed begins anew.
+    if (afterRevision > this._revision) this._goOnFrom(afterRevision);
+    const known = this._revision;
+    const news = changes.events.filter(
+      event => event.version > known && this._isNews(event.key, event.value),
+    );
+    this._events.push(...news);
+    const surplus = this._events.splice(0, Math.max(0, this._events.length - MAX_EVENTS));
+    this._fromRevision = surplus.at(-1)?.version ?? this._fromRevision;
+    this._revision = Math.max(known, changes.revision);
+    this._heardMs = nowMs;
+    return news.length > 0;
+  }
+
+  /** The news after a revision; undefined if changes from so long ago are not known. */
+  after(revision: number): Changes | undefined {
+    if (revision < this._fromRevision) return undefined;
+    const events = this._events.filter(event => event.version > revision);
+    return { events, revision: Math.max(this._revision, revision) };
+  }
+
+  hasNewsAfter(revision: number): boolean {
+    return (this._events.at(-1)?.version ?? 0) > revision;
+  }
+
+  private _goOnFrom(revision: number): void {
+    this._events = [];
+    this._fromRevision = revision;
+    this._revision = revision;
+  }
+
+  private _isNews(key: string, value: string | undefined): boolean {
+    const { newsOf } = this.watched;
+    if (!newsOf) return true;
+    if (value === undefined) {
+      this._news.delete(key);
+      return true;
+    }
+    const news = newsOf(value);
+    if (this._news.get(key) === news) return false;
+    this._news.set(key, news);
+    return true;
+  }
+}
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -8,7 +8,7 @@
  * store has renewed it. Each domain has a holder of its own, so that a domain that is cut off, or a host that
  * dies, stops the orders of one domain and not of all.
  */
-import { every, type Clock } from '@fuchsiahitch/base';
+import { sleep, type Clock } from '@fuchsiahitch/base';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import {
   encodeHandover,
@@ -50,8 +50,16 @@
 const PAUSE_MS = 250;
 /** The last holder's host may be back within a second after a restart, and then needs no wait. */
 const LAST_HOLDER_MS = 700;
-/** Spreads the hosts that want the orders lease. */
-const TAKE_SPREAD_MS = 300;
+/**
+ * Of the hosts that want the orders lease each leaves it so long to the one before it: longer than until it knows that the key
+ * is held, as hosts hear of that within 0.25 s and the time of two calls. Where all of them asked the store at once, one key
+ * that became free would cost it three calls of each host of the domain.
+ */
+const TAKE_STEP_MS = 400;
+/** Hosts further behind than this all wait alike: so many before them are hardly lost at once. */
+const MAX_TAKE_STEPS = 8;
+/** Hosts that know of different hosts, as while all of them start, may each take themselves for the first. */
+const TAKE_SPREAD_MS = 150;
 /** Of all endpoints of a pool, loading more at once slows each of them down. */
 const LOADING_SHARE = 0.29;
 const SWAP = {
@@ -99,6 +107,7 @@
   private _before: OrdersHandover | undefined;
   private _heldMs = -Infinity;
   private _isReleased = false;
+  private _isTicking = false;
   private _token: number | undefined;
   private _mayBeginMs = Infinity;
   private _wantsAfterMs: number | undefined;
@@ -115,7 +124,7 @@
     const times = { ttlMs: LEASE_TTL_MS, renewMs: LEASE_RENEW_MS };
     this._lease = new StoreLease(context, ports.store, ordersKey(domain), times, true, {
       value: () => context.hostId,
-      wants: () => this._wants(),
+      wantsInMs: () => this._wantsInMs(),
       held: (token, sentMs) => this._held(token, sentMs),
       lost: reason => this._lost(reason),
       alsoWrites: () => [{ kind: 'put', key: lastOrdersKey(domain), value: this._handover() }],
@@ -127,8 +136,8 @@
   }
 
   start(): void {
+    this._ports.hosts.onKey(ordersKey(this._domain), () => this._lease.look());
     this._lease.start();
-    every(this._context.clock, TICK_MS, this._context.stopped, () => this._tick());
   }
 
   /** True if this host gives the orders. */
@@ -155,17 +164,19 @@
   }
 
   /** Hosts that see the key gone at the same time don't all ask the store at once. */
-  private _wants(): boolean {
+  private _wantsInMs(): number {
     const { hosts } = this._ports;
     if (!hosts.isSynced() || hosts.isHeld(ordersKey(this._domain))) {
       this._wantsAfterMs = undefined;
-      return false;
+      return Infinity;
     }
     const nowMs = this._context.clock.nowMs();
     this._wantsAfterMs ??= nowMs + this._takeAfterMs();
-    if (nowMs < this._wantsAfterMs) return false;
+    if (nowMs < this._wantsAfterMs) return this._wantsAfterMs - nowMs;
     this._before = hosts.lastOrders(this._domain);
-    return true;
+    // A pause while the store is asked counts as well.
+    this._pauses.begin();
+    return 0;
   }
 
   /** How long this host leaves a free key to others: the last holder need not wait for its own orders. */
@@ -174,7 +185,17 @@
     if (last?.hostId === this._context.hostId) return 0;
     const waitMs = this._domain === this._context.domain ? 0 : FOREIGN_WAIT_MS;
     const forLastMs = last === undefined || last.isReleased ? 0 : LAST_HOLDER_MS;
-    return waitMs + forLastMs + this._context.random.below(TAKE_SPREAD_MS);
+    const turnMs = Math.min(this._rank(), MAX_TAKE_STEPS) * TAKE_STEP_MS;
+    return waitMs + forLastMs + turnMs + this._context.random.below(TAKE_SPREAD_MS);
+  }
+
+  /** The hosts that take the key before this one: those of the own domain for its orders, and any for another domain's. */
+  private _rank(): number {
+    const { hosts } = this._ports;
+    const isCandidate = (hostId: string): boolean =>
+      this._domain !== this._context.domain || hosts.isOwnDomain(hostId);
+    const { hostId } = this._context;
+    return hosts.peers().filter(peer => peer.hostId < hostId && isCandidate(peer.hostId)).length;
   }
 
   private _held(token: number, sentMs: number): void {
@@ -190,6 +211,7 @@
     this._heldMs = this._context.clock.nowMs();
     this._mayBeginMs = this._heldMs + waitMs;
     this._planners.clear();
+    if (!this._isTicking) void this._tickWhileHeld();
     this._context.log.info('orders lease', {
       change: 'held',
       of: this._domain,
@@ -204,6 +226,17 @@
     this._context.log.warn('orders lease', { change: 'lost', of: this._domain, reason });
   }
 
+  /** Hosts that hold nothing have no turns: of each domain's orders one host has them, and the fleet may be large. */
+  private async _tickWhileHeld(): Promise<void> {
+    const { clock, stopped } = this._context;
+    this._isTicking = true;
+    while (this._token !== undefined && !stopped.aborted) {
+      this._tick();
+      await sleep(clock, TICK_MS, stopped);
+    }
+    this._isTicking = false;
+  }
+
   private _tick(): void {
     if (this._pauses.wasPaused()) {
       this._guard.lost();
@@ -432,6 +465,12 @@
     this._lastWallMs = clock.wallMs();
   }
 
+  /** Only pauses from now on count. */
+  begin(): void {
+    this._lastMs = this._clock.nowMs();
+    this._lastWallMs = this._clock.wallMs();
+  }
+
   /** True if a pause lies between this call and the one before. A wall clock that is set does no harm. */
   wasPaused(): boolean {
     const passedMs = this._clock.nowMs() - this._lastMs;
--- a/tests/fakeStore.ts
+++ b/tests/fakeStore.ts
@@ -25,7 +25,8 @@
 /** `away`: refuses with certainty. `silent`: never answers. */
 export type StoreMode = 'well' | 'away' | 'silent';
 
-const WATCH_STEP_MS = 10;
+/** A watch is answered so long after the change. */
+const WATCH_DELAY_MS = 10;
 
 export class FakeStore {
   readonly calls: string[] = [];
@@ -58,18 +59,21 @@
     this._revision += 1;
     this._entries.set(key, { value, version: this._revision, leaseId });
     this._events.push({ key, value, version: this._revision });
+    this.wake();
   }
 
   remove(key: string): void {
     if (!this._entries.delete(key)) return;
     this._revision += 1;
     this._events.push({ key, value: undefined, version: this._revision });
+    this.wake();
   }
 
   /** Drops the history: watches from before get no answer but `compacted`. */
   compact(): void {
     this._events = [];
     this._compactedAt = this._revision;
+    this.wake();
   }
   private _compactedAt = 0;
 
@@ -105,6 +109,7 @@
     this._revision += 1;
     const version = this._revision;
     for (const write of writes) this._write(write, version);
+    this.wake();
     return { succeeded: true, version };
   }
 
@@ -137,6 +142,29 @@
     }
   }
 
+  /** Resolves a moment after the next change, the next end of a lease, or `waitMs`. */
+  async nextChange(waitMs: number): Promise<void> {
+    const nowMs = this._clock.nowMs();
+    let untilMs = nowMs + waitMs;
+    for (const lease of this._leases.values()) untilMs = Math.min(untilMs, lease.untilMs);
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        this._waiting.delete(end);
+        cancel();
+        resolve();
+      };
+      const cancel = this._clock.after(Math.max(1, untilMs - nowMs), end);
+      this._waiting.add(end);
+    });
+    await sleep(this._clock, Math.min(WATCH_DELAY_MS, Math.max(0, nowMs + waitMs - this._clock.nowMs())));
+  }
+  private readonly _waiting = new Set<() => void>();
+
+  /** Lets the watches that wait look again. */
+  wake(): void {
+    for (const end of [...this._waiting]) end();
+  }
+
   private _expire(): void {
     const nowMs = this._clock.nowMs();
     for (const [id, lease] of this._leases) if (lease.untilMs <= nowMs) this.end(id);
@@ -144,7 +172,7 @@
 }
 
 export class FakeStoreClient implements RevisionedStore {
-  mode: StoreMode = 'well';
+  private _mode: StoreMode = 'well';
   /** Each call takes so long. */
   slowMs = 0;
   /** Each call takes effect at once, and its answer takes so long. */
@@ -158,6 +186,16 @@
     this._clock = clock;
   }
 
+  get mode(): StoreMode {
+    return this._mode;
+  }
+
+  /** A watch that waits notices it too. */
+  set mode(mode: StoreMode) {
+    this._mode = mode;
+    this._store.wake();
+  }
+
   async get(key: string, deadline: Deadline): Promise<Result<StoredValue | undefined, StoreError>> {
     return this._run('get', deadline, () => ok(this._store.read(key)));
   }
@@ -177,13 +215,14 @@
     deadline: Deadline,
   ): Promise<Result<Changes, StoreError | 'compacted'>> {
     const endMs = this._clock.nowMs() + waitMs;
+    this._count('changes');
     for (;;) {
-      const reach = await this._reach('changes', deadline);
+      const reach = await this._reach(deadline);
       if (reach) return err(reach);
       const changes = this._store.eventsAfter(prefix, afterRevision);
       if (changes === 'compacted') return err('compacted');
       if (changes.events.length > 0 || this._clock.nowMs() >= endMs) return ok(changes);
-      await sleep(this._clock, WATCH_STEP_MS);
+      await this._store.nextChange(endMs - this._clock.nowMs());
     }
   }
 
@@ -192,7 +231,8 @@
     writes: readonly Write[],
     deadline: Deadline,
   ): Promise<Result<TransactionResult, StoreError>> {
-    const reach = await this._reach('transact', deadline);
+    this._count('transact');
+    const reach = await this._reach(deadline);
     if (reach) return err(reach);
     const { lateMs } = this._store;
     if (lateMs !== undefined) {
@@ -231,7 +271,8 @@
     deadline: Deadline,
     act: () => Result<T, StoreError>,
   ): Promise<Result<T, StoreError>> {
-    const reach = await this._reach(call, deadline);
+    this._count(call);
+    const reach = await this._reach(deadline);
     if (!reach && this.slowAnswersMs > 0) {
       const answer = act();
       await sleep(this._clock, this.slowAnswersMs);
@@ -240,10 +281,13 @@
     return reach ? err(reach) : act();
   }
 
-  /** Why the store can't be reached, if it can't. */
-  private async _reach(call: string, deadline: Deadline): Promise<StoreError | undefined> {
+  private _count(call: string): void {
     this.calls += 1;
     this._store.calls.push(call);
+  }
+
+  /** Why the store can't be reached, if it can't. */
+  private async _reach(deadline: Deadline): Promise<StoreError | undefined> {
     if (this.slowMs > 0) await sleep(this._clock, this.slowMs);
     if (this.mode === 'away') return 'not-done';
     if (this.mode !== 'silent') return undefined;
--- a/tests/gateway.spec.ts
+++ b/tests/gateway.spec.ts
@@ -3,7 +3,7 @@
  */
 import tap from 'tap';
 import { decodeHandover } from '@fuchsiahitch/orders';
-import { Deadline, err, ok, VirtualClock } from '@fuchsiahitch/base';
+import { Deadline, err, every, ok, VirtualClock } from '@fuchsiahitch/base';
 import type { StoredValue } from '@fuchsiahitch/clients';
 import {
   ConfigurationService,
@@ -162,7 +162,7 @@
   let losses = 0;
   const lease = new StoreLease(context, store.client(), 'k', { ttlMs: 2000, renewMs: 600 }, true, {
     value: () => 'me',
-    wants: () => true,
+    wantsInMs: () => 0,
     held: () => undefined,
     lost: () => {
       losses += 1;
@@ -189,7 +189,7 @@
   store.loseAnswers = 1;
   const lease = new StoreLease(context, store.client(), 'k', { ttlMs: 2000, renewMs: 600 }, true, {
     value: () => 'me',
-    wants: () => true,
+    wantsInMs: () => 0,
     held: () => undefined,
     lost: () => undefined,
   });
@@ -250,6 +250,7 @@
     isGone: () => false,
     isOwnDomain: () => true,
     isHeld: key => shared.value(key) !== undefined,
+    onKey: (_key, run) => every(clock, 10, context.stopped, run),
     lastOrders: domain => decodeHandover(shared.value(lastOrdersKey(domain)) ?? ''),
     peers: () => [],
     call: () => Promise.resolve(err({ kind: 'timed-out' })),
@@ -520,6 +521,7 @@
     isGone: () => false,
     isOwnDomain: () => false,
     isHeld: () => false,
+    onKey: () => undefined,
     lastOrders: () => undefined,
     peers: () => [{ hostId: 'b', incarnation: '1', address: 'b' }],
     call: () =>
--- /dev/null
+++ b/tests/gatewayFleet.ts
@@ -0,0 +1,173 @@
+/**
+ * Whole gateways of many hosts on a virtual clock, over one store: what a fleet costs while nothing is asked of it.
+ */
+import { err, ok, sleep, type Result, VirtualClock } from '@fuchsiahitch/base';
+import { Gateway, type CallRegistry, type PeerCaller } from '@fuchsiahitch/gateway';
+import { encodeFrame, type CallDefinition, type CallError } from '@fuchsiahitch/protocol';
+import { FakeStore, type FakeStoreClient } from './fakeStore.js';
+import { endpointRecord, keys, PlainRecords, route, ScriptedClient, testContext } from './gatewayWorld.js';
+import type { TestContext } from './gatewayWorld.js';
+
+/** One way between two hosts. */
+const WAY_MS = 2;
+const HEARTBEAT_MS = 1200;
+
+export interface FleetSize {
+  readonly hosts: number;
+  readonly domains: number;
+  readonly endpoints: number;
+}
+
+/** A host: its process, and what it costs. */
+export class FleetHost {
+  readonly context: TestContext;
+  readonly storeClient: FakeStoreClient;
+  readonly gateway: Gateway;
+  readonly records = new CountingRecords();
+  /** Calls to peers, by name. */
+  readonly calls = new Map<string, number>();
+  /** Timers that were set. */
+  timers = 0;
+  sentBytes = 0;
+  isRunning = false;
+  private readonly _fleet: GatewayFleet;
+  private readonly _handlers = new Map<string, (request: unknown) => unknown>();
+
+  constructor(fleet: GatewayFleet, hostId: string, domain: string, incarnation: string) {
+    this._fleet = fleet;
+    this.context = { ...testContext(this._countingClock(fleet.clock), hostId, incarnation), domain };
+    this.storeClient = fleet.store.client();
+    const peers: PeerCaller = {
+      call: (address, call, request, timeoutMs) => this._call(address, call, request, timeoutMs),
+      close: () => undefined,
+    };
+    this.gateway = new Gateway(this.context, {
+      store: this.storeClient,
+      client: fleet.client,
+      keys,
+      decoder: this.records,
+      hosts: { peers, address: hostId },
+      orders: { handoverMs: 3000 },
+      domains: fleet.domains,
+      batchReadableMs: 120_000,
+      batchEndMs: 3000,
+    });
+  }
+
+  start(): void {
+    this.isRunning = true;
+    const registry: CallRegistry = {
+      handle: (call, handler) => {
+        this._handlers.set(call.name, handler as unknown as (request: unknown) => unknown);
+      },
+    };
+    this.gateway.start(registry);
+  }
+
+  kill(): void {
+    this.isRunning = false;
+    this.context.stop.abort();
+  }
+
+  /** Counts the timers of one host, and sets none once it is killed. */
+  private _countingClock(clock: VirtualClock): VirtualClock {
+    const own = Object.create(clock) as VirtualClock;
+    own.after = (delayMs, run) => {
+      this.timers += 1;
+      return clock.after(delayMs, run);
+    };
+    return own;
+  }
+
+  private async _call<Q, A>(
+    address: string,
+    call: CallDefinition<Q, A>,
+    request: Q,
+    timeoutMs: number,
+  ): Promise<Result<A, CallError>> {
+    const { clock } = this._fleet;
+    this.calls.set(call.name, (this.calls.get(call.name) ?? 0) + 1);
+    this.sentBytes += encodeFrame({ t: 'call', id: 1, name: call.name, body: request }).length;
+    await sleep(clock, WAY_MS);
+    const target = this._fleet.at(address);
+    if (!target?.isRunning) return err({ kind: 'not-sent', text: 'nobody listens' });
+    const late = new Promise<Result<A, CallError>>(resolve => {
+      clock.after(timeoutMs, () => resolve(err({ kind: 'timed-out' })));
+    });
+    return Promise.race([target._answer(this, call, request), late]);
+  }
+
+  private async _answer<Q, A>(
+    asker: FleetHost,
+    call: CallDefinition<Q, A>,
+    request: Q,
+  ): Promise<Result<A, CallError>> {
+    const reply = await this._handlers.get(call.name)?.(call.request.parse(request));
+    this.sentBytes += encodeFrame({ t: 'reply', id: 1, body: reply }).length;
+    await sleep(this._fleet.clock, WAY_MS);
+    if (!asker.isRunning || !this.isRunning) return err({ kind: 'broken', text: 'ended' });
+    return ok(call.reply.parse(reply));
+  }
+}
+
+/** Counts the records of endpoints that a host decodes. */
+class CountingRecords extends PlainRecords {
+  decoded = 0;
+
+  override endpoint(...args: Parameters<PlainRecords['endpoint']>): ReturnType<PlainRecords['endpoint']> {
+    this.decoded += 1;
+    return super.endpoint(...args);
+  }
+}
+
+export class GatewayFleet {
+  readonly clock = new VirtualClock();
+  readonly store = new FakeStore(this.clock);
+  readonly client = new ScriptedClient(this.clock);
+  readonly domains: readonly string[];
+  readonly hosts: FleetHost[] = [];
+  private readonly _size: FleetSize;
+  private _beats = 0;
+  private _isOver = false;
+
+  constructor(size: FleetSize) {
+    this._size = size;
+    this.domains = Array.from({ length: size.domains }, (_, i) => `domain-${i}`);
+    this.store.put(keys.configurationKey, JSON.stringify({ revision: 1, route: route(), models: ['m'] }));
+    for (let i = 0; i < size.endpoints; i++) this._beat(i);
+  }
+
+  /** Starts all hosts within 0.3 s of each other. */
+  async start(incarnation = '1'): Promise<void> {
+    this.hosts.splice(0);
+    const { hosts, domains } = this._size;
+    for (let i = 0; i < hosts; i++) {
+      const hostId = `host-${String(i).padStart(3, '0')}`;
+      const host = new FleetHost(this, hostId, `domain-${i % domains}`, `${incarnation}-${i}`);
+      this.hosts.push(host);
+      this.clock.after((300 * i) / hosts, () => host.start());
+    }
+    await this.clock.advance(300);
+  }
+
+  at(address: string): FleetHost | undefined {
+    return this.hosts.find(host => host.context.hostId === address);
+  }
+
+  /** Ends the world. */
+  stop(): void {
+    this._isOver = true;
+    for (const host of this.hosts) host.kill();
+  }
+
+  /** Each endpoint writes its record anew, with a counter that grows. */
+  private _beat(i: number): void {
+    if (this._isOver) return;
+    const record = JSON.parse(
+      endpointRecord({ address: `10.0.0.1:${i}`, domain: `domain-${i % this._size.domains}` }),
+    ) as object;
+    this.store.put(`${keys.endpointPrefix}e${i}`, JSON.stringify({ ...record, beat: (this._beats += 1) }));
+    const spreadMs = this._beats <= this._size.endpoints ? (HEARTBEAT_MS * i) / this._size.endpoints : 0;
+    this.clock.after(HEARTBEAT_MS + spreadMs, () => this._beat(i));
+  }
+}
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -100,6 +100,10 @@
     return true;
   }
 
+  onKey(): void {
+    // No host of these orders weights.
+  }
+
   lastOrders(): undefined {
     return undefined;
   }
--- a/tests/gatewayWorld.ts
+++ b/tests/gatewayWorld.ts
@@ -69,7 +69,7 @@
     random: new SeededRandom(7),
     log: new TestLog(),
     metrics: new GatewayMetrics(),
-    tracing: new Tracing('', hostId),
+    tracing: new Tracing(),
     loop: new LoopDelay(clock, stop.signal),
     stopped: stop.signal,
     stop,
@@ -153,6 +153,10 @@
     return { ...record, id, versions: new Map(Object.entries(record.versions)) };
   }
 
+  endpointNews(value: string): string {
+    return value.replace(/"beat":\d+/, '');
+  }
+
   namedVersion(value: string): { readonly model: string; readonly version: number } | undefined {
     return JSON.parse(value) as { readonly model: string; readonly version: number };
   }
--- a/tests/lateLoopPeers.spec.ts
+++ b/tests/lateLoopPeers.spec.ts
@@ -23,7 +23,7 @@
   type Hosts,
 } from '@fuchsiahitch/gateway';
 import { defineCall, PeerLink, PeerServer, type CallError, type PeerIdentity } from '@fuchsiahitch/protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 import { FakeStore } from './fakeStore.js';
 import {
   answer,
@@ -255,6 +255,7 @@
     isGone: () => false,
     isOwnDomain: () => false,
     isHeld: () => false,
+    onKey: () => undefined,
     lastOrders: () => undefined,
     peers: () => [{ hostId: 'b', incarnation: '1', address: 'b' }],
     call: async (_address, _call, _request, timeoutMs) => {
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -8,7 +8,7 @@
 import { spawnSync } from 'node:child_process';
 import tap from 'tap';
 import { SystemClock, SystemRandom } from '@fuchsiahitch/base';
-import { Gateway, GatewayMetrics, LoopDelay, type GatewayContext } from '@fuchsiahitch/gateway';
+import { Gateway, GatewayMetrics, LoopDelay, PeerLinks, type GatewayContext } from '@fuchsiahitch/gateway';
 import {
   CallerServer,
   decodeBatch,
@@ -272,7 +272,7 @@
     random: new SystemRandom(),
     log: new TestLog(),
     metrics,
-    tracing: new Tracing('', 'edge-1'),
+    tracing: new Tracing(),
     loop: new LoopDelay(clock, stop.signal),
     stopped: stop.signal,
   };
@@ -284,7 +284,10 @@
     client: new PlatformEndpoints(),
     keys: recordKeys,
     decoder: new PlatformRecords(),
-    hosts: { identity, fleetKey, address: await peers.listen() },
+    hosts: {
+      peers: new PeerLinks({ fleetKey, identity, clock, counters: metrics }),
+      address: await peers.listen(),
+    },
     orders: { handoverMs: 3000 },
     domains: ['tekapo'],
     batchReadableMs: 120_000,
--- a/tests/sharedWatch.spec.ts
+++ b/tests/sharedWatch.spec.ts
@@ -40,6 +40,7 @@
       isGone: () => false,
       isOwnDomain: () => true,
       isHeld: () => false,
+      onKey: () => undefined,
       lastOrders: () => undefined,
       peers: () => ids.filter(other => other !== id).map(owner),
       call: async (address, call, request, timeoutMs) => {
@@ -50,7 +51,14 @@
         return ok(call.reply.parse(await handlers.get(address)?.(request as never)));
       },
     };
-    const watch = new SharedWatch(context, client, directory, keys.endpointPrefix);
+    const watch = new SharedWatch(context, client, [
+      {
+        prefix: keys.endpointPrefix,
+        spacingMs: 900,
+        newsOf: value => new PlainRecords().endpointNews(value),
+      },
+    ]);
+    watch.useHosts(directory);
     watch.serve({ handle: (_call, handler) => void handlers.set(id, handler as never) });
     const endpoints = new EndpointDirectory(context, watch, keys, new PlainRecords(), () => undefined);
     endpoints.start();
