Watch: the watching host asks the store often enough that its view counts as fresh

Cause, by the log of one domain: the watch of endpoints waited 2.5 s after a pause of 0.9 s, and its view counts for 1.4 s; an endpoint's record changes seldom.

Test: followers call the store 0 times in 20 s, with a change never, every 2.3 s and every 3.7 s; fails before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,14 +12,14 @@
 import { EndpointDirectory } from './endpointDirectory.js';
 import { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
-import { HostDirectory, LIVE_PREFIX, type CallRegistry, type HostDirectoryOptions } from './hostDirectory.js';
+import { HostDirectory, type CallRegistry, type HostDirectoryOptions } from './hostDirectory.js';
 import { ReachMonitor } from './reachMonitor.js';
 import { OrphanedBatches } from './orphanedBatches.js';
 import { RelayedStore } from './relayedStore.js';
 import { SharedWatch } from './sharedWatch.js';
 import { storeRelayCall } from './storeRelayMessages.js';
 import type { EndpointClient, RecordDecoder, RecordKeys } from './ports.js';
-import type { WatchedPrefix } from './watchFeed.js';
+import { watchedPrefixes } from './watchedPrefixes.js';
 import { serveVersions, WeightOrders, type WeightOrdersOptions } from './weightOrders.js';
 
 export interface GatewayOptions {
@@ -38,12 +38,6 @@
 }
 
 const SERVING_POLL_MS = 100;
-/**
- * Endpoints write every second or so, and a leaving one must be known within two seconds: one call a second reads what all of
- * them wrote. Hosts that start or end together are heard of in few calls, and each soon against the seconds of its lease.
- */
-const ENDPOINT_SPACING_MS = 900;
-const HOST_SPACING_MS = 250;
 /** The balancer asks once a second and stops sending after two misses. */
 const ARRIVAL_MS = 3200;
 
@@ -179,13 +173,3 @@
     );
   }
 }
-
-/** What every host must know of the store. A new configuration is told at once. */
-function watchedPrefixes(keys: RecordKeys, decoder: RecordDecoder): readonly WatchedPrefix[] {
-  const newsOf = (value: string): string => decoder.endpointNews(value);
-  return [
-    { prefix: keys.operatorPrefix, spacingMs: 0 },
-    { prefix: keys.endpointPrefix, spacingMs: ENDPOINT_SPACING_MS, newsOf },
-    { prefix: LIVE_PREFIX, spacingMs: HOST_SPACING_MS },
-  ];
-}
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -34,8 +34,7 @@
 const HOST_LEASE = { ttlMs: 2000, renewMs: 600 };
 /** Ended processes that are remembered: a fleet of 330 hosts restarts 610 a day. */
 const MAX_GONE = 1000;
-/** A neighbour is told nothing by a host that the store has told nothing for longer. */
-const MIRROR = { prefix: LIVE_PREFIX, waitMs: 1000, spacingMs: 0 };
+const MIRROR = { prefix: LIVE_PREFIX, waitMs: 4000, spacingMs: 0 };
 
 export interface HostDirectoryOptions {
   readonly peers: PeerCaller;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,5 +27,6 @@
 export * from './storeRelayMessages.js';
 export * from './storeMirror.js';
 export * from './streamReply.js';
+export * from './watchedPrefixes.js';
 export * from './watchFeed.js';
 export * from './weightOrders.js';
--- a/packages/gateway/src/sharedWatch.ts
+++ b/packages/gateway/src/sharedWatch.ts
@@ -19,8 +19,6 @@
 /** A follower's question waits this long for news, and its answer this much longer for the network. */
 const FOLLOW_WAIT_MS = 600;
 const FOLLOW_SLACK_MS = 300;
-/** A host that watches tells nothing once the store has been silent to it for so long: leaving endpoints count on two seconds. */
-const VIEW_VALID_MS = 1400;
 /** After a question that failed, a follower watches by itself for this long. */
 const OWN_WATCH_MS = 2000;
 
@@ -70,7 +68,8 @@
       feed.hasNewsAfter(afterRevision) || (await this._follow()) ? feed.after(afterRevision) : undefined;
     if (told) return { ok: true, value: told };
     await this._space(feed);
-    const changes = await this._store.changes(prefix, afterRevision, waitMs, deadline);
+    const ownWaitMs = Math.min(waitMs, feed.waitMs(this._context.clock.nowMs()));
+    const changes = await this._store.changes(prefix, afterRevision, ownWaitMs, deadline);
     if (!changes.ok) return changes;
     if (feed.take(afterRevision, changes.value, this._context.clock.nowMs())) this._wakeFollowers();
     return { ok: true, value: feed.after(afterRevision) ?? changes.value };
@@ -145,9 +144,9 @@
   }
 
   /** Changes that come close together are read in one call. */
-  private async _space({ watched, heardMs }: WatchFeed): Promise<void> {
+  private async _space(feed: WatchFeed): Promise<void> {
     const { clock, stopped } = this._context;
-    const leftMs = heardMs + watched.spacingMs - clock.nowMs();
+    const leftMs = feed.spaceMs(clock.nowMs());
     if (leftMs > 0) await sleep(clock, leftMs, stopped);
   }
 
@@ -178,8 +177,9 @@
   /** How long this host's view of all these prefixes is still good; 0 if it does not watch the store itself. */
   private _freshForMs(after: Revisions): number {
     if (this._followed !== undefined) return 0;
-    const heardMs = Object.keys(after).map(prefix => this._feeds.get(prefix)?.heardMs ?? -Infinity);
-    return Math.max(0, Math.min(...heardMs) + VIEW_VALID_MS - this._context.clock.nowMs());
+    const nowMs = this._context.clock.nowMs();
+    const fresh = Object.keys(after).map(prefix => this._feeds.get(prefix)?.freshForMs(nowMs) ?? 0);
+    return Math.max(0, Math.min(...fresh));
   }
 
   private _wakeFollowers(): void {
--- a/packages/gateway/src/watchFeed.ts
+++ b/packages/gateway/src/watchFeed.ts
@@ -5,12 +5,18 @@
 
 /** Changes that are kept: several seconds of a pool of hundreds of endpoints. */
 const MAX_EVENTS = 2000;
+/** A shorter watch only asks whether the store is there. */
+const LEAST_WAIT_MS = 100;
 
 /** One prefix that is watched. */
 export interface WatchedPrefix {
   readonly prefix: string;
-  /** Changes that come in this time are read in one call to the store. */
+  /** Changes that come in this time after others are read in one call to the store. */
   readonly spacingMs: number;
+  /** From one answer of the store to the next, at the most, where nothing changes. */
+  readonly waitMs: number;
+  /** A host that has heard nothing of the store for longer tells its neighbours nothing. */
+  readonly validMs: number;
   /** What of a value is news; the whole value where it is left out. A write that brings no news is not told. */
   readonly newsOf?: (value: string) => string;
 }
@@ -24,6 +30,7 @@
   private _fromRevision = Infinity;
   private _revision = 0;
   private _heardMs = -Infinity;
+  private _changedMs = -Infinity;
 
   constructor(watched: WatchedPrefix) {
     this.watched = watched;
@@ -34,9 +41,22 @@
     return this._revision;
   }
 
-  /** When the store was last heard of, by the monotonic clock. */
-  get heardMs(): number {
-    return this._heardMs;
+  /** How long what is known here may still be told; 0 or less if it is too old. */
+  freshForMs(nowMs: number): number {
+    return this._heardMs + this.watched.validMs - nowMs;
+  }
+
+  /**
+   * How long the next watch may wait for a change. A time in which the store was left alone is part of it: else a host whose
+   * endpoints change now and then is silent for both, and its neighbours take its view for too old.
+   */
+  waitMs(nowMs: number): number {
+    return Math.max(LEAST_WAIT_MS, this.watched.waitMs - Math.max(0, nowMs - this._heardMs));
+  }
+
+  /** How long to wait before the store is asked again, so that changes which come together are read together. */
+  spaceMs(nowMs: number): number {
+    return this._changedMs + this.watched.spacingMs - nowMs;
   }
 
   /** The prefix was read whole. */
@@ -60,6 +80,7 @@
     this._fromRevision = surplus.at(-1)?.version ?? this._fromRevision;
     this._revision = Math.max(known, changes.revision);
     this._heardMs = nowMs;
+    if (changes.events.length > 0) this._changedMs = nowMs;
     return news.length > 0;
   }
 
--- a/tests/gatewayFleet.ts
+++ b/tests/gatewayFleet.ts
@@ -16,6 +16,8 @@
   readonly hosts: number;
   readonly domains: number;
   readonly endpoints: number;
+  /** Endpoints write their records only when these change. */
+  readonly isQuiet?: boolean;
 }
 
 /** A host: its process, and what it costs. */
@@ -167,6 +169,7 @@
       endpointRecord({ address: `10.0.0.1:${i}`, domain: `domain-${i % this._size.domains}` }),
     ) as object;
     this.store.put(`${keys.endpointPrefix}e${i}`, JSON.stringify({ ...record, beat: (this._beats += 1) }));
+    if (this._size.isQuiet === true) return;
     const spreadMs = this._beats <= this._size.endpoints ? (HEARTBEAT_MS * i) / this._size.endpoints : 0;
     this.clock.after(HEARTBEAT_MS + spreadMs, () => this._beat(i));
   }
--- a/tests/sharedWatch.spec.ts
+++ b/tests/sharedWatch.spec.ts
@@ -4,7 +4,7 @@
 import tap from 'tap';
 import { err, every, ok, sleep, VirtualClock } from '@fuchsiahitch/base';
 import type { Owner } from '@fuchsiahitch/batches';
-import { EndpointDirectory, SharedWatch, type Hosts } from '@fuchsiahitch/gateway';
+import { EndpointDirectory, SharedWatch, watchedPrefixes, type Hosts } from '@fuchsiahitch/gateway';
 import { FakeStore, type FakeStoreClient } from './fakeStore.js';
 import { endpointRecord, keys, PlainRecords, testContext } from './gatewayWorld.js';
 
@@ -14,7 +14,10 @@
 }
 
 /** Hosts of one domain that share the watch of endpoints. */
-async function neighbours(...ids: readonly string[]): Promise<{
+async function neighbours(
+  ids: readonly string[],
+  changeEveryMs = 300,
+): Promise<{
   readonly clock: VirtualClock;
   readonly store: FakeStore;
   readonly hosts: readonly Neighbour[];
@@ -27,6 +30,7 @@
   const silent = new Set<string>();
   const handlers = new Map<string, (request: never) => unknown>();
   const stops: AbortController[] = [];
+  let changes = 0;
   const hosts = ids.map(id => {
     const context = testContext(clock, id);
     stops.push(context.stop);
@@ -51,30 +55,27 @@
         return ok(call.reply.parse(await handlers.get(address)?.(request as never)));
       },
     };
-    const watch = new SharedWatch(context, client, [
-      {
-        prefix: keys.endpointPrefix,
-        spacingMs: 900,
-        newsOf: value => new PlainRecords().endpointNews(value),
-      },
-    ]);
+    const records = new PlainRecords();
+    const prefixes = watchedPrefixes(keys, records).filter(({ prefix }) => prefix === keys.endpointPrefix);
+    const watch = new SharedWatch(context, client, prefixes);
     watch.useHosts(directory);
     watch.serve({ handle: (_call, handler) => void handlers.set(id, handler as never) });
-    const endpoints = new EndpointDirectory(context, watch, keys, new PlainRecords(), () => undefined);
+    const endpoints = new EndpointDirectory(context, watch, keys, records, () => undefined);
     endpoints.start();
     return { client, endpoints };
   });
-  // Endpoints write every second or so.
-  every(clock, 300, new AbortController().signal, () =>
-    store.put(`${keys.endpointPrefix}e2`, endpointRecord()),
-  );
+  // A record changes so often; never where it is 0.
+  if (changeEveryMs > 0)
+    every(clock, changeEveryMs, new AbortController().signal, () =>
+      store.put(`${keys.endpointPrefix}e2`, endpointRecord({ slots: 4 + (++changes % 2) })),
+    );
   await clock.advance(5000);
   return { clock, store, hosts, silent, end: () => stops.forEach(stop => stop.abort()) };
 }
 
 await tap.test('should ask the store once for a domain', async t => {
   // Symptom: calls of the store grow with every host. Sequence: a quiet day. Cause: each host watches by itself.
-  const { clock, store, hosts, end } = await neighbours('a', 'b', 'c');
+  const { clock, store, hosts, end } = await neighbours(['a', 'b', 'c']);
   const before = hosts.map(host => host.client.calls);
   await clock.advance(9000);
   const calls = hosts.map((host, i) => host.client.calls - (before[i] ?? 0));
@@ -93,7 +94,7 @@
     // domain falls silent, or the store falls silent to it alone, and the endpoint says that it leaves right then. Cause:
     // hosts that could ask the store wait for a neighbour.
     for (const fault of ['gone', 'blind'] as const) {
-      const { clock, store, hosts, silent, end } = await neighbours('a', 'b', 'c');
+      const { clock, store, hosts, silent, end } = await neighbours(['a', 'b', 'c']);
       const [watching, ...others] = hosts;
       if (!watching) return;
       if (fault === 'gone') silent.add('a');
@@ -108,3 +109,18 @@
     }
   },
 );
+
+await tap.test('should follow a host whose endpoints seldom have something to tell', async t => {
+  // Symptom: three of four calls to the store are watches, and hosts log every few seconds that the watching host has no fresh
+  // view. Sequence: no endpoint's record changes for seconds, or one does now and then. Cause: the watching host's question
+  // to the store, with the pause before it, lasts longer than its view counts as fresh.
+  for (const changeEveryMs of [0, 2300, 3700]) {
+    const { clock, hosts, end } = await neighbours(['a', 'b', 'c'], changeEveryMs);
+    const before = hosts.map(host => host.client.calls);
+    await clock.advance(20_000);
+    const calls = hosts.map((host, i) => host.client.calls - (before[i] ?? 0));
+    t.ok((calls[0] ?? 0) <= 40, `${calls[0]} calls of the host that watches in 20 s`);
+    t.same(calls.slice(1), [0, 0], `a change every ${changeEveryMs} ms`);
+    end();
+  }
+});
