--- a/packages/gateway/src/storedBatches.ts
+++ b/packages/gateway/src/storedBatches.ts
@@ -2,22 +2,23 @@
  * Reads batches that nobody runs from the store: they have ended, or their owners can't be reached.
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
-import { pageFrom, type ItemResult } from '@fuchsiahitch/batches';
+import { pageFrom, type Batch, type ItemResult } from '@fuchsiahitch/batches';
 import type { ItemOutcome, ReadOutcome } from './batchOutcomes.js';
-import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
+import type { BatchStore, HeldClaim } from './batchStore.js';
 import type { GatewayContext } from './gatewayContext.js';
 
 const STORE_TIMEOUT_MS = 1000;
 /** How often a batch whose owner can't be reached is read from the store while a reader waits. */
 const STORED_POLL_MS = 400;
-/** Ended batches that are kept in memory for their readers, about half a megabyte each; the rest is read from the store. */
-const KEPT_STORED = 8;
+/** Batches that are kept in memory for their readers, about a quarter of a megabyte each; the rest is read from the store. */
+const KEPT = 8;
 
 export class StoredBatches {
   private readonly _context: GatewayContext;
   private readonly _store: BatchStore;
   private readonly _isEnded: (batchId: string) => boolean;
-  private readonly _stored = new Map<string, StoredBatch>();
+  private readonly _batches = new KeptReads<Batch>();
+  private readonly _endedResults = new KeptReads<readonly ItemResult[]>();
 
   /** `isEnded`: whether a batch has ended by its claim as last read. */
   constructor(context: GatewayContext, store: BatchStore, isEnded: (batchId: string) => boolean) {
@@ -41,43 +42,55 @@
 
   /** What an item was submitted with. */
   async item(batchId: string, itemId: string): Promise<ItemOutcome> {
-    const stored = await this._load(batchId);
-    if (!stored) return { kind: 'unsure' };
-    const item = stored.batch.items.find(candidate => candidate.id === itemId);
+    const batch = await this._batches.read(batchId, () => this._readBatch(batchId));
+    if (!batch) return { kind: 'unsure' };
+    const item = batch.items.find(candidate => candidate.id === itemId);
     return item ? { kind: 'body', body: Buffer.from(item.bodyBase64, 'base64') } : { kind: 'no-item' };
   }
 
-  /** Undefined if the store can't be read. */
+  /**
+   * Undefined if the store can't be read. The results of an ended batch never change again. It must have ended before they were
+   * read: a read that overlaps the end may find fewer results than readers elsewhere are shown, for good.
+   */
   private async _results(batchId: string, held: HeldClaim): Promise<readonly ItemResult[] | undefined> {
-    if (held.claim.isEnded) {
-      const stored = await this._load(batchId);
-      return stored?.results;
-    }
-    const results = await this._store.results(batchId, this._storeDeadline());
-    return results.ok ? results.value : undefined;
+    const read = (): Promise<readonly ItemResult[] | undefined> => this._readResults(batchId);
+    const isFinal = held.claim.isEnded && this._isEnded(batchId);
+    return isFinal ? this._endedResults.read(batchId, read) : read();
   }
 
-  /**
-   * An ended batch never changes again, so that its last readers need one read of the store. It must have ended before
-   * that read began: one that overlaps the end may hold fewer results than readers elsewhere are shown, for good.
-   */
-  private async _load(batchId: string): Promise<StoredBatch | undefined> {
-    const known = this._stored.get(batchId);
-    if (known) return known;
-    const hadEnded = this._isEnded(batchId);
-    const stored = await this._store.load(batchId, this._storeDeadline());
-    if (!stored.ok) return undefined;
-    if (hadEnded) this._keep(batchId, stored.value);
-    return stored.value;
+  private async _readBatch(batchId: string): Promise<Batch | undefined> {
+    const batch = await this._store.submitted(batchId, this._storeDeadline());
+    return batch.ok ? batch.value : undefined;
   }
 
-  private _keep(batchId: string, stored: StoredBatch): void {
-    this._stored.set(batchId, stored);
-    const [oldest] = this._stored.keys();
-    if (this._stored.size > KEPT_STORED && oldest !== undefined) this._stored.delete(oldest);
+  private async _readResults(batchId: string): Promise<readonly ItemResult[] | undefined> {
+    const results = await this._store.results(batchId, this._storeDeadline());
+    return results.ok ? results.value : undefined;
   }
 
   private _storeDeadline(): Deadline {
     return Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
   }
 }
+
+/** Reads of what never changes, made once for all who ask meanwhile and kept for those who ask later. */
+class KeptReads<T> {
+  private readonly _kept = new Map<string, Promise<T | undefined>>();
+
+  /** Undefined, and not kept, if it can't be read. */
+  async read(key: string, load: () => Promise<T | undefined>): Promise<T | undefined> {
+    const known = this._kept.get(key);
+    if (known) return known;
+    const reading = load();
+    this._keep(key, reading);
+    const value = await reading;
+    if (value === undefined && this._kept.get(key) === reading) this._kept.delete(key);
+    return value;
+  }
+
+  private _keep(key: string, reading: Promise<T | undefined>): void {
+    this._kept.set(key, reading);
+    const [oldest] = this._kept.keys();
+    if (this._kept.size > KEPT && oldest !== undefined) this._kept.delete(oldest);
+  }
+}
--- a/tests/endedReads.spec.ts
+++ b/tests/endedReads.spec.ts
@@ -477,3 +477,25 @@
   t.same(readers.broken, []);
   world.stop();
 });
+
+await tap.test('should read an ended batch once for all who ask a host', async t => {
+  // Symptom: one in twelve calls to the store lists a batch that has ended. Sequence: several readers and askers for bodies come
+  // to a host that did not run the batch, some while its records are being read. Cause: each of them reads all records anew.
+  const [world, a, b] = await started('a', 'b');
+  if (!a || !b) return;
+  const { clock, store } = world;
+  await world.until(a.batches.submit(BATCH, Deadline.after(clock, 1000)));
+  await clock.advance(1000);
+  t.equal(await world.until(a.batches.end('b1')), 'ended');
+  b.storeClient.slowMs = 50;
+  const listsBefore = store.calls.filter(call => call === 'list').length;
+  const lists = (): number => store.calls.filter(call => call === 'list').length - listsBefore;
+  const pages = await world.until(Promise.all([1, 2, 3].map(() => b.batches.read('b1', 0, 500))));
+  for (const outcome of pages) t.equal(outcome.kind === 'page' && outcome.page.results.length, 3);
+  t.equal(lists(), 1, 'the results, and no bodies');
+  const bodies = await world.until(Promise.all(['x', 'y', 'x'].map(id => b.batches.item('b1', id))));
+  for (const outcome of bodies) t.equal(outcome.kind, 'body');
+  await world.until(b.batches.read('b1', 1, 500));
+  t.equal(lists(), 2, 'the bodies once');
+  world.stop();
+});
