Logs: an attempt tells why it did not run or broke, and which request it was

An endpoint ended under a request again and again, and the lines of the attempts could not tell whether it was the same request: callers bring it under new identifiers, at other hosts. A broken attempt now has a digest of account, host, method, path and body; each attempt its reason; streams have the line too.

--- a/packages/base/src/hash.ts
+++ b/packages/base/src/hash.ts
@@ -1,9 +1,12 @@
 /**
  * Hashing that every host computes alike: keys to slots, and names to the hosts responsible for them.
  */
+import { createHash } from 'node:crypto';
 import xxhash from 'xxhash-wasm';
 
 const hasher = await xxhash();
+/** Hexadecimal digits of 128 bits. */
+const STRONG_DIGEST_LENGTH = 32;
 
 /** A 32-bit hash of a text. */
 export function hash32(text: string): number {
@@ -15,6 +18,21 @@
   return hasher.h64ToString(text);
 }
 
+/**
+ * A 128-bit digest of parts in their order, in hexadecimal. Nobody can make two lists of parts that share it: use it where a
+ * caller could gain by passing for another.
+ */
+export function strongDigest(parts: readonly (string | Uint8Array)[]): string {
+  const hash = createHash('sha256');
+  for (const part of parts) {
+    const bytes = typeof part === 'string' ? Buffer.from(part) : part;
+    // With its length before it, no part can pass for the end of another.
+    hash.update(`${bytes.length}:`);
+    hash.update(bytes);
+  }
+  return hash.digest('hex').slice(0, STRONG_DIGEST_LENGTH);
+}
+
 /**
  * Rendezvous order: the candidates sorted by their weight for `name`, highest first. When a candidate
  * leaves, only the names that it held move.
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -5,17 +5,19 @@
  * is late. Any other request is sent again only after proof that it did not run. One place counts attempts, so
  * that no two layers retry the same request.
  */
-import { afterReading, Deadline, type CancelTimer } from '@fuchsiahitch/base';
-import { EndpointPicker, RetryBudget, type PickRequest } from '@fuchsiahitch/requests';
+import { afterReading, Deadline, messageOf, type CancelTimer } from '@fuchsiahitch/base';
+import { EndpointPicker, requestFingerprint, RetryBudget, type PickRequest } from '@fuchsiahitch/requests';
 import type { Route } from '@fuchsiahitch/rules';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
-import type { EndpointAnswer, EndpointClient, HeaderPair } from './ports.js';
+import type { EndpointAnswer, EndpointClient, EndpointReply, HeaderPair } from './ports.js';
 
 /** A request of a caller, read whole. */
 export interface CallerRequest {
   readonly id: string;
+  /** The client account's credential; empty where callers bring none. */
+  readonly credential: string;
   readonly host: string;
   readonly method: string;
   readonly target: string;
@@ -60,10 +62,28 @@
 /** How one attempt ended. */
 type AttemptEnd =
   | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly isFailure: boolean }
-  | { readonly kind: 'not-run' }
-  | { readonly kind: 'broken' }
+  | { readonly kind: 'not-run'; readonly reason: string }
+  | { readonly kind: 'broken'; readonly text: string }
   | { readonly kind: 'cancelled' };
 
+/** An end of an attempt, as the log tells it; of a stream, the head of its answer. */
+type LoggedEnd = AttemptEnd | EndpointReply;
+
+/** What the log tells of an attempt beside its end. */
+interface AttemptFacts {
+  /** Sends of the request so far, this one included. */
+  readonly number: number;
+  readonly tookMs: number;
+  /** The time that the request had when it was sent. */
+  readonly leftMs: number;
+}
+
+interface StreamAttempt {
+  readonly deadline: Deadline;
+  /** Sends of the stream so far, this one included. */
+  readonly number: number;
+}
+
 /** Without a word of the caller or the route a request may take this long. */
 const DEFAULT_TIMEOUT_MS = 30_000;
 /** An idempotent request is sent to a second endpoint after this share of its target, if still unanswered. */
@@ -133,7 +153,7 @@
       if (!endpoint) break;
       tried.add(endpoint.id);
       const hop = this._context.tracing.begin('endpoint', request.trace);
-      const end = await this._streamOnce(request, endpoint, deadline, sink, left);
+      const end = await this._streamOnce(request, endpoint, { deadline, number: attempt + 1 }, sink, left);
       hop.end({ requestId: request.id, endpointId: endpoint.id, end: end?.kind ?? 'not-run' });
       if (end) return end;
     }
@@ -186,6 +206,21 @@
     return end;
   }
 
+  logAttempt(request: CallerRequest, endpoint: Endpoint, end: LoggedEnd, facts: AttemptFacts): void {
+    this._context.log.info('request attempt', {
+      requestId: request.id,
+      endpointId: endpoint.id,
+      attempt: facts.number,
+      end: end.kind,
+      reason: 'reason' in end ? end.reason : 'text' in end ? end.text : undefined,
+      status: end.kind === 'answered' ? end.answer.status : undefined,
+      // Only of what broke, since hashing takes time: it tells whether the same request comes again, under other identifiers.
+      fingerprint: end.kind === 'broken' ? requestFingerprint(request) : undefined,
+      tookMs: Math.round(facts.tookMs),
+      leftMs: Math.round(facts.leftMs),
+    });
+  }
+
   private async _exchange(
     request: CallerRequest,
     endpoint: Endpoint,
@@ -197,9 +232,9 @@
     if (reply.kind === 'not-run') {
       if (reply.reason === 'refused') endpoint.limit.refused();
       if (reply.load) endpoint.loaded(reply.load);
-      return { kind: 'not-run' };
+      return { kind: 'not-run', reason: reply.reason };
     }
-    if (reply.kind !== 'answered') return { kind: reply.kind };
+    if (reply.kind !== 'answered') return reply;
     return this._readWhole(endpoint, reply.answer, signal);
   }
 
@@ -212,13 +247,15 @@
     const chunks: Buffer[] = [];
     try {
       for await (const chunk of answer.body) chunks.push(chunk);
-    } catch {
+    } catch (thrown) {
+      if (signal.aborted) return { kind: 'cancelled' };
       // Part of an answer is none: whether it ran is unknown, and only the next attempt can tell more.
-      return { kind: signal.aborted ? 'cancelled' : 'broken' };
+      return { kind: 'broken', text: messageOf(thrown) };
     }
     const isSuccess = answer.status < FIRST_ERROR;
     // A success without the endpoint's proof did not come from it as it was made.
-    if (isSuccess && answer.proof === undefined) return { kind: 'broken' };
+    if (isSuccess && answer.proof === undefined)
+      return { kind: 'broken', text: 'a success without proof of its origin' };
     const { status, headers, proof } = answer;
     const whole = { status, headers, body: Buffer.concat(chunks), proof };
     return { kind: 'answered', answer: whole, isFailure: answer.status >= SERVER_ERROR };
@@ -227,12 +264,16 @@
   private async _streamOnce(
     request: CallerRequest,
     endpoint: Endpoint,
-    deadline: Deadline,
+    { deadline, number }: StreamAttempt,
     sink: StreamSink,
     left: AbortSignal,
   ): Promise<ForwardOutcome | undefined> {
     endpoint.stats.began(false);
-    const reply = await this._client.send(toCall(request, endpoint, deadline.leftMs()), left);
+    const startedMs = this._context.clock.nowMs();
+    const leftMs = deadline.leftMs();
+    const reply = await this._client.send(toCall(request, endpoint, leftMs), left);
+    const tookMs = this._context.clock.nowMs() - startedMs;
+    this.logAttempt(request, endpoint, reply, { number, tookMs, leftMs });
     if (reply.kind !== 'answered') {
       endpoint.stats.ended(false, reply.kind === 'broken');
       if (reply.kind === 'not-run') return undefined;
@@ -345,15 +386,8 @@
     this._running -= 1;
     this._events.push(end);
     this._wake?.();
-    this._context.log.info('request attempt', {
-      requestId: this._request.id,
-      endpointId: endpoint.id,
-      attempt,
-      end: end.kind,
-      status: end.kind === 'answered' ? end.answer.status : undefined,
-      tookMs: Math.round(this._context.clock.nowMs() - startedMs),
-      leftMs: Math.round(leftMs),
-    });
+    const tookMs = this._context.clock.nowMs() - startedMs;
+    this._forwarder.logAttempt(this._request, endpoint, end, { number: attempt, tookMs, leftMs });
   }
 
   private _take(end: AttemptEnd): ForwardOutcome | undefined {
--- a/packages/gateway/src/itemScoring.ts
+++ b/packages/gateway/src/itemScoring.ts
@@ -112,6 +112,7 @@
   private async _ask(request: ScoreRequest, route: Route, signal: AbortSignal): Promise<ScoreEnd> {
     const call: CallerRequest = {
       id: request.id,
+      credential: '',
       host: request.host,
       method: 'POST',
       target: request.path,
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -42,6 +42,7 @@
 
 const REQUEST: CallerRequest = {
   id: 'r1',
+  credential: '',
   host: 'quests',
   method: 'POST',
   target: '/run/1',
--- a/tests/lateLoopPeers.spec.ts
+++ b/tests/lateLoopPeers.spec.ts
@@ -315,7 +315,15 @@
   const second: EndpointReply = { kind: 'answered', answer: answer(200, 'second') };
   client.reply = async () => (client.sends.length === 1 ? first : second);
   const safe = route({ run: 'idempotent', maxAttempts: 2, targetMs: 200, timeoutMs: 1500 });
-  const request = { id: 'r1', host: 'quests', method: 'GET', target: '/', headers: [], body: undefined };
+  const request = {
+    id: 'r1',
+    credential: '',
+    host: 'quests',
+    method: 'GET',
+    target: '/',
+    headers: [],
+    body: undefined,
+  };
   const forwarder = new Forwarder(context, endpoints, client);
   const outcome = forwarder.forward({ ...request, waitMs: 1500 }, safe, new AbortController().signal);
   return { clock, client, outcome, answerFirst, stop: context.stop };
