Poison requests: what ends endpoints is remembered by all hosts, and kept from them

Callers saw lookups refused for one to two seconds each time that one request came: it ended the endpoints that ran it, one after the other, at any host and under any identifier, and an item of a batch went on for ever.

Cause: a broken connection was nobody's fault, and what a host learnt by it ended with the attempt. No layer knew that the same request had come before.

Now a host that sees a request break looks whether the endpoint has ended (its port refuses a connection), and counts that for the request's digest. Ends are told to all hosts through keys under the prefix that they watch anyway, which outlive the host that wrote them; after two, retries included, the request is held for 2 s, then one copy of it is tried in the whole fleet; a further end condemns it, and an answer clears it. Later trials after 60 and 600 s, then none.

Why it holds: every way to an endpoint asks before each send, ends are keys that no host takes back but by an answer, and trials are claimed by a write under a condition.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -1,4 +1,5 @@
 /** Adapters to the platform, the endpoints and the scorers. */
+export * from './connectionProbe.js';
 export * from './engine.js';
 export * from './endpointPools.js';
 export * from './etcdStore.js';
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -15,6 +15,8 @@
 import { ItemPauses } from './itemPauses.js';
 import { ItemPlacer, type EndpointTiers } from './itemPlacer.js';
 import { ItemScoring } from './itemScoring.js';
+import { ItemSuspects } from './itemSuspects.js';
+import type { PoisonGuard } from './poisonGuard.js';
 import type { EndpointClient } from './ports.js';
 import { ProgressKeeper } from './progressKeeper.js';
 import { ResultLister } from './resultLister.js';
@@ -26,6 +28,7 @@
   readonly configuration: ConfigurationService;
   readonly client: EndpointClient;
   readonly forwarder: Forwarder;
+  readonly poison: PoisonGuard;
   /** How long after a confirmation by the store an owner may act on its claim. */
   readonly claimLeaseMs: number;
 }
@@ -65,6 +68,7 @@
   private readonly _lister: ResultLister;
   private readonly _scoring: ItemScoring;
   private readonly _pauses: ItemPauses;
+  private readonly _suspects: ItemSuspects;
   private readonly _lease: ClaimLease;
   private readonly _placer: ItemPlacer;
   private _isStopped = false;
@@ -95,6 +99,7 @@
     this._lease = new ClaimLease(context, store, batch.id, held, ports.claimLeaseMs, () => this.lose());
     this._placer = new ItemPlacer(context, ports, this.ledger);
     this._pauses = new ItemPauses(context, batch.id, 'generation');
+    this._suspects = new ItemSuspects(context, ports.poison, this.ledger, () => this._place());
     this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () => this._lister.list());
     this._lister = new ResultLister(context, store, this.ledger, startedMs, this._lease, () =>
       this._wakeReaders(),
@@ -247,7 +252,7 @@
    */
   private _sendWaiting(): boolean {
     this._scoring.run();
-    const waiting = this._pauses.ready(this.ledger.waiting());
+    const waiting = this._suspects.ready(this._pauses.ready(this.ledger.waiting()));
     const tiers = waiting.length > 0 ? this._placer.tiers() : [];
     let begun = 0;
     for (const item of waiting) {
@@ -265,14 +270,15 @@
   }
 
   private _placeItem(item: BatchItem, tiers: EndpointTiers): boolean {
-    const endpoint = this._placer.choose(item, tiers);
+    const endpoint = this._placer.choose(item, tiers, this._suspects.has(item));
     if (endpoint) void this._run(item, endpoint);
     return endpoint !== undefined;
   }
 
   private async _run(item: BatchItem, endpoint: Endpoint): Promise<void> {
     const number = this.ledger.begin(item.id);
-    this._placer.began(item, endpoint);
+    // Where an endpoint has ended under an item, those of its group that follow it break with the next one.
+    if (!this._suspects.has(item)) this._placer.began(item, endpoint);
     const mayLeave = (asking: ItemAttempt): boolean =>
       this.mayAct() && this._placer.hasOtherPlace(item, asking);
     const { client } = this._ports;
@@ -282,6 +288,7 @@
     const claimAgeMs = this._lease.ageMs();
     const claimRevision = this._lease.held.revision;
     const end = await attempt.run();
+    await this._suspects.ended(item, endpoint, end);
     this._attempts.delete(item.id);
     const tookMs = this._context.clock.nowMs() - startedMs;
     this._logAttempt(item, endpoint, { number, tookMs, claimRevision, claimAgeMs }, end);
--- a/packages/gateway/src/callerStore.ts
+++ b/packages/gateway/src/callerStore.ts
@@ -19,7 +19,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 
 /** The parts of the gateway that call the store. */
-export type StoreCaller = 'watch' | 'host-lease' | 'orders-lease' | 'batches' | 'sweep';
+export type StoreCaller = 'watch' | 'host-lease' | 'orders-lease' | 'batches' | 'sweep' | 'poison';
 
 export class CallerStore implements RevisionedStore {
   private readonly _store: RevisionedStore;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -11,6 +11,7 @@
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
+import type { PoisonGuard } from './poisonGuard.js';
 import type { EndpointAnswer, EndpointClient, EndpointReply, HeaderPair } from './ports.js';
 
 /** A request of a caller, read whole. */
@@ -49,13 +50,15 @@
 }
 
 /**
- * How a request ended. `not-run` is a promise: no endpoint ran it or will. `failures`: endpoints that answered it with a
+ * How a request ended. `not-run` is a promise, and so is `rejected`: no endpoint ran it or will. `failures`: endpoints that answered it with a
  * failure of their own.
  */
 export type ForwardOutcome =
   | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly failures: number }
   | { readonly kind: 'streamed' }
   | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  /** The request is at fault: no endpoint is given it, and it is of no use to bring it again. */
+  | { readonly kind: 'rejected'; readonly reason: string }
   | { readonly kind: 'unknown'; readonly reason: 'broken' | 'late' }
   | { readonly kind: 'caller-left' };
 
@@ -108,12 +111,19 @@
   private readonly _endpoints: EndpointDirectory;
   private readonly _client: EndpointClient;
   private readonly _picker: EndpointPicker;
+  private readonly _poison: PoisonGuard;
   private readonly _hedges = new RetryBudget(HEDGE_BUDGET.share, HEDGE_BUDGET.burst);
 
-  constructor(context: GatewayContext, endpoints: EndpointDirectory, client: EndpointClient) {
+  constructor(
+    context: GatewayContext,
+    endpoints: EndpointDirectory,
+    client: EndpointClient,
+    poison: PoisonGuard,
+  ) {
     this._context = context;
     this._endpoints = endpoints;
     this._client = client;
+    this._poison = poison;
     this._picker = new EndpointPicker(context.random);
   }
 
@@ -121,8 +131,10 @@
   async forward(request: CallerRequest, route: Route, left: AbortSignal): Promise<ForwardOutcome> {
     this._hedges.requestBegan();
     const hop = this._context.tracing.begin('caller', request.trace);
-    const run = new ForwardRun(this._context, this, { ...request, trace: hop.traceparent }, route, left);
-    const outcome = await run.run();
+    const traced = { ...request, trace: hop.traceparent };
+    const outcome = await this._admitted(traced, route, async admitted =>
+      new ForwardRun(this._context, this, this._poison, traced, admitted, left).run(),
+    );
     hop.end({ requestId: request.id, outcome: outcome.kind });
     return outcome;
   }
@@ -135,11 +147,41 @@
     left: AbortSignal,
   ): Promise<ForwardOutcome> {
     const hop = this._context.tracing.begin('caller', request.trace);
-    const outcome = await this._stream({ ...request, trace: hop.traceparent }, route, sink, left);
+    const traced = { ...request, trace: hop.traceparent };
+    const outcome = await this._admitted(traced, route, admitted =>
+      this._stream(traced, admitted, sink, left),
+    );
     hop.end({ requestId: request.id, outcome: outcome.kind });
     return outcome;
   }
 
+  /** Runs a request unless endpoints have ended under it, and notes for the other hosts how it went. */
+  private async _admitted(
+    request: CallerRequest,
+    route: Route,
+    run: (route: Route) => Promise<ForwardOutcome>,
+  ): Promise<ForwardOutcome> {
+    const verdict = await this._poison.admit(request);
+    switch (verdict.kind) {
+      case 'free':
+        return this._noted(request, await run(route));
+      case 'trial': {
+        const outcome = await run({ ...route, maxAttempts: 1 });
+        if (outcome.kind === 'not-run') this._poison.trialDropped(request, verdict.number);
+        return this._noted(request, outcome);
+      }
+      case 'held':
+        return { kind: 'not-run', reason: 'endpoints ended under it', retryAfterMs: verdict.leftMs };
+      case 'condemned':
+        return { kind: 'rejected', reason: 'endpoints end under it' };
+    }
+  }
+
+  private _noted(request: CallerRequest, outcome: ForwardOutcome): ForwardOutcome {
+    if (outcome.kind !== 'answered') this._poison.gaveUp(request);
+    return outcome;
+  }
+
   private async _stream(
     request: CallerRequest,
     route: Route,
@@ -274,6 +316,7 @@
     const reply = await this._client.send(toCall(request, endpoint, leftMs), left);
     const tookMs = this._context.clock.nowMs() - startedMs;
     this.logAttempt(request, endpoint, reply, { number, tookMs, leftMs });
+    if (reply.kind === 'broken') await this._poison.broke(request, endpoint);
     if (reply.kind !== 'answered') {
       endpoint.stats.ended(false, reply.kind === 'broken');
       if (reply.kind === 'not-run') return undefined;
@@ -285,10 +328,12 @@
       for await (const chunk of reply.answer.body) await sink.write(chunk);
       sink.end();
       endpoint.stats.ended(false, false);
+      this._poison.answered(request);
     } catch {
       // The stream broke off: the caller must see that it is not whole.
       sink.abort();
       endpoint.stats.ended(false, !left.aborted);
+      if (!left.aborted) await this._poison.broke(request, endpoint);
     }
     return { kind: 'streamed' };
   }
@@ -308,6 +353,7 @@
 class ForwardRun {
   private readonly _context: GatewayContext;
   private readonly _forwarder: Forwarder;
+  private readonly _poison: PoisonGuard;
   private readonly _request: CallerRequest;
   private readonly _route: Route;
   private readonly _left: AbortSignal;
@@ -325,12 +371,14 @@
   constructor(
     context: GatewayContext,
     forwarder: Forwarder,
+    poison: PoisonGuard,
     request: CallerRequest,
     route: Route,
     left: AbortSignal,
   ) {
     this._context = context;
     this._forwarder = forwarder;
+    this._poison = poison;
     this._request = request;
     this._route = route;
     this._left = left;
@@ -369,6 +417,8 @@
   /** Sends the request to one more endpoint, if its route allows another and there is one. */
   private _start(): boolean {
     if (this._sent >= this._route.maxAttempts || this._deadline.isOver()) return false;
+    // What ended the endpoints that ran it would end the next one, and with it all that others have there.
+    if (this._sent > 0 && this._poison.verdict(this._request).kind !== 'free') return false;
     const endpoint = this._forwarder.choose(this._route, this._tried, this._request.isBackground);
     if (!endpoint) return false;
     this._tried.add(endpoint.id);
@@ -383,6 +433,8 @@
     const leftMs = this._deadline.leftMs();
     const startedMs = this._context.clock.nowMs();
     const end = await this._forwarder.attempt(this._request, endpoint, leftMs, this._stop.signal);
+    if (end.kind === 'broken') await this._poison.broke(this._request, endpoint);
+    if (end.kind === 'answered') this._poison.answered(this._request);
     this._running -= 1;
     this._events.push(end);
     this._wake?.();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { HostDirectory, type CallRegistry, type HostDirectoryOptions } from './hostDirectory.js';
 import { ReachMonitor } from './reachMonitor.js';
 import { OrphanedBatches } from './orphanedBatches.js';
+import { PoisonGuard } from './poisonGuard.js';
 import { RelayedStore } from './relayedStore.js';
 import { SharedWatch } from './sharedWatch.js';
 import { storeRelayCall } from './storeRelayMessages.js';
@@ -78,13 +79,15 @@
       relay: (address, request, timeoutMs) => peers.call(address, storeRelayCall, request, timeoutMs),
     });
     this._reach = new ReachMonitor(context, store, this.hosts);
-    this.forwarder = new Forwarder(context, this.endpoints, client);
+    const poison = new PoisonGuard(context, storeOf('poison'), this.hosts, client);
+    this.forwarder = new Forwarder(context, this.endpoints, client, poison);
     const ports = {
       store: new BatchStore(context, storeOf('batches')),
       endpoints: this.endpoints,
       configuration: this.configuration,
       client,
       forwarder: this.forwarder,
+      poison,
       claimLeaseMs: claimLeaseMs(options.batchEndMs),
     };
     this._sweeper = new BatchSweeper(context, storeOf('sweep'), ports.store, options.batchReadableMs);
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -14,6 +14,11 @@
     'kind',
     'end',
   ]);
+  readonly poison = this.counter(
+    'fuchsiahitch_poison_total',
+    'Ends of endpoints under requests, and what followed',
+    ['event'],
+  );
   readonly batches = this.counter('fuchsiahitch_batches_total', 'Batch calls by outcome', [
     'call',
     'outcome',
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -13,7 +13,7 @@
 import { StoreLease } from './storeLease.js';
 import { StoreMirror, type MirrorSource } from './storeMirror.js';
 
-/** Keys that end with the process that wrote them. */
+/** Keys that end with a lease, most of them with that of the process that wrote them. */
 export const LIVE_PREFIX = `${ROOT}live/`;
 const HOST_PREFIX = `${LIVE_PREFIX}host/`;
 
@@ -74,10 +74,23 @@
   ): Promise<Result<A, CallError>>;
 }
 
+/** Hears of the keys under one prefix. */
+export interface KeyListener {
+  /** The key is new, or was written again. */
+  changed(key: string): void;
+  removed(key: string): void;
+}
+
+/** Lets others hear of keys among those that every host watches for the sake of the living hosts. */
+export interface LiveKeys {
+  /** `prefix` begins with `LIVE_PREFIX`. */
+  watchKeys(prefix: string, listener: KeyListener): void;
+}
+
 /** Takes the handlers of calls from peers. */
 export type CallRegistry = Pick<PeerServer, 'handle'>;
 
-export class HostDirectory implements Hosts {
+export class HostDirectory implements Hosts, LiveKeys {
   private readonly _context: GatewayContext;
   private readonly _options: HostDirectoryOptions;
   private readonly _mirror: StoreMirror;
@@ -86,6 +99,7 @@
   private readonly _domains = new Map<string, string>();
   private readonly _values = new Map<string, string>();
   private readonly _keyWatches = new Map<string, () => void>();
+  private readonly _listeners = new Map<string, KeyListener>();
   private readonly _gone = new GoneProcesses();
   private readonly _changes: HostChangeLog;
   private readonly _hostGone: () => void;
@@ -159,6 +173,10 @@
     this._keyWatches.set(key, run);
   }
 
+  watchKeys(prefix: string, listener: KeyListener): void {
+    this._listeners.set(prefix, listener);
+  }
+
   lastOrders(domain: string): OrdersHandover | undefined {
     const value = this._values.get(lastOrdersKey(domain));
     return value === undefined ? undefined : decodeHandover(value);
@@ -181,7 +199,17 @@
     return this._options.peers.call(address, call, request, timeoutMs);
   }
 
+  private _listenerOf(key: string): KeyListener | undefined {
+    for (const [prefix, listener] of this._listeners) if (key.startsWith(prefix)) return listener;
+    return undefined;
+  }
+
   private _changed(key: string, value: string): void {
+    const listener = this._listenerOf(key);
+    if (listener) {
+      listener.changed(key);
+      return;
+    }
     this._values.set(key, value);
     this._keyWatches.get(key)?.();
     if (!key.startsWith(HOST_PREFIX)) return;
@@ -205,6 +233,11 @@
   }
 
   private _removed(key: string): void {
+    const listener = this._listenerOf(key);
+    if (listener) {
+      listener.removed(key);
+      return;
+    }
     this._values.delete(key);
     this._keyWatches.get(key)?.();
     if (!key.startsWith(HOST_PREFIX)) return;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,6 +19,8 @@
 export * from './loopDelay.js';
 export * from './orphanedBatches.js';
 export * from './peerCaller.js';
+export * from './poisonGuard.js';
+export * from './poisonRecords.js';
 export * from './ports.js';
 export * from './reachMonitor.js';
 export * from './relayedStore.js';
--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -62,11 +62,11 @@
     return tiers.map(endpoints => new EndpointTier(endpoints));
   }
 
-  /** An endpoint that has a place for the item, which begins there at once. */
-  choose(item: BatchItem, tiers: EndpointTiers): Endpoint | undefined {
+  /** An endpoint that has a place for the item, which begins there at once. `isAlone`: it does not follow its group. */
+  choose(item: BatchItem, tiers: EndpointTiers, isAlone = false): Endpoint | undefined {
     const avoid = this._avoided.get(item.id) ?? new Set<string>();
     const request = {
-      groupEndpointId: this._groupEndpoints.get(item.group),
+      groupEndpointId: isAlone ? undefined : this._groupEndpoints.get(item.group),
       isLong: item.expectedTokens >= this._longTokens || this._isBegun(item),
       ownDomain: this._context.domain,
       avoid,
--- /dev/null
+++ b/packages/gateway/src/poisonGuard.ts
@@ -0,0 +1,213 @@
+/**
+ * Keeps poison requests from the endpoints: learns of them here and from the other hosts, and decides before each send.
+ *
+ * Every way to an endpoint asks here: first sends, retries, second sends, streams, scores, and the items of batches at each of
+ * their owners. The decision and its thresholds are `PoisonCases`'.
+ */
+import {
+  PoisonCases,
+  requestFingerprint,
+  targetDigest,
+  type PoisonVerdict,
+  type RequestIdentity,
+} from '@fuchsiahitch/requests';
+import type { RevisionedStore } from '@fuchsiahitch/clients';
+import type { Endpoint } from './endpoint.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { LiveKeys } from './hostDirectory.js';
+import { POISON_PREFIX, PoisonRecords, readPoisonKey, type PoisonMark } from './poisonRecords.js';
+import type { EndpointClient } from './ports.js';
+
+/** Ends of one endpoint that are looked into within this time are one: all its requests break at once. */
+const LOOK_VALID_MS = 500;
+/** After a trial that another host has, or that the store could not grant. */
+const TRIAL_RETRY_MS = 1000;
+/** As many ends are told at once, also while a request may still be answered elsewhere. */
+const TOLD_ENDS = 2;
+/** What is known of a request that still comes is written again after this, well before it lapses. */
+const RETELL_MS = 240_000;
+
+export class PoisonGuard {
+  private readonly _context: GatewayContext;
+  private readonly _client: Pick<EndpointClient, 'hasEnded'>;
+  private readonly _records: PoisonRecords;
+  private readonly _cases: PoisonCases;
+  private readonly _targets = new WeakMap<RequestIdentity, string>();
+  private readonly _fingerprints = new WeakMap<RequestIdentity, string>();
+  private readonly _looks = new Map<string, Promise<boolean>>();
+  /** Requests of which the store has marks, and when this host last heard or told of one. */
+  private readonly _toldMs = new Map<string, number>();
+
+  constructor(
+    context: GatewayContext,
+    store: RevisionedStore,
+    keys: LiveKeys,
+    client: Pick<EndpointClient, 'hasEnded'>,
+  ) {
+    this._context = context;
+    this._client = client;
+    this._records = new PoisonRecords(context, store);
+    this._cases = new PoisonCases(context.clock);
+    keys.watchKeys(POISON_PREFIX, {
+      changed: key => this._heard(key),
+      removed: key => this._removed(key),
+    });
+    const { metrics } = context;
+    metrics.gauge('fuchsiahitch_poison_cases', 'Requests under which endpoints have ended', () =>
+      this._cases.count(),
+    );
+  }
+
+  /** True if no request is known at all: nothing need be asked of any. */
+  isIdle(): boolean {
+    return this._cases.count() === 0;
+  }
+
+  /** What may be done with a request now. Reads its body only if its request line is that of a known one. */
+  verdict(request: RequestIdentity): PoisonVerdict {
+    const fingerprint = this._known(request);
+    return fingerprint === undefined ? { kind: 'free' } : this._cases.verdict(fingerprint);
+  }
+
+  /** As `verdict`; a trial that is due is this host's, or the request is held. */
+  async admit(request: RequestIdentity): Promise<PoisonVerdict> {
+    const verdict = this.verdict(request);
+    if (verdict.kind === 'free') return verdict;
+    const fingerprint = this._fingerprint(request);
+    this._keep(fingerprint);
+    if (verdict.kind !== 'trial') return verdict;
+    const isClaimed = await this._records.claimTrial(fingerprint, verdict.number);
+    this._log('poison trial', fingerprint, { number: verdict.number, isClaimed });
+    if (!isClaimed) return { kind: 'held', leftMs: TRIAL_RETRY_MS };
+    this._noteTold(fingerprint);
+    this._cases.trialBegan(fingerprint, verdict.number);
+    return verdict;
+  }
+
+  /** True if some endpoint has ended under the request. */
+  isSuspect(request: RequestIdentity): boolean {
+    const fingerprint = this._known(request);
+    return fingerprint !== undefined && this._cases.marks(fingerprint).ends.length > 0;
+  }
+
+  /** The request broke at the endpoint. Resolves once it is known whether the endpoint has ended. */
+  async broke(request: RequestIdentity, endpoint: Endpoint): Promise<void> {
+    if (!(await this._hasEnded(endpoint))) return;
+    const fingerprint = this._fingerprint(request);
+    const ends = this._cases.ended(fingerprint, endpoint.startId());
+    this._context.metrics.poison.inc({ event: 'end' });
+    this._log('endpoint ended under a request', fingerprint, { endpointId: endpoint.id, ends });
+    if (ends >= TOLD_ENDS) this._tell(fingerprint);
+  }
+
+  /** The request was answered in full: it ends no endpoint. */
+  answered(request: RequestIdentity): void {
+    const fingerprint = this._known(request);
+    if (fingerprint === undefined) return;
+    const { ends, trials } = this._cases.marks(fingerprint);
+    this._cases.cleared(fingerprint);
+    if (this._toldMs.delete(fingerprint)) this._records.remove(fingerprint, toMarks(ends, trials));
+    this._context.metrics.poison.inc({ event: 'cleared' });
+    this._log('poison cleared', fingerprint, { ends: ends.length, trials: trials.length });
+  }
+
+  /** The request ends here without an answer: from now on the other hosts must know. */
+  gaveUp(request: RequestIdentity): void {
+    const fingerprint = this._known(request);
+    if (fingerprint !== undefined && this._cases.marks(fingerprint).ends.length > 0) this._tell(fingerprint);
+  }
+
+  /** The trial's request did not run after all: it may be made again. */
+  trialDropped(request: RequestIdentity, number: number): void {
+    const fingerprint = this._fingerprint(request);
+    this._cases.trialDropped(fingerprint, number);
+    this._records.remove(fingerprint, [{ kind: 'trial', number }]);
+  }
+
+  private _tell(fingerprint: string): void {
+    const { ends, trials } = this._cases.marks(fingerprint);
+    this._noteTold(fingerprint);
+    this._records.add(fingerprint, toMarks(ends, trials));
+  }
+
+  /** Keeps what is known of a request that still comes from lapsing: without it, endpoints end under it anew. */
+  private _keep(fingerprint: string): void {
+    const toldMs = this._toldMs.get(fingerprint);
+    if (toldMs !== undefined && this._context.clock.nowMs() - toldMs >= RETELL_MS) this._tell(fingerprint);
+  }
+
+  private _noteTold(fingerprint: string): void {
+    this._toldMs.set(fingerprint, this._context.clock.nowMs());
+  }
+
+  /** The fingerprint of a request that may be known; undefined for any other, whose body is not read. */
+  private _known(request: RequestIdentity): string | undefined {
+    if (this.isIdle() || !this._cases.mayConcern(this._target(request))) return undefined;
+    return this._fingerprint(request);
+  }
+
+  private _target(request: RequestIdentity): string {
+    const known = this._targets.get(request);
+    if (known !== undefined) return known;
+    const target = targetDigest(request);
+    this._targets.set(request, target);
+    return target;
+  }
+
+  private _fingerprint(request: RequestIdentity): string {
+    const known = this._fingerprints.get(request);
+    if (known !== undefined) return known;
+    const fingerprint = requestFingerprint(request);
+    this._fingerprints.set(request, fingerprint);
+    return fingerprint;
+  }
+
+  /** One look for all requests that break at the endpoint at a time. */
+  private async _hasEnded(endpoint: Endpoint): Promise<boolean> {
+    const startId = endpoint.startId();
+    const known = this._looks.get(startId);
+    if (known) return known;
+    const look = endpoint.replaced.aborted ? Promise.resolve(true) : this._client.hasEnded(endpoint.info());
+    this._looks.set(startId, look);
+    this._context.clock.after(LOOK_VALID_MS, () => this._looks.delete(startId));
+    return look;
+  }
+
+  private _heard(key: string): void {
+    const marked = readPoisonKey(key);
+    if (!marked) {
+      this._context.log.warn('unreadable poison record', { key });
+      return;
+    }
+    const { fingerprint, mark } = marked;
+    this._noteTold(fingerprint);
+    if (mark.kind === 'trial') {
+      this._cases.trialBegan(fingerprint, mark.number);
+      return;
+    }
+    const before = this._cases.marks(fingerprint).ends.length;
+    const ends = this._cases.ended(fingerprint, mark.startId);
+    if (ends > before) this._log('poison heard', fingerprint, { startId: mark.startId, ends });
+  }
+
+  /** Cleared by a host, or lapsed. */
+  private _removed(key: string): void {
+    const marked = readPoisonKey(key);
+    if (!marked) return;
+    const { fingerprint, mark } = marked;
+    if (mark.kind === 'trial') this._cases.trialDropped(fingerprint, mark.number);
+    else this._cases.endForgotten(fingerprint, mark.startId);
+    if (this._cases.marks(fingerprint).ends.length === 0) this._toldMs.delete(fingerprint);
+  }
+
+  private _log(text: string, fingerprint: string, details: Readonly<Record<string, unknown>>): void {
+    this._context.log.info(text, { fingerprint, ...details });
+  }
+}
+
+function toMarks(ends: readonly string[], trials: readonly number[]): readonly PoisonMark[] {
+  return [
+    ...ends.map((startId): PoisonMark => ({ kind: 'end', startId })),
+    ...trials.map((number): PoisonMark => ({ kind: 'trial', number })),
+  ];
+}
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -134,6 +134,11 @@
   runItem(call: ItemCall, listener: ItemListener, signal: AbortSignal): Promise<ItemEnd>;
   report(endpoint: EndpointInfo, timeoutMs: number): Promise<WeightReport | undefined>;
   order(order: LoadOrder, timeoutMs: number): Promise<OrderAnswer>;
+  /**
+   * True if the start of the endpoint has ended: nobody listens at its address any more. False where that is not certain. Takes
+   * a round trip, or at the most some ten milliseconds where the address is silent.
+   */
+  hasEnded(endpoint: EndpointInfo): Promise<boolean>;
   /** The endpoint at the address has restarted: connections to its former start are not used again. */
   restarted(address: string): void;
 }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -7,6 +7,7 @@
 export * from './keyMessages.js';
 export * from './keySlot.js';
 export * from './outcome.js';
+export * from './poisonCases.js';
 export * from './requestFingerprint.js';
 export * from './requestQueue.js';
 export * from './requestRun.js';
--- /dev/null
+++ b/packages/requests/src/poisonCases.ts
@@ -0,0 +1,151 @@
+/**
+ * Poison requests: those under which endpoints end, one after the other, whichever runs them.
+ *
+ * What goes wrong without a memory of them: a crash looks like a broken connection, so the request is sent to the next
+ * endpoint, and its caller brings it again. One notices it as a pool whose endpoints all restart every few seconds while
+ * everybody's requests are refused. So each end is counted for the requests that ran there.
+ *
+ * An end speaks as well against the requests that merely ran at the same endpoint. Therefore nothing is condemned by such
+ * ends alone: after two, the request is held until the endpoints are back, and one copy of it in the whole fleet is
+ * then tried. An answer clears it; a further end condemns it.
+ */
+import type { Clock } from '@fuchsiahitch/base';
+import { targetOfFingerprint } from './requestFingerprint.js';
+
+/** What may be done with a request. */
+export type PoisonVerdict =
+  /** It may be sent like any other. */
+  | { readonly kind: 'free' }
+  /** One copy may be sent once, by the host that claims this trial for the whole fleet. */
+  | { readonly kind: 'trial'; readonly number: number }
+  /** It may be sound: it waits for its first trial, or for the result of it. */
+  | { readonly kind: 'held'; readonly leftMs: number }
+  /** An endpoint ended under its trial too. */
+  | { readonly kind: 'condemned' };
+
+/** One end may be anything; two, of two endpoints, take two thirds of a pool of three. */
+const MIN_ENDS = 2;
+/**
+ * The pause before each trial. A process is back about two seconds after its end, so that the first trial does not take
+ * the last endpoint of a small pool; later ones only find out whether the endpoints have been repaired. After these no
+ * more: each costs an endpoint and all that runs there.
+ */
+const TRIAL_PAUSES_MS = [2000, 60_000, 600_000] as const;
+/** A trial that has brought neither an answer nor an end by then is taken for an end. */
+const TRIAL_RUN_MS = 2000;
+/** Two ends that lie further apart than this are none of the request's doing. */
+const FORGET_MS = 600_000;
+/** Some hundred bytes each. Beyond it the one that was marked longest ago is forgotten. */
+const MAX_CASES = 2000;
+
+interface PoisonCase {
+  /** The starts of endpoints that have ended under the request. */
+  readonly ends: Set<string>;
+  /** The trials that were begun. */
+  readonly trials: Set<number>;
+  /** Ends that were known when the last trial began. */
+  endsBeforeTrial: number;
+  lastMarkMs: number;
+}
+
+export class PoisonCases {
+  private readonly _clock: Clock;
+  private readonly _cases = new Map<string, PoisonCase>();
+  /** Cases by the digest of their request line. */
+  private readonly _targets = new Map<string, number>();
+
+  constructor(clock: Clock) {
+    this._clock = clock;
+  }
+
+  count(): number {
+    return this._cases.size;
+  }
+
+  /** False if no request with this request line is known: its body need not be read. */
+  mayConcern(target: string): boolean {
+    return this._targets.has(target);
+  }
+
+  /** An endpoint has ended while it ran the request. Returns how many have by now. */
+  ended(fingerprint: string, startId: string): number {
+    this._forgetOld(fingerprint);
+    const known = this._case(fingerprint);
+    if (!known.ends.has(startId)) known.lastMarkMs = this._clock.nowMs();
+    known.ends.add(startId);
+    return known.ends.size;
+  }
+
+  trialBegan(fingerprint: string, number: number): void {
+    const known = this._case(fingerprint);
+    if (known.trials.has(number)) return;
+    known.trials.add(number);
+    known.endsBeforeTrial = known.ends.size;
+    known.lastMarkMs = this._clock.nowMs();
+  }
+
+  /** The request did not run after all. */
+  trialDropped(fingerprint: string, number: number): void {
+    this._cases.get(fingerprint)?.trials.delete(number);
+  }
+
+  /** An end counts no more: the record of it has lapsed, or its request was answered elsewhere. */
+  endForgotten(fingerprint: string, startId: string): void {
+    const known = this._cases.get(fingerprint);
+    known?.ends.delete(startId);
+    if (known?.ends.size === 0) this.cleared(fingerprint);
+  }
+
+  /** The request was answered: whatever ended, it was not the cause. */
+  cleared(fingerprint: string): void {
+    if (!this._cases.delete(fingerprint)) return;
+    const target = targetOfFingerprint(fingerprint);
+    const left = (this._targets.get(target) ?? 1) - 1;
+    if (left > 0) this._targets.set(target, left);
+    else this._targets.delete(target);
+  }
+
+  /** The starts of endpoints that have ended under the request, and its trials. */
+  marks(fingerprint: string): { readonly ends: readonly string[]; readonly trials: readonly number[] } {
+    const known = this._cases.get(fingerprint);
+    return { ends: [...(known?.ends ?? [])], trials: [...(known?.trials ?? [])] };
+  }
+
+  verdict(fingerprint: string): PoisonVerdict {
+    const known = this._cases.get(fingerprint);
+    if (!known || known.ends.size < MIN_ENDS) return { kind: 'free' };
+    const sinceMarkMs = this._clock.nowMs() - known.lastMarkMs;
+    const pauseMs = TRIAL_PAUSES_MS[known.trials.size] ?? Infinity;
+    if (sinceMarkMs >= pauseMs) return { kind: 'trial', number: known.trials.size + 1 };
+    if (known.trials.size === 0) return { kind: 'held', leftMs: pauseMs - sinceMarkMs };
+    const isTrialOpen = known.ends.size === known.endsBeforeTrial && sinceMarkMs < TRIAL_RUN_MS;
+    return isTrialOpen ? { kind: 'held', leftMs: TRIAL_RUN_MS - sinceMarkMs } : { kind: 'condemned' };
+  }
+
+  private _forgetOld(fingerprint: string): void {
+    const known = this._cases.get(fingerprint);
+    if (known && this._clock.nowMs() - known.lastMarkMs >= FORGET_MS) this.cleared(fingerprint);
+  }
+
+  private _case(fingerprint: string): PoisonCase {
+    const known = this._cases.get(fingerprint);
+    if (known) {
+      // Last in order, as the one that was marked last.
+      this._cases.delete(fingerprint);
+      this._cases.set(fingerprint, known);
+      return known;
+    }
+    const [oldest] = this._cases.keys();
+    if (this._cases.size >= MAX_CASES && oldest !== undefined) this.cleared(oldest);
+    const created: PoisonCase = {
+      ends: new Set(),
+      trials: new Set(),
+      endsBeforeTrial: 0,
+      lastMarkMs: this._clock.nowMs(),
+    };
+    this._cases.set(fingerprint, created);
+    const target = targetOfFingerprint(fingerprint);
+    this._targets.set(target, (this._targets.get(target) ?? 0) + 1);
+    return created;
+  }
+}
--- a/packages/requests/src/requestFingerprint.ts
+++ b/packages/requests/src/requestFingerprint.ts
@@ -1,7 +1,7 @@
 /**
  * What makes two requests the same when one comes again: under another identifier, at another host, with other headers.
  */
-import { strongDigest } from '@fuchsiahitch/base';
+import { digest, strongDigest } from '@fuchsiahitch/base';
 
 /** What an endpoint's work on a request depends on. */
 export interface RequestIdentity {
@@ -14,8 +14,22 @@
   readonly body: Uint8Array | undefined;
 }
 
-/** A digest of a request's identity, the same at every host. Hashes the body, at about a gigabyte a second. */
+/**
+ * A digest of the request line, which begins the fingerprints of all requests that share it. It takes microseconds where
+ * a fingerprint reads a body of megabytes: whoever looks for a few known requests compares this first.
+ */
+export function targetDigest({ host, method, target }: RequestIdentity): string {
+  return digest(`${method} ${host} ${target}`);
+}
+
+/** A digest of a request's identity, the same at every host. Reads the whole body. */
 export function requestFingerprint(request: RequestIdentity): string {
   const { credential, host, method, target, body } = request;
-  return strongDigest([credential, host, method, target, body ?? '']);
+  const identity = strongDigest([credential, host, method, target, body ?? '']);
+  return `${targetDigest(request)}-${identity}`;
+}
+
+/** The digest of the request line with which a fingerprint begins. */
+export function targetOfFingerprint(fingerprint: string): string {
+  return fingerprint.slice(0, fingerprint.indexOf('-'));
 }
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -14,6 +14,7 @@
   brokenBody,
   endpointRecord,
   keys,
+  loneGuard,
   PlainRecords,
   route,
   ScriptedClient,
@@ -37,7 +38,8 @@
   await clock.advance(100);
   const client = new ScriptedClient(clock);
   const traced = tracing ? { ...context, tracing } : context;
-  return { clock, client, forwarder: new Forwarder(traced, endpoints, client), stop: context.stop };
+  const poison = loneGuard(context, store.client(), client);
+  return { clock, client, forwarder: new Forwarder(traced, endpoints, client, poison), stop: context.stop };
 }
 
 const REQUEST: CallerRequest = {
--- a/tests/fragileEndpoints.ts
+++ b/tests/fragileEndpoints.ts
@@ -58,6 +58,7 @@
     this._world = world;
     const { client } = world;
     client.reply = (call, signal) => this._send(call, signal);
+    client.ended = info => this._live(info) === undefined;
     client.runItem = (call, listener, signal) => this._runItem(call, listener, signal);
   }
 
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -16,7 +16,15 @@
 } from '@fuchsiahitch/gateway';
 import type { CallDefinition, CallError } from '@fuchsiahitch/protocol';
 import { FakeStore, FakeStoreClient } from './fakeStore.js';
-import { endpointRecord, keys, PlainRecords, route, ScriptedClient, testContext } from './gatewayWorld.js';
+import {
+  endpointRecord,
+  keys,
+  loneGuard,
+  PlainRecords,
+  route,
+  ScriptedClient,
+  testContext,
+} from './gatewayWorld.js';
 import type { TestContext } from './gatewayWorld.js';
 
 const STEP_MS = 10;
@@ -46,12 +54,14 @@
     this.endpoints = new EndpointDirectory(this.context, this.storeClient, keys, records, address =>
       world.client.restarted(address),
     );
+    const poison = loneGuard(this.context, this.storeClient, world.client);
     const ports = {
       store: new BatchStore(this.context, this.storeClient),
       endpoints: this.endpoints,
       configuration: this.configuration,
       client: world.client,
-      forwarder: new Forwarder(this.context, this.endpoints, world.client),
+      forwarder: new Forwarder(this.context, this.endpoints, world.client, poison),
+      poison,
       claimLeaseMs: claimLeaseMs(BATCH_END_MS),
     };
     this.batches = new BatchService(this.context, ports, this);
--- a/tests/gatewayWorld.ts
+++ b/tests/gatewayWorld.ts
@@ -4,9 +4,11 @@
 import { setMaxListeners } from 'node:events';
 import { SeededRandom, VirtualClock } from '@fuchsiahitch/base';
 import type { Batch, BatchItem } from '@fuchsiahitch/batches';
+import type { RevisionedStore } from '@fuchsiahitch/clients';
 import {
   GatewayMetrics,
   LoopDelay,
+  PoisonGuard,
   type EndpointAnswer,
   type EndpointCall,
   type EndpointClient,
@@ -76,6 +78,11 @@
   };
 }
 
+/** What one host alone knows of requests under which endpoints end. */
+export function loneGuard(context: TestContext, store: RevisionedStore, client: EndpointClient): PoisonGuard {
+  return new PoisonGuard(context, store, { watchKeys: () => undefined }, client);
+}
+
 export const keys: RecordKeys = {
   operatorPrefix: 'conf/',
   configurationKey: 'conf/main',
@@ -225,6 +232,7 @@
     isBusy: false,
     sequence: 0,
   });
+  ended: (endpoint: EndpointInfo) => boolean = () => false;
   orderAnswer: OrderAnswer = 'accepted';
   private readonly _clock: VirtualClock;
 
@@ -267,6 +275,10 @@
     return { kind: 'cancelled' };
   }
 
+  async hasEnded(endpoint: EndpointInfo): Promise<boolean> {
+    return Promise.resolve(this.ended(endpoint));
+  }
+
   restarted(address: string): void {
     this.forgotten.push(address);
   }
--- a/tests/lateLoopPeers.spec.ts
+++ b/tests/lateLoopPeers.spec.ts
@@ -29,6 +29,7 @@
   answer,
   endpointRecord,
   keys,
+  loneGuard,
   PlainRecords,
   route,
   ScriptedClient,
@@ -324,7 +325,7 @@
     headers: [],
     body: undefined,
   };
-  const forwarder = new Forwarder(context, endpoints, client);
+  const forwarder = new Forwarder(context, endpoints, client, loneGuard(context, store.client(), client));
   const outcome = forwarder.forward({ ...request, waitMs: 1500 }, safe, new AbortController().signal);
   return { clock, client, outcome, answerFirst, stop: context.stop };
 }
