Forwarding: a connection that nobody takes is no send, and the endpoint is left out for a second

Callers saw lookups refused with 503 for as long as two of a pool's three endpoints were down, though the third one lived: each attempt at an address where nobody listens used up one of the two sends that a route allows, and the next lookup began with the same addresses.

Cause: attempts were counted whether or not they reached an endpoint, and an endpoint's record outlives it by seconds.

An attempt without a connection proves that no endpoint was sent the request, so it is not counted; the endpoint, or one whose address answers for another start, is left out for a second where others are left.

--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -26,6 +26,12 @@
  */
 const ANSWER_VALID_MS = 2500;
 
+/**
+ * An endpoint at whose address nobody took a connection, or another start answered, is left out for so long. Its record lapses
+ * seconds after its end; where it lives and only the way to it was cut, the next request looks again soon.
+ */
+const UNREACHABLE_MS = 1000;
+
 /** A weight version that an endpoint generated with, older than the one that it was known to have. */
 interface OlderVersion {
   readonly version: number;
@@ -52,6 +58,7 @@
   private _nextStartWallMs = Infinity;
   private _saidLeaving = false;
   private _closedUntilMs = -Infinity;
+  private _unreachableUntilMs = -Infinity;
   private readonly _pace = new Pace();
   private _load: RunningLoad | undefined;
 
@@ -177,6 +184,16 @@
     this._closedUntilMs = Math.max(this._closedUntilMs, this._clock.nowMs() + durationMs);
   }
 
+  /** Nobody took a connection at its address just now, or it is another start's. */
+  wasUnreachable(): void {
+    this._unreachableUntilMs = this._clock.nowMs() + UNREACHABLE_MS;
+  }
+
+  /** True while requests had better go elsewhere, where there is another endpoint. */
+  isUnreachable(): boolean {
+    return this._clock.nowMs() < this._unreachableUntilMs;
+  }
+
   /** Items that this host may send now. */
   freePlaces(): number {
     if (this.isLeaving || !this.stats.isUsable() || this._clock.nowMs() < this._closedUntilMs) return 0;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -12,7 +12,7 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { PoisonGuard } from './poisonGuard.js';
-import type { EndpointAnswer, EndpointClient, EndpointReply, HeaderPair } from './ports.js';
+import type { EndpointAnswer, EndpointClient, EndpointReply, HeaderPair, NotRunReason } from './ports.js';
 
 /** A request of a caller, read whole. */
 export interface CallerRequest {
@@ -65,7 +65,7 @@
 /** How one attempt ended. */
 type AttemptEnd =
   | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly isFailure: boolean }
-  | { readonly kind: 'not-run'; readonly reason: string }
+  | { readonly kind: 'not-run'; readonly reason: NotRunReason }
   | { readonly kind: 'broken'; readonly text: string }
   | { readonly kind: 'cancelled' };
 
@@ -81,6 +81,9 @@
   readonly leftMs: number;
 }
 
+/** How one attempt at a stream ended; `not-sent`: another endpoint may be asked. */
+type StreamEnd = ForwardOutcome | { readonly kind: 'not-sent'; readonly reason: NotRunReason };
+
 interface StreamAttempt {
   readonly deadline: Deadline;
   /** Sends of the stream so far, this one included. */
@@ -190,14 +193,16 @@
   ): Promise<ForwardOutcome> {
     const deadline = Deadline.after(this._context.clock, timeoutOf(request, route));
     const tried = new Set<string>();
-    for (let attempt = 0; attempt < route.maxAttempts; attempt++) {
+    let unmade = 0;
+    for (let attempt = 0; attempt - unmade < route.maxAttempts && !deadline.isOver(); attempt++) {
       const endpoint = this.choose(route, tried);
       if (!endpoint) break;
       tried.add(endpoint.id);
       const hop = this._context.tracing.begin('endpoint', request.trace);
       const end = await this._streamOnce(request, endpoint, { deadline, number: attempt + 1 }, sink, left);
-      hop.end({ requestId: request.id, endpointId: endpoint.id, end: end?.kind ?? 'not-run' });
-      if (end) return end;
+      hop.end({ requestId: request.id, endpointId: endpoint.id, end: end.kind });
+      if (end.kind !== 'not-sent') return end;
+      if (end.reason === 'unreachable') unmade += 1;
     }
     return { kind: 'not-run', reason: 'no endpoint takes it', retryAfterMs: RETRY_AFTER_MS };
   }
@@ -209,9 +214,9 @@
   /** The endpoint for an attempt; when all are at their limit, the one with the least load. */
   choose(route: Route, tried: ReadonlySet<string>, isBackground = false): Endpoint | undefined {
     const pool = this._pool(route);
-    const endpoints = this._endpoints
-      .ofPool(pool)
-      .filter(endpoint => !isBackground || hasRoomForBackground(endpoint));
+    const endpoints = reachable(this._endpoints.ofPool(pool), tried).filter(
+      endpoint => !isBackground || hasRoomForBackground(endpoint),
+    );
     const request: PickRequest = {
       pool,
       ownDomain: this._context.domain,
@@ -273,6 +278,7 @@
     const reply = await this._client.send(call, signal);
     if (reply.kind === 'not-run') {
       if (reply.reason === 'refused') endpoint.limit.refused();
+      else endpoint.wasUnreachable();
       if (reply.load) endpoint.loaded(reply.load);
       return { kind: 'not-run', reason: reply.reason };
     }
@@ -309,7 +315,7 @@
     { deadline, number }: StreamAttempt,
     sink: StreamSink,
     left: AbortSignal,
-  ): Promise<ForwardOutcome | undefined> {
+  ): Promise<StreamEnd> {
     endpoint.stats.began(false);
     const startedMs = this._context.clock.nowMs();
     const leftMs = deadline.leftMs();
@@ -319,7 +325,7 @@
     if (reply.kind === 'broken') await this._poison.broke(request, endpoint);
     if (reply.kind !== 'answered') {
       endpoint.stats.ended(false, reply.kind === 'broken');
-      if (reply.kind === 'not-run') return undefined;
+      if (reply.kind === 'not-run') return notSent(endpoint, reply.reason);
       return reply.kind === 'cancelled' ? { kind: 'caller-left' } : { kind: 'unknown', reason: 'broken' };
     }
     noteAnswer(endpoint, reply.answer);
@@ -364,6 +370,8 @@
   private _wake: (() => void) | undefined;
   private _running = 0;
   private _sent = 0;
+  /** Sends for which no connection was made: they reached no endpoint. */
+  private _unmade = 0;
   private _mayHaveRun = false;
   private _failure: WholeAnswer | undefined;
   private _failures = 0;
@@ -416,9 +424,12 @@
 
   /** Sends the request to one more endpoint, if its route allows another and there is one. */
   private _start(): boolean {
-    if (this._sent >= this._route.maxAttempts || this._deadline.isOver()) return false;
+    // Where connections that nobody took count as sends, a request is refused after two endpoints that have ended, though
+    // a third one of its pool lives.
+    const sent = this._sent - this._unmade;
+    if (sent >= this._route.maxAttempts || this._deadline.isOver()) return false;
     // What ended the endpoints that ran it would end the next one, and with it all that others have there.
-    if (this._sent > 0 && this._poison.verdict(this._request).kind !== 'free') return false;
+    if (sent > 0 && this._poison.verdict(this._request).kind !== 'free') return false;
     const endpoint = this._forwarder.choose(this._route, this._tried, this._request.isBackground);
     if (!endpoint) return false;
     this._tried.add(endpoint.id);
@@ -448,6 +459,7 @@
     if (end.kind === 'answered' && !(end.isFailure && mayRepeat)) return this._answered(end.answer);
     if (end.kind === 'answered') this._failure = end.answer;
     if (end.kind !== 'not-run') this._mayHaveRun = true;
+    else if (end.reason === 'unreachable') this._unmade += 1;
     if (end.kind === 'not-run' || mayRepeat) this._start();
     if (this._running > 0 || this._events.length > 0) return undefined;
     if (this._failure) return this._answered(this._failure);
@@ -497,6 +509,11 @@
   return { endpoint: endpoint.info(), method, target, headers, body, leftMs };
 }
 
+function notSent(endpoint: Endpoint, reason: NotRunReason): StreamEnd {
+  if (reason !== 'refused') endpoint.wasUnreachable();
+  return { kind: 'not-sent', reason };
+}
+
 function noteAnswer(endpoint: Endpoint, answer: EndpointAnswer): void {
   if (answer.load) {
     endpoint.loaded(answer.load);
@@ -505,6 +522,12 @@
   if (answer.isLeaving) endpoint.saidLeaving();
 }
 
+/** The endpoints that have not just been found out of reach; all of them where none of these is left to try. */
+function reachable(endpoints: readonly Endpoint[], tried: ReadonlySet<string>): readonly Endpoint[] {
+  const better = endpoints.filter(endpoint => !endpoint.isUnreachable());
+  return better.some(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)) ? better : endpoints;
+}
+
 function leastLoaded(endpoints: readonly Endpoint[]): Endpoint | undefined {
   let least: Endpoint | undefined;
   for (const endpoint of endpoints)
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -53,6 +53,9 @@
   readonly body: AsyncIterable<Buffer>;
 }
 
+/** Why a request proves not to have run: no connection was made, the endpoint had no place, or it was another start. */
+export type NotRunReason = 'unreachable' | 'refused' | 'other-instance';
+
 /**
  * How a call to an endpoint began. `not-run` is proved: no connection was made, or the endpoint says that it
  * did not run the request. `broken` proves nothing.
@@ -61,7 +64,7 @@
   | { readonly kind: 'answered'; readonly answer: EndpointAnswer }
   | {
       readonly kind: 'not-run';
-      readonly reason: 'unreachable' | 'refused' | 'other-instance';
+      readonly reason: NotRunReason;
       readonly load: EndpointLoad | undefined;
     }
   | { readonly kind: 'broken'; readonly text: string }
@@ -84,7 +87,7 @@
 /** How an attempt at an item ended. */
 export type ItemEnd =
   | { readonly kind: 'done' }
-  | { readonly kind: 'not-run'; readonly reason: 'unreachable' | 'refused' | 'other-instance' }
+  | { readonly kind: 'not-run'; readonly reason: NotRunReason }
   | { readonly kind: 'failed'; readonly status: number }
   /** The endpoint says that the item can never be done. */
   | { readonly kind: 'impossible' }
