Poison requests: hosts tell each other directly while the store is away

During an outage of the store one request ended two endpoints at each host that it came to: 18 in ten seconds at nine hosts. Cause: the hosts heard of it by the store alone. A host whose first write is not taken at once now tells all that live, in one call each, and goes on writing; a clearing is told likewise.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -108,6 +108,7 @@
     this._store.serve(server);
     this._watch.serve(server);
     this.batches.serve(server);
+    this._poison.serve(server);
     serveVersions(server, this.endpoints);
     this.configuration.start();
     this.endpoints.start();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 export * from './orphanedBatches.js';
 export * from './peerCaller.js';
 export * from './poisonGuard.js';
+export * from './poisonPeers.js';
 export * from './poisonRecords.js';
 export * from './ports.js';
 export * from './reachMonitor.js';
--- a/packages/gateway/src/poisonGuard.ts
+++ b/packages/gateway/src/poisonGuard.ts
@@ -15,7 +15,8 @@
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import type { Endpoint } from './endpoint.js';
 import type { GatewayContext } from './gatewayContext.js';
-import type { Hosts, LiveKeys } from './hostDirectory.js';
+import type { CallRegistry, Hosts, LiveKeys } from './hostDirectory.js';
+import { PoisonPeers, type PoisonNews } from './poisonPeers.js';
 import { POISON_PREFIX, PoisonRecords, readMark } from './poisonRecords.js';
 import type { EndpointClient } from './ports.js';
 
@@ -35,6 +36,7 @@
   private readonly _context: GatewayContext;
   private readonly _client: Pick<EndpointClient, 'hasEnded'>;
   private readonly _records: PoisonRecords;
+  private readonly _peers: PoisonPeers;
   private readonly _cases: PoisonCases;
   private readonly _targets = new WeakMap<RequestIdentity, string>();
   private readonly _fingerprints = new WeakMap<RequestIdentity, string>();
@@ -51,6 +53,7 @@
     this._context = context;
     this._client = client;
     this._records = new PoisonRecords(context, store);
+    this._peers = new PoisonPeers(hosts);
     this._cases = new PoisonCases(context.clock);
     hosts.watchKeys(POISON_PREFIX, {
       changed: (key, value) => this._written(key, value),
@@ -61,6 +64,10 @@
     );
   }
 
+  serve(server: CallRegistry): void {
+    this._peers.serve(server, news => this._heard(news));
+  }
+
   /** True if no request is known at all: nothing need be asked of any. */
   isIdle(): boolean {
     return this._cases.count() === 0;
@@ -106,7 +113,9 @@
     this._context.metrics.poison.inc({ event: 'cleared' });
     this._log('poison cleared', fingerprint, { marks: marks.length });
     if (!this._toldMs.delete(fingerprint)) return;
-    void this._records.remove(fingerprint, marks);
+    void this._records.remove(fingerprint, marks).then(isDone => {
+      if (!isDone) this._peers.tell(fingerprint, []);
+    });
   }
 
   /** The request ends here without an answer: from now on the other hosts must know. */
@@ -139,7 +148,9 @@
   private _tell(fingerprint: string): void {
     const marks = this._cases.marks(fingerprint);
     this._noteTold(fingerprint);
-    void this._records.add(fingerprint, marks);
+    void this._records.add(fingerprint, marks).then(isDone => {
+      if (!isDone) this._peers.tell(fingerprint, marks);
+    });
   }
 
   /** Keeps what is known of a request that still comes from lapsing: without it, endpoints end under it anew. */
@@ -202,6 +213,13 @@
     if (this._cases.ends(fingerprint) === 0) this._toldMs.delete(fingerprint);
   }
 
+  /** Another host tells directly. */
+  private _heard({ fingerprint, marks }: PoisonNews): void {
+    if (marks.length > 0) return this._take(fingerprint, marks);
+    this._toldMs.delete(fingerprint);
+    this._cases.cleared(fingerprint);
+  }
+
   private _take(fingerprint: string, marks: readonly PoisonMark[]): void {
     this._noteTold(fingerprint);
     const before = this._cases.ends(fingerprint);
