Poison requests: each mark is told once, and one write at a time takes in what came meanwhile

Marks were written again whole at each end, and adds at the same moment told all hosts directly although the store was well. Requests that broke and were answered elsewhere write nothing.

--- a/packages/gateway/src/poisonGuard.ts
+++ b/packages/gateway/src/poisonGuard.ts
@@ -5,6 +5,7 @@
  * their owners. The decision and its thresholds are `PoisonCases`'.
  */
 import {
+  markName,
   PoisonCases,
   requestFingerprint,
   targetDigest,
@@ -29,6 +30,13 @@
 /** What is known of a request that still comes is written again after this, well before it lapses. */
 const RETELL_MS = 240_000;
 
+/** The marks of one request that the fleet knows of. */
+interface ToldMarks {
+  readonly names: Set<string>;
+  /** When the last of them was told or heard. */
+  atMs: number;
+}
+
 /** What a guard hears the other hosts by. */
 export type PoisonHosts = Pick<Hosts, 'peers' | 'call'> & LiveKeys;
 
@@ -41,8 +49,8 @@
   private readonly _targets = new WeakMap<RequestIdentity, string>();
   private readonly _fingerprints = new WeakMap<RequestIdentity, string>();
   private readonly _looks = new Map<string, Promise<boolean>>();
-  /** Requests that the fleet knows of, and when this host last heard or told of one. */
-  private readonly _toldMs = new Map<string, number>();
+  /** What the fleet knows of each request, as far as this host has heard or told. */
+  private readonly _told = new Map<string, ToldMarks>();
 
   constructor(
     context: GatewayContext,
@@ -112,7 +120,7 @@
     this._cases.cleared(fingerprint);
     this._context.metrics.poison.inc({ event: 'cleared' });
     this._log('poison cleared', fingerprint, { marks: marks.length });
-    if (!this._toldMs.delete(fingerprint)) return;
+    if (!this._told.delete(fingerprint)) return;
     void this._records.remove(fingerprint, marks).then(isDone => {
       if (!isDone) this._peers.tell(fingerprint, []);
     });
@@ -128,6 +136,7 @@
   trialDropped(request: RequestIdentity, number: number): void {
     const fingerprint = this._fingerprint(request);
     this._cases.trialDropped(fingerprint, number);
+    this._told.get(fingerprint)?.names.delete(markName({ kind: 'trial', number, endsBefore: 0 }));
     void this._records.remove(fingerprint, [{ kind: 'trial', number, endsBefore: 0 }]);
   }
 
@@ -140,14 +149,20 @@
     const isClaimed = await this._records.claimTrial(fingerprint, number, endsBefore);
     this._log('poison trial', fingerprint, { number, endsBefore, isClaimed });
     if (!isClaimed) return { kind: 'held', leftMs: TRIAL_RETRY_MS };
-    this._noteTold(fingerprint);
+    this._noteTold(fingerprint, [{ kind: 'trial', number, endsBefore }]);
     this._cases.trialBegan(fingerprint, number, endsBefore);
     return trial;
   }
 
+  /** Tells what the fleet does not know yet. */
   private _tell(fingerprint: string): void {
-    const marks = this._cases.marks(fingerprint);
-    this._noteTold(fingerprint);
+    const told = this._told.get(fingerprint)?.names;
+    const marks = this._cases.marks(fingerprint).filter(mark => told?.has(markName(mark)) !== true);
+    if (marks.length > 0) this._tellAll(fingerprint, marks);
+  }
+
+  private _tellAll(fingerprint: string, marks: readonly PoisonMark[]): void {
+    this._noteTold(fingerprint, marks);
     void this._records.add(fingerprint, marks).then(isDone => {
       if (!isDone) this._peers.tell(fingerprint, marks);
     });
@@ -155,12 +170,17 @@
 
   /** Keeps what is known of a request that still comes from lapsing: without it, endpoints end under it anew. */
   private _keep(fingerprint: string): void {
-    const toldMs = this._toldMs.get(fingerprint);
-    if (toldMs !== undefined && this._context.clock.nowMs() - toldMs >= RETELL_MS) this._tell(fingerprint);
+    const toldMs = this._told.get(fingerprint)?.atMs;
+    if (toldMs !== undefined && this._context.clock.nowMs() - toldMs >= RETELL_MS)
+      this._tellAll(fingerprint, this._cases.marks(fingerprint));
   }
 
-  private _noteTold(fingerprint: string): void {
-    this._toldMs.set(fingerprint, this._context.clock.nowMs());
+  private _noteTold(fingerprint: string, marks: readonly PoisonMark[]): void {
+    const atMs = this._context.clock.nowMs();
+    const told = this._told.get(fingerprint) ?? { names: new Set<string>(), atMs };
+    for (const mark of marks) told.names.add(markName(mark));
+    told.atMs = atMs;
+    this._told.set(fingerprint, told);
   }
 
   /** The fingerprint of a request that may be known; undefined for any other, whose body is not read. */
@@ -210,18 +230,19 @@
     const { fingerprint, mark } = marked;
     if (mark.kind === 'trial') this._cases.trialDropped(fingerprint, mark.number);
     else this._cases.endForgotten(fingerprint, mark.startId);
-    if (this._cases.ends(fingerprint) === 0) this._toldMs.delete(fingerprint);
+    this._told.get(fingerprint)?.names.delete(markName(mark));
+    if (this._cases.ends(fingerprint) === 0) this._told.delete(fingerprint);
   }
 
   /** Another host tells directly. */
   private _heard({ fingerprint, marks }: PoisonNews): void {
     if (marks.length > 0) return this._take(fingerprint, marks);
-    this._toldMs.delete(fingerprint);
+    this._told.delete(fingerprint);
     this._cases.cleared(fingerprint);
   }
 
   private _take(fingerprint: string, marks: readonly PoisonMark[]): void {
-    this._noteTold(fingerprint);
+    this._noteTold(fingerprint, marks);
     const before = this._cases.ends(fingerprint);
     for (const mark of marks) {
       if (mark.kind === 'trial') this._cases.trialBegan(fingerprint, mark.number, mark.endsBefore);
--- a/packages/gateway/src/poisonRecords.ts
+++ b/packages/gateway/src/poisonRecords.ts
@@ -7,7 +7,7 @@
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import type { RevisionedStore, Write } from '@fuchsiahitch/clients';
-import type { PoisonMark } from '@fuchsiahitch/requests';
+import { markName, type PoisonMark } from '@fuchsiahitch/requests';
 import type { GatewayContext } from './gatewayContext.js';
 import { LIVE_PREFIX } from './hostDirectory.js';
 
@@ -41,7 +41,9 @@
   private readonly _store: RevisionedStore;
   private readonly _waiting = new Map<string, WaitingWrite>();
   private _lease: { readonly id: string; readonly grantedMs: number } | undefined;
-  private _isWriting = false;
+  private _turn: Promise<void> = Promise.resolve();
+  /** The store did not take the last write; it is tried again until it does. */
+  private _isAway = false;
 
   constructor(context: GatewayContext, store: RevisionedStore) {
     this._context = context;
@@ -50,17 +52,18 @@
 
   /** Writes marks as soon as the store takes them. False if it did not take them at once. */
   async add(fingerprint: string, marks: readonly PoisonMark[]): Promise<boolean> {
-    for (const mark of marks) {
-      const added = { fingerprint, mark };
-      this._enqueue(keyOf(added), { added });
-    }
-    return this._write();
+    return this._write(
+      marks.map(mark => ({ fingerprint, mark })),
+      added => ({ added }),
+    );
   }
 
   /** Takes marks back, as `add` writes them. */
   async remove(fingerprint: string, marks: readonly PoisonMark[]): Promise<boolean> {
-    for (const mark of marks) this._enqueue(keyOf({ fingerprint, mark }), { added: undefined });
-    return this._write();
+    return this._write(
+      marks.map(mark => ({ fingerprint, mark })),
+      () => ({ added: undefined }),
+    );
   }
 
   /** True if this host, and no other, has the trial. Without an answer of the store nobody has it. */
@@ -74,6 +77,17 @@
     return done.ok && done.value.succeeded;
   }
 
+  private async _write(
+    marked: readonly MarkedRequest[],
+    toWrite: (marked: MarkedRequest) => WaitingWrite,
+  ): Promise<boolean> {
+    for (const each of marked) this._enqueue(keyOf(each), toWrite(each));
+    // One write at a time takes in all that has come meanwhile.
+    this._turn = this._turn.then(() => this._writeAll());
+    await this._turn;
+    return marked.every(each => !this._waiting.has(keyOf(each)));
+  }
+
   private _enqueue(key: string, write: WaitingWrite): void {
     this._waiting.delete(key);
     this._waiting.set(key, write);
@@ -83,27 +97,24 @@
     this._context.log.warn('poison record given up', { key: oldest, waiting: MAX_WAITING });
   }
 
-  /** Writes what waits. True if the first try did; the others go on by themselves. */
-  private async _write(): Promise<boolean> {
-    if (this._isWriting) return false;
-    this._isWriting = true;
-    const isDone = await this._writeSome();
-    if (isDone && this._waiting.size === 0) {
-      this._isWriting = false;
-      return true;
+  /** Writes what waits; where the store is away, what is left goes on by itself. */
+  private async _writeAll(): Promise<void> {
+    if (this._isAway) return;
+    while (this._waiting.size > 0) {
+      if (await this._writeSome()) continue;
+      this._isAway = true;
+      void this._writeLater();
+      return;
     }
-    void this._writeOn(isDone);
-    return isDone;
   }
 
-  private async _writeOn(isDone: boolean): Promise<void> {
+  private async _writeLater(): Promise<void> {
     const { clock, stopped } = this._context;
-    let wasDone = isDone;
     while (this._waiting.size > 0 && !stopped.aborted) {
-      if (!wasDone) await sleep(clock, RETRY_MS, stopped);
-      wasDone = await this._writeSome();
+      await sleep(clock, RETRY_MS, stopped);
+      await this._writeSome();
     }
-    this._isWriting = false;
+    this._isAway = false;
   }
 
   private async _writeSome(): Promise<boolean> {
@@ -146,8 +157,7 @@
 }
 
 function keyOf({ fingerprint, mark }: MarkedRequest): string {
-  const name = mark.kind === 'end' ? `end-${mark.startId}` : `trial-${mark.number}`;
-  return `${POISON_PREFIX}${fingerprint}/${name}`;
+  return `${POISON_PREFIX}${fingerprint}/${markName(mark)}`;
 }
 
 /**
--- a/packages/requests/src/poisonCases.ts
+++ b/packages/requests/src/poisonCases.ts
@@ -30,6 +30,11 @@
   /** A trial of it was begun, after so many ends. */
   | { readonly kind: 'trial'; readonly number: number; readonly endsBefore: number };
 
+/** Tells the marks of one request apart; a trial by its number only. */
+export function markName(mark: PoisonMark): string {
+  return mark.kind === 'end' ? `end-${mark.startId}` : `trial-${mark.number}`;
+}
+
 /** One end may be anything; two, of two endpoints, take two thirds of a pool of three. */
 const MIN_ENDS = 2;
 /**
--- a/tests/fragileEndpoints.ts
+++ b/tests/fragileEndpoints.ts
@@ -76,6 +76,13 @@
     for (const endpoint of [...this._byAddress.values()]) if (endpoint.pool === pool) this._end(endpoint, '');
   }
 
+  /** Ends one endpoint of a pool, that which runs most, for no reason of a request's. */
+  endOne(pool: string): void {
+    const ofPool = [...this._byAddress.values()].filter(endpoint => endpoint.pool === pool);
+    const [busiest] = ofPool.sort((a, b) => b.running.size - a.running.size);
+    if (busiest) this._end(busiest, '');
+  }
+
   living(pool: string): number {
     return [...this._byAddress.values()].filter(endpoint => endpoint.pool === pool).length;
   }
--- a/tests/poisonRequests.spec.ts
+++ b/tests/poisonRequests.spec.ts
@@ -1,6 +1,7 @@
 /**
  * Requests under which endpoints end, at whole gateways of many hosts.
  */
+import { setMaxListeners } from 'node:events';
 import tap from 'tap';
 import { Deadline } from '@fuchsiahitch/base';
 import type { CallerRequest, ForwardOutcome } from '@fuchsiahitch/gateway';
@@ -20,6 +21,8 @@
   timeoutMs: 1500,
 });
 const NOBODY_LEFT = new AbortController().signal;
+setMaxListeners(0, NOBODY_LEFT);
+const EPISODE_S = 10;
 const DEADLY = '/lookup/deadly';
 
 function lookup(id: string, target: string, overrides: Partial<CallerRequest> = {}): CallerRequest {
@@ -280,3 +283,65 @@
   t.ok(later <= MAX_LATER_SENDS, `${later} sends too late, ${endpoints.ends.length} ends in all`);
   fleet.stop();
 });
+
+await tap.test(
+  'should write nothing for requests that merely broke, and were answered elsewhere',
+  async t => {
+    // An endpoint that ends breaks all that runs there; at the size of a fleet a write for each would cost more than the end.
+    const world = await started('storefront', 6);
+    const { fleet, endpoints } = world;
+    for (let i = 0; i < 60; i++) void ask(world, i, lookup(`s${i}`, `/lookup/${i}`));
+    await fleet.clock.advance(10);
+    const before = fleet.store.calls.length;
+    endpoints.endOne('storefront');
+    await fleet.clock.advance(200);
+    t.equal(endpoints.ends.length, 1);
+    t.notOk(fleet.store.calls.slice(before).includes('transact'));
+    fleet.stop();
+  },
+);
+
+await tap.test(
+  'should cost the fleet a few calls to the store for one such request, at any size',
+  async t => {
+    // Two ends and a trial, each told by one write under one lease, a claim, and the same again for chance. News of them come
+    // with the watches that run anyway, in bytes by the number of hosts.
+    for (const [hosts, domains] of [
+      [12, 3],
+      [69, 4],
+      [195, 5],
+    ] as const) {
+      const idle = await episode(hosts, domains, false);
+      const poisoned = await episode(hosts, domains, true);
+      const calls = poisoned.storeCalls - idle.storeCalls;
+      const bytesAHost = poisoned.peerBytes / hosts / EPISODE_S;
+      t.ok(calls <= 10 + 6 * domains, `${hosts} hosts: ${calls} calls to the store`);
+      t.ok(bytesAHost <= 2000, `${hosts} hosts: ${Math.round(bytesAHost)} bytes a host and second`);
+    }
+  },
+);
+
+/** What some seconds cost in which a request comes each second, deadly or not. */
+async function episode(
+  hosts: number,
+  domains: number,
+  isDeadly: boolean,
+): Promise<{ readonly storeCalls: number; readonly peerBytes: number }> {
+  const fleet = new GatewayFleet({ hosts, domains, endpoints: 0 });
+  const endpoints = new FragileEndpoints(fleet);
+  for (let i = 0; i < 12; i++) endpoints.add('storefront');
+  endpoints.isDeadly = () => isDeadly;
+  await fleet.start();
+  await fleet.clock.advance(8000);
+  const sentBytes = (): number => fleet.hosts.reduce((sum, host) => sum + host.sentBytes, 0);
+  const before = { storeCalls: fleet.store.calls.length, peerBytes: sentBytes() };
+  for (let turn = 0; turn < EPISODE_S; turn++) {
+    void ask({ fleet, endpoints }, turn * 7, lookup(`r${turn}`, DEADLY));
+    await fleet.clock.advance(1000);
+  }
+  fleet.stop();
+  return {
+    storeCalls: fleet.store.calls.length - before.storeCalls,
+    peerBytes: sentBytes() - before.peerBytes,
+  };
+}
