--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -20,6 +20,7 @@
   StoreClient,
 } from '@fuchsiahitch/platform';
 import { PeerServer } from '@fuchsiahitch/protocol';
+import { requestFingerprint } from '@fuchsiahitch/requests';
 import { RuleBook } from '@fuchsiahitch/rules';
 import { Tracing } from '@fuchsiahitch/telemetry';
 import { TestLog } from './gatewayWorld.js';
@@ -301,6 +302,11 @@
   t.ok(Number(early.headers['retry-after']) > 0);
 
   store.data.put('op/config', JSON.stringify(CONFIGURATION));
+  // Other hosts have seen three endpoints end under a request, the last of them under its trial.
+  const deadly = { credential: 'key-1', host: 'h.example', method: 'POST', target: '/a/deadly' };
+  const marks = `fuchsiahitch/live/poison/${requestFingerprint({ ...deadly, body: Buffer.from('body') })}`;
+  for (const end of ['end-i-7@0', 'end-i-8@0', 'end-i-9@0']) store.data.put(`${marks}/${end}`, '{}');
+  store.data.put(`${marks}/trial-1`, JSON.stringify({ hostId: 'edge-2', endsBefore: 2 }));
   gateway.start(peers);
   for (let i = 0; i < 500 && !gateway.isReady(); i++) await new Promise(resolve => setTimeout(resolve, 10));
   t.ok(gateway.isReady());
@@ -309,6 +315,11 @@
   t.match(served, { status: 200, body: 'whole' });
   t.equal(served.headers['server-stamp'], 'proof');
   t.equal((await ask(address, { path: '/none/', headers })).status, 404);
+  const keyed = { ...headers, authorization: 'key-1' };
+  const poison = { method: 'POST', path: '/a/deadly' };
+  t.equal((await ask(address, { ...poison, headers: keyed }, 'body')).status, 400, 'not to be brought again');
+  t.notOk(server.requests.some(request => request.target === '/a/deadly'));
+  t.equal((await ask(address, { ...poison, headers }, 'body')).status, 200, 'another account’s');
   const large = await ask(address, { method: 'POST', path: '/a/x', headers }, 'x'.repeat(100_001));
   t.equal(large.status, 413);
 
--- a/tests/platformWire.spec.ts
+++ b/tests/platformWire.spec.ts
@@ -209,6 +209,19 @@
   }),
 );
 
+await tap.test('should tell an endpoint that has ended from one that broke a connection', t =>
+  withServer(async (server, endpoint, client) => {
+    server.answer = (_request, socket) => void socket.resetAndDestroy();
+    t.match(await client.send(call(endpoint), NOT_ABORTED), { kind: 'broken' });
+    t.notOk(await client.hasEnded(endpoint), 'it listens');
+    server.answer = () => void server.close();
+    t.match(await client.send(call(endpoint), NOT_ABORTED), { kind: 'broken' });
+    t.ok(await client.hasEnded(endpoint), 'nobody listens any more');
+    // A record may hold any five digits.
+    t.notOk(await client.hasEnded({ ...endpoint, address: '127.0.0.1:99999' }), 'not known');
+  }),
+);
+
 await tap.test('should write a request once, also when its connection breaks', t =>
   withServer(async (server, endpoint, client) => {
     // Symptom: a seat is held twice. Sequence: a kept connection is closed as the request is written. Cause: the
