--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -6,7 +6,7 @@
  * that no two layers retry the same request.
  */
 import { afterReading, Deadline, messageOf, type CancelTimer } from '@fuchsiahitch/base';
-import { EndpointPicker, requestFingerprint, RetryBudget, type PickRequest } from '@fuchsiahitch/requests';
+import { EndpointPicker, RetryBudget, type PickRequest, type PoisonVerdict } from '@fuchsiahitch/requests';
 import type { Route } from '@fuchsiahitch/rules';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -165,6 +165,7 @@
     run: (route: Route) => Promise<ForwardOutcome>,
   ): Promise<ForwardOutcome> {
     const verdict = await this._poison.admit(request);
+    if (verdict.kind === 'held' || verdict.kind === 'condemned') this._logKept(request, verdict);
     switch (verdict.kind) {
       case 'free':
         return this._noted(request, await run(route));
@@ -180,6 +181,16 @@
     }
   }
 
+  private _logKept(request: CallerRequest, verdict: PoisonVerdict): void {
+    this._context.metrics.poison.inc({ event: verdict.kind });
+    this._context.log.info('request kept from endpoints', {
+      requestId: request.id,
+      verdict: verdict.kind,
+      leftMs: verdict.kind === 'held' ? Math.round(verdict.leftMs) : undefined,
+      ...this._poison.factsOf(request),
+    });
+  }
+
   private _noted(request: CallerRequest, outcome: ForwardOutcome): ForwardOutcome {
     if (outcome.kind !== 'answered') this._poison.gaveUp(request);
     return outcome;
@@ -262,7 +273,7 @@
       reason: 'reason' in end ? end.reason : 'text' in end ? end.text : undefined,
       status: end.kind === 'answered' ? end.answer.status : undefined,
       // Only of what broke, since hashing takes time: it tells whether the same request comes again, under other identifiers.
-      fingerprint: end.kind === 'broken' ? requestFingerprint(request) : undefined,
+      fingerprint: end.kind === 'broken' ? this._poison.factsOf(request).fingerprint : undefined,
       tookMs: Math.round(facts.tookMs),
       leftMs: Math.round(facts.leftMs),
     });
--- a/packages/gateway/src/poisonGuard.ts
+++ b/packages/gateway/src/poisonGuard.ts
@@ -37,6 +37,15 @@
   atMs: number;
 }
 
+/** What is known of a request. */
+export interface PoisonFacts {
+  readonly fingerprint: string;
+  /** Endpoints that have ended under it. */
+  readonly ends: number;
+  /** Since this host last told or heard of it; undefined if it is known here only. */
+  readonly newsAgeMs: number | undefined;
+}
+
 /** What a guard hears the other hosts by. */
 export type PoisonHosts = Pick<Hosts, 'peers' | 'call'> & LiveKeys;
 
@@ -102,6 +111,14 @@
     return fingerprint !== undefined && this._cases.ends(fingerprint) > 0;
   }
 
+  /** What the log tells of a request that is known. */
+  factsOf(request: RequestIdentity): PoisonFacts {
+    const fingerprint = this._fingerprint(request);
+    const atMs = this._told.get(fingerprint)?.atMs;
+    const newsAgeMs = atMs === undefined ? undefined : Math.round(this._context.clock.nowMs() - atMs);
+    return { fingerprint, ends: this._cases.ends(fingerprint), newsAgeMs };
+  }
+
   /** The request broke at the endpoint. Resolves once it is known whether the endpoint has ended. */
   async broke(request: RequestIdentity, endpoint: Endpoint): Promise<void> {
     if (!(await this._hasEnded(endpoint))) return;
--- a/packages/gateway/src/poisonRecords.ts
+++ b/packages/gateway/src/poisonRecords.ts
@@ -23,7 +23,8 @@
 const LEASE_TTL_MS = 600_000;
 /** A lease takes in no more keys after half of its life, so that each is kept for half of it at least. */
 const LEASE_USED_MS = LEASE_TTL_MS / 2;
-const STORE_TIMEOUT_MS = 800;
+/** Several round trips to a slow store. A request may wait for it: that of a trial. */
+const STORE_TIMEOUT_MS = 400;
 /** Pause between two tries while the store is away. */
 const RETRY_MS = 250;
 /** The platform's store takes 32 entries in one transaction. */
@@ -68,12 +69,16 @@
 
   /** True if this host, and no other, has the trial. Without an answer of the store nobody has it. */
   async claimTrial(fingerprint: string, number: number, endsBefore: number): Promise<boolean> {
+    // A caller waits for it.
+    if (this._isAway) return false;
     const leaseId = await this._leaseId();
     if (leaseId === undefined) return false;
     const claimed: MarkedRequest = { fingerprint, mark: { kind: 'trial', number, endsBefore } };
     const key = keyOf(claimed);
     const write: Write = { kind: 'put', key, value: this._valueOf(claimed), leaseId };
     const done = await this._store.transact([{ key, version: 0 }], [write], this._deadline());
+    // It may be claimed all the same, and then nobody makes it.
+    if (!done.ok && done.error === 'unknown') void this.remove(fingerprint, [claimed.mark]);
     return done.ok && done.value.succeeded;
   }
 
--- a/packages/requests/src/poisonCases.ts
+++ b/packages/requests/src/poisonCases.ts
@@ -18,7 +18,7 @@
   | { readonly kind: 'free' }
   /** One copy may be sent once, by the host that claims this trial for the whole fleet. */
   | { readonly kind: 'trial'; readonly number: number }
-  /** It may be sound: it waits for its first trial, or for the result of it. */
+  /** It may be sound: it waits for its next trial, or for the result of one. After the last trial the wait has no end. */
   | { readonly kind: 'held'; readonly leftMs: number }
   /** An endpoint ended under its trial too. */
   | { readonly kind: 'condemned' };
@@ -43,8 +43,6 @@
  * more: each costs an endpoint and all that runs there.
  */
 const TRIAL_PAUSES_MS = [2000, 60_000, 600_000] as const;
-/** A trial that has brought neither an answer nor an end by then is taken for an end. */
-const TRIAL_RUN_MS = 2000;
 /** Two ends that lie further apart than this are none of the request's doing. */
 const FORGET_MS = 600_000;
 /** Some hundred bytes each. Beyond it the one that was marked longest ago is forgotten. */
@@ -139,10 +137,9 @@
     const sinceMarkMs = this._clock.nowMs() - known.lastMarkMs;
     const pauseMs = TRIAL_PAUSES_MS[known.trials.size] ?? Infinity;
     if (sinceMarkMs >= pauseMs) return { kind: 'trial', number: known.trials.size + 1 };
-    if (known.trials.size === 0) return { kind: 'held', leftMs: pauseMs - sinceMarkMs };
-    const isBad = [...known.trials.values()].some(endsBefore => known.ends.size > endsBefore);
-    const isTrialOpen = !isBad && sinceMarkMs < TRIAL_RUN_MS;
-    return isTrialOpen ? { kind: 'held', leftMs: TRIAL_RUN_MS - sinceMarkMs } : { kind: 'condemned' };
+    // Only an end under a trial proves anything: a trial may also be cut off, or its caller leave.
+    const isProved = [...known.trials.values()].some(endsBefore => known.ends.size > endsBefore);
+    return isProved ? { kind: 'condemned' } : { kind: 'held', leftMs: pauseMs - sinceMarkMs };
   }
 
   private _forgetOld(fingerprint: string): void {
--- a/packages/requests/src/requestFingerprint.ts
+++ b/packages/requests/src/requestFingerprint.ts
@@ -15,11 +15,11 @@
 }
 
 /**
- * A digest of the request line, which begins the fingerprints of all requests that share it. It takes microseconds where
- * a fingerprint reads a body of megabytes: whoever looks for a few known requests compares this first.
+ * A digest of the request line and the body's length, with which the fingerprints of all requests begin that share them. It
+ * takes microseconds where a fingerprint reads a body of megabytes: whoever looks for a few known requests compares this first.
  */
-export function targetDigest({ host, method, target }: RequestIdentity): string {
-  return digest(`${method} ${host} ${target}`);
+export function targetDigest({ host, method, target, body }: RequestIdentity): string {
+  return digest(`${method} ${host} ${target} ${body?.length ?? 0}`);
 }
 
 /** A digest of a request's identity, the same at every host. Reads the whole body. */
@@ -29,7 +29,7 @@
   return `${targetDigest(request)}-${identity}`;
 }
 
-/** The digest of the request line with which a fingerprint begins. */
+/** The digest of request line and length with which a fingerprint begins. */
 export function targetOfFingerprint(fingerprint: string): string {
   return fingerprint.slice(0, fingerprint.indexOf('-'));
 }
