--- a/packages/requests/src/poisonCases.ts
+++ b/packages/requests/src/poisonCases.ts
@@ -18,9 +18,9 @@
   | { readonly kind: 'free' }
   /** One copy may be sent once, by the host that claims this trial for the whole fleet. */
   | { readonly kind: 'trial'; readonly number: number }
-  /** It may be sound: it waits for its next trial, or for the result of one. After the last trial the wait has no end. */
+  /** It may be sound: it waits for its next trial, or for the result of one. */
   | { readonly kind: 'held'; readonly leftMs: number }
-  /** An endpoint ended under its trial too. */
+  /** An endpoint ended under its trial too, or no trial is left. */
   | { readonly kind: 'condemned' };
 
 /** One thing known of a request. */
@@ -139,7 +139,8 @@
     if (sinceMarkMs >= pauseMs) return { kind: 'trial', number: known.trials.size + 1 };
     // Only an end under a trial proves anything: a trial may also be cut off, or its caller leave.
     const isProved = [...known.trials.values()].some(endsBefore => known.ends.size > endsBefore);
-    return isProved ? { kind: 'condemned' } : { kind: 'held', leftMs: pauseMs - sinceMarkMs };
+    const isWaiting = !isProved && pauseMs < Infinity;
+    return isWaiting ? { kind: 'held', leftMs: pauseMs - sinceMarkMs } : { kind: 'condemned' };
   }
 
   private _forgetOld(fingerprint: string): void {
--- a/tests/poisonCases.spec.ts
+++ b/tests/poisonCases.spec.ts
@@ -62,6 +62,15 @@
   t.same(known.verdict(FP), { kind: 'condemned' });
 });
 
+await tap.test('should name no wait that has no end', async t => {
+  const { clock, cases: known } = cases('e1', 'e2');
+  for (const number of [1, 2, 3]) {
+    await clock.advance(600_000);
+    known.trialBegan(FP, number, 2);
+  }
+  t.same(known.verdict(FP), { kind: 'condemned' }, 'the last trial is made');
+});
+
 await tap.test('should make a trial again that did not run', async t => {
   const { clock, cases: known } = cases('e1', 'e2');
   await clock.advance(2000);
