Steps: a prompt under which engines end is given up by its step's owner, after three

Trainers saw the engines of all of them restart every few seconds until a step's time was over: a prompt ended each engine that began to generate for it, a worker went on elsewhere eight times, and the owner gave the slot to the next worker. A worker whose engine ended before a token came now says so and stops; the owner, who hears of all workers', counts by group, since a group shares its prompt; a sample that is made clears it. It holds because every attempt at a slot goes through its owner.

--- a/packages/entry/src/rolloutService.ts
+++ b/packages/entry/src/rolloutService.ts
@@ -45,8 +45,13 @@
 const RENEW_PERIOD_MS = 3000;
 const LOWEST_SHARE = 0.01;
 
-/** Why a slot's generation gave no sample. */
-type SampleFailure = 'engine' | 'prompt' | 'unprovable' | 'unscored' | 'too-late';
+/** Within a round trip or two, also to a busy engine. */
+const ENGINE_REPORT_TIMEOUT_MS = 500;
+
+/** Why a slot's generation gave no sample. `engine-ended`: the engine, named by its identifier, ended as it began. */
+type SampleFailure =
+  | { readonly kind: 'engine' | 'prompt' | 'unprovable' | 'unscored' | 'too-late' }
+  | { readonly kind: 'engine-ended'; readonly engine: string };
 
 export class RolloutService {
   readonly shelf: SampleShelf;
@@ -215,9 +220,9 @@
     try {
       const bornMs = this._context.clock.nowMs();
       const made = await this._makeSample(offer, assignment);
-      if (typeof made === 'string') {
-        this._context.metrics.samples.inc({ end: made });
-        await this._reportFailure(offer, assignment, made === 'prompt');
+      if ('kind' in made) {
+        this._context.metrics.samples.inc({ end: made.kind });
+        await this._reportFailure(offer, assignment, made);
         return;
       }
       this.shelf.keep(offer.key, made, bornMs);
@@ -235,14 +240,14 @@
     assignment: Assignment,
   ): Promise<Omit<Sample, 'ageMs'> | SampleFailure> {
     const generated = await this._generate(offer, assignment);
-    if (typeof generated === 'string') return generated;
+    if ('kind' in generated) return generated;
     const { share } = this._placeOf(offer);
     this._schedule.charge(offer.house, Math.max(LOWEST_SHARE, share), generated.recorder.tokens());
     this._context.metrics.tokens.inc({ kind: 'rollout' }, generated.recorder.tokens());
     const spans = generated.recorder.finish(generated.tokens);
-    if (!spans.ok) return 'unprovable';
+    if (!spans.ok) return { kind: 'unprovable' };
     const score = await this._score(assignment, generated.text);
-    if (score === undefined) return 'unscored';
+    if (score === undefined) return { kind: 'unscored' };
     const { slot, sampleId } = assignment;
     return { sampleId, slot, text: generated.text, spans: spans.value, score };
   }
@@ -260,19 +265,32 @@
       }
     };
     while (!deadline.isOver() && breaks <= MAX_BREAKS) {
-      const end = await this._oneStream(offer, assignment, {
+      const before = recorder.tokens();
+      const run = await this._oneStream(offer, assignment, {
         text,
         tokens: recorder.tokens(),
         onChunks,
         deadline,
       });
-      if (end === undefined) return 'too-late';
+      if (run === undefined) return { kind: 'too-late' };
+      const { end, endpoint } = run;
       if (end.kind === 'done') return { recorder, text, tokens: end.tokens };
-      if (end.kind === 'failed' && end.status < 500) return 'prompt';
+      if (end.kind === 'failed' && end.status < 500) return { kind: 'prompt' };
+      // Going on elsewhere would end the next engine too, if the prompt is to blame: that is for the step's owner to say,
+      // who hears of all workers'. A run that has made tokens is not what ended its engine.
+      const isFruitless = end.kind === 'broken' && recorder.tokens() === before;
+      if (isFruitless && (await this._hasEnded(endpoint)))
+        return { kind: 'engine-ended', engine: endpoint.id };
       if (end.kind !== 'cancelled') breaks += 1;
       await sleep(this._context.clock, BREAK_PAUSE_MS);
     }
-    return 'engine';
+    return { kind: 'engine' };
+  }
+
+  /** True if an engine that just broke a stream off does not answer any more. */
+  private async _hasEnded(endpoint: CallableEndpoint): Promise<boolean> {
+    const deadline = Deadline.after(this._context.clock, ENGINE_REPORT_TIMEOUT_MS);
+    return (await this._engines.report(endpoint.url, deadline)) === undefined;
   }
 
   private async _oneStream(
@@ -284,7 +302,7 @@
       readonly onChunks: (chunks: readonly GenerationChunk[]) => void;
       readonly deadline: Deadline;
     },
-  ): Promise<GenerationEnd | undefined> {
+  ): Promise<EndedStream | undefined> {
     const place = this._placeOf(offer);
     const stop = new AbortController();
     const turn = await this._dispatcher.turn(
@@ -324,7 +342,7 @@
     removeYielder();
     hop.end({ endpoint: endpoint.id, sample: assignment.sampleId, end: end.kind });
     this._freed(endpoint, end);
-    return end;
+    return { end, endpoint };
   }
 
   private _freed(endpoint: CallableEndpoint, end: GenerationEnd): void {
@@ -412,8 +430,17 @@
     }
   }
 
-  private async _reportFailure(offer: StepOffer, assignment: Assignment, isOwnFault: boolean): Promise<void> {
-    const message = { key: offer.key, sampleId: assignment.sampleId, isOwnFault };
+  private async _reportFailure(
+    offer: StepOffer,
+    assignment: Assignment,
+    failure: SampleFailure,
+  ): Promise<void> {
+    const message = {
+      key: offer.key,
+      sampleId: assignment.sampleId,
+      isOwnFault: failure.kind === 'prompt',
+      ...(failure.kind === 'engine-ended' ? { endedEngine: failure.engine } : {}),
+    };
     for (let i = 0; i < REPORT_TRIES; i++) {
       const address = this._offers.get(offer.key)?.ownerAddress ?? offer.ownerAddress;
       const reply = await this._peers.call(address, calls.sampleFailed, message, REPORT_TIMEOUT_MS);
@@ -423,6 +450,11 @@
   }
 }
 
+interface EndedStream {
+  readonly end: GenerationEnd;
+  readonly endpoint: CallableEndpoint;
+}
+
 interface Generated {
   readonly recorder: SpanRecorder;
   readonly text: string;
--- a/packages/entry/src/stepService.ts
+++ b/packages/entry/src/stepService.ts
@@ -100,8 +100,10 @@
     server.handle(calls.sampleDone, ({ key, worker, sample }) => ({
       verdict: this._sampleDone(key, worker, sample),
     }));
-    server.handle(calls.sampleFailed, ({ key, sampleId, isOwnFault }) => {
-      this._owned.get(key)?.owner.ledger.sampleFailed(sampleId, isOwnFault);
+    server.handle(calls.sampleFailed, ({ key, sampleId, isOwnFault, endedEngine }) => {
+      const ledger = this._owned.get(key)?.owner.ledger;
+      if (endedEngine === undefined) ledger?.sampleFailed(sampleId, isOwnFault);
+      else ledger?.engineEnded(sampleId, endedEngine);
       return {};
     });
   }
--- a/packages/steps/src/stepLedger.ts
+++ b/packages/steps/src/stepLedger.ts
@@ -50,6 +50,12 @@
   failures: number;
 }
 
+/** The engines that ended under one prompt, each with the time of its last end. */
+interface EngineEnds {
+  count: number;
+  readonly lastMs: Map<string, number>;
+}
+
 /** A sample that is ready to be handed over, with the moment its age counts from. */
 export interface ReadySample {
   readonly sample: Sample;
@@ -74,6 +80,13 @@
 export const BATCH_LEASE_MS = 10_000;
 /** A slot that failed this often on its own account is given up: the prompt itself is at fault. */
 export const MAX_FAILURES_A_SLOT = 4;
+/**
+ * A group whose prompt this many engines ended under is given up. Without it the owner gives its slots to one worker after the
+ * other, and every engine of the pool ends again and again until the step's time is over.
+ */
+export const MAX_ENDED_ENGINES = 3;
+/** Slots that break with one engine tell of one end. */
+const SAME_END_MS = 1000;
 /** Hedging begins when no slot is open and this share of the slots is left. */
 const HEDGE_TAIL_SHARE = 0.1;
 /** A slot is a straggler after this many times the median duration. */
@@ -91,6 +104,8 @@
   private readonly _queue: Slot[];
   private readonly _durationsMs: number[] = [];
   private readonly _renewedMs = new Map<number, number>();
+  /** By group: the engines that have ended under its prompt, since a sample of it was last made. */
+  private readonly _ends = new Map<number, EngineEnds>();
   private _lastBatch = 0;
   private _hedges = 0;
   private _duplicates = 0;
@@ -196,6 +211,19 @@
     else this._reopen(slot);
   }
 
+  /** The attempt's engine ended as it began to generate; its prompt, or another request's, may be to blame. */
+  engineEnded(sampleId: string, engine: string): void {
+    const group = this._attempts.get(sampleId)?.slot.group;
+    if (group === undefined) return;
+    const ends = this._ends.get(group) ?? { count: 0, lastMs: new Map<string, number>() };
+    const nowMs = this._clock.nowMs();
+    if (nowMs - (ends.lastMs.get(engine) ?? -Infinity) >= SAME_END_MS) ends.count += 1;
+    ends.lastMs.set(engine, nowMs);
+    this._ends.set(group, ends);
+    if (ends.count >= MAX_ENDED_ENGINES) this._giveUp(group);
+    this.sampleFailed(sampleId, false);
+  }
+
   /** A worker is gone: what it had is given to others. If it returns, its samples are taken or dropped. */
   workerGone(worker: string): void {
     this._dropAttempts(attempt => attempt.worker === worker);
@@ -327,6 +355,8 @@
   private _fill(slot: Slot, sample: Sample, bornMs: number): void {
     slot.state = { kind: 'ready', sample, bornMs };
     slot.attempts = [];
+    // A sample of the prompt is made: it is not what engines end under.
+    this._ends.delete(slot.group);
   }
 
   private _reopen(slot: Slot): void {
@@ -367,6 +397,11 @@
     }
   }
 
+  private _giveUp(group: number): void {
+    for (const slot of this._groups[group] ?? [])
+      if (isUnfilled(slot)) slot.state = { kind: 'failed', reason: 'generation-failed' };
+  }
+
   private _isFresh(ready: ReadySample, trainerVersion: number): boolean {
     return isFresh(ready.sample.spans, this._clock.nowMs() - ready.bornMs, trainerVersion, this.spec);
   }
--- a/packages/steps/src/stepMessages.ts
+++ b/packages/steps/src/stepMessages.ts
@@ -125,8 +125,9 @@
   .strictObject({ verdict: z.enum(['taken', 'duplicate', 'unknown-attempt', 'step-over', 'unknown-step']) })
   .readonly();
 
+/** `endedEngine`: the engine that ended as it began to generate, if that is why. */
 export const sampleFailedSchema = z
-  .strictObject({ key, sampleId: z.string(), isOwnFault: z.boolean() })
+  .strictObject({ key, sampleId: z.string(), isOwnFault: z.boolean(), endedEngine: z.string().optional() })
   .readonly();
 
 /** Asks a worker for samples that it keeps of a step, some at a time. */
--- a/packages/testkit/src/simWorld.ts
+++ b/packages/testkit/src/simWorld.ts
@@ -243,6 +243,7 @@
   readonly orders: { readonly version: number; readonly token: number }[] = [];
   private readonly _swapMs = 300;
   private _isCrashed = false;
+  crashes = 0;
 
   constructor(process: SimProcess) {
     this.process = process;
@@ -254,6 +255,7 @@
 
   crash(restartAfterMs: number): void {
     this._isCrashed = true;
+    this.crashes += 1;
     this.inFlight = 0;
     this.process.after(restartAfterMs, () => {
       this._isCrashed = false;
@@ -280,6 +282,9 @@
   }
 }
 
+/** A process supervisor starts an engine again. */
+const ENGINE_RESTART_MS = 2000;
+
 /** The length of an answer: the same for the same prompt. */
 export function lengthOf(prompt: string): number {
   return 4 + (prompt.length % 3) + (prompt.endsWith('tail') ? 60 : 0);
@@ -314,6 +319,10 @@
       return { kind: 'not-run', isUnreachable: true, isLeaving: false, retryAfterMs: 0 };
     if (engine.isLeaving) return { kind: 'not-run', isUnreachable: false, isLeaving: true, retryAfterMs: 0 };
     if (request.prompt.includes('poison')) return { kind: 'failed', status: 400 };
+    if (request.prompt.includes('deadly')) {
+      engine.crash(ENGINE_RESTART_MS);
+      return { kind: 'broken' };
+    }
     const { startId } = engine;
     engine.inFlight += 1;
     try {
--- a/tests/steps.spec.ts
+++ b/tests/steps.spec.ts
@@ -102,6 +102,20 @@
   t.end();
 });
 
+await tap.test('should not blame a prompt for one engine that ends, nor one that gives samples', t => {
+  const { ledger } = ledgerOf(specOf(2, 8));
+  for (const one of ledger.assign('w', 8).assignments) ledger.engineEnded(one.sampleId, 'engine-1');
+  t.same(ledger.failedGroups(), [], 'eight slots broke with one engine');
+  for (const engine of ['engine-2', 'engine-3', 'engine-4']) {
+    const [made, broken] = ledger.assign('w', 2).assignments;
+    if (!made || !broken) return t.end();
+    ledger.engineEnded(broken.sampleId, engine);
+    ledger.sampleDone(sampleOf(made));
+  }
+  t.same(ledger.failedGroups(), []);
+  return t.end();
+});
+
 await tap.test('should replace a sample that went stale, and not take it back', t => {
   const { ledger } = ledgerOf(specOf(1, 1));
   const [one] = ledger.assign('w', 1).assignments;
@@ -258,6 +272,29 @@
   await fleet.stop();
 });
 
+await tap.test('should give up a prompt under which engines end', async t => {
+  // Symptom: the engines of all trainers restart every few seconds until a step's time is over. Sequence: a prompt ends the engine
+  // that begins to generate for it; each worker goes on elsewhere eight times, and the owner then gives the slot to another.
+  // Cause: a stream that breaks counts as the engine's fault, and an owner hears of no more than that an engine failed.
+  const fleet = await SimFleet.start({
+    seed: 6,
+    domains: ['tekapo'],
+    hostsPerDomain: 3,
+    enginesPerDomain: 8,
+  });
+  const spec = specOf(3, 2);
+  const groups = spec.groups.map((group, i) => (i === 1 ? { ...group, prompt: 'deadly' } : group));
+  const trainer = new SimTrainer(fleet, { ...spec, groups }, false);
+  void trainer.run();
+  await fleet.until('step over', () => trainer.end !== undefined, 100_000);
+  t.match(trainer.end, { kind: 'over', failedGroups: [{ group: 1, reason: 'generation-failed' }] });
+  t.equal(trainer.deliveries.length, 4, 'the other groups are whole');
+  const crashes = [...fleet.engines.values()].reduce((sum, engine) => sum + engine.crashes, 0);
+  // Three prove it, and the group's two samples run at the same time.
+  t.ok(crashes <= 4, `${crashes} engines ended`);
+  await fleet.stop();
+});
+
 await tap.test('should replace what a new version made stale, in time', async t => {
   const fleet = await SimFleet.start({
     seed: 5,
