--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -50,8 +50,8 @@
 }
 
 /**
- * How a request ended. `not-run` is a promise, and so is `rejected`: no endpoint ran it or will. `failures`: endpoints that answered it with a
- * failure of their own.
+ * How a request ended. `not-run` is a promise, and so is `rejected`: no endpoint ran it or will. `failures`: endpoints that
+ * answered it with a failure of their own.
  */
 export type ForwardOutcome =
   | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly failures: number }
