--- /dev/null
+++ b/tests/poisonSoak.spec.ts
@@ -0,0 +1,138 @@
+/**
+ * Poison requests among sound ones while endpoints end for other reasons, the store is away and hosts start again, by seeds.
+ */
+import { setMaxListeners } from 'node:events';
+import tap from 'tap';
+import { SeededRandom, type Random } from '@fuchsiahitch/base';
+import type { CallerRequest, ForwardOutcome } from '@fuchsiahitch/gateway';
+import { FragileEndpoints } from './fragileEndpoints.js';
+import { fuzzRuns } from './fuzzRuns.js';
+import { GatewayFleet } from './gatewayFleet.js';
+import { route } from './gatewayWorld.js';
+
+const STEP_MS = 100;
+const STEPS = 300;
+const CALM_STEPS = 100;
+const HOSTS = 9;
+/** Hosts that are in touch know of a third end after this, and send the request three times more at most. */
+const CONTACT_MS = 3000;
+const MAX_LATER_SENDS = 3;
+const DEADLY = ['/deadly/1', '/deadly/2'];
+const POPULAR = '/popular';
+const LOOKUP = route({
+  run: 'idempotent',
+  pools: [{ pool: 'storefront', weight: 1 }],
+  maxAttempts: 2,
+  targetMs: 186,
+  timeoutMs: 1500,
+});
+const NOBODY_LEFT = new AbortController().signal;
+setMaxListeners(0, NOBODY_LEFT);
+
+interface Served {
+  readonly target: string;
+  readonly atMs: number;
+  readonly kind: ForwardOutcome['kind'];
+}
+
+/** One run of a fleet under random faults, followed by a calm. */
+class Soak {
+  readonly served: Served[] = [];
+  readonly fleet = new GatewayFleet({ hosts: HOSTS, domains: 3, endpoints: 0 });
+  readonly endpoints = new FragileEndpoints(this.fleet);
+  /** When the store was last disturbed, or hosts were started again. */
+  disturbedMs = 0;
+  private readonly _random: Random;
+  private _asked = 0;
+
+  constructor(seed: number) {
+    this._random = new SeededRandom(seed);
+    this.endpoints.isDeadly = ({ target }) => DEADLY.includes(target);
+  }
+
+  async run(): Promise<void> {
+    const { fleet, endpoints } = this;
+    for (let i = 0; i < 3 + this._random.below(6); i++) endpoints.add('storefront');
+    await fleet.start();
+    await fleet.clock.advance(1000);
+    for (let step = 0; step < STEPS; step++) {
+      this._disturb();
+      this._ask();
+      await fleet.clock.advance(STEP_MS);
+    }
+    this._setStore('well');
+    for (let step = 0; step < CALM_STEPS; step++) {
+      this._ask();
+      await fleet.clock.advance(STEP_MS);
+    }
+    await fleet.clock.advance(2000);
+    fleet.stop();
+  }
+
+  private _disturb(): void {
+    const draw = this._random.below(400);
+    if (draw < 6) this.endpoints.endOne('storefront');
+    if (draw === 6) this.endpoints.endAll('storefront');
+    if (draw === 7) this._setStore('away');
+    if (draw === 8) this._setStore('silent');
+    if (draw >= 9 && draw < 40) this._setStore('well');
+  }
+
+  private _setStore(mode: 'well' | 'away' | 'silent'): void {
+    const { hosts, clock } = this.fleet;
+    if (hosts.some(host => host.storeClient.mode !== 'well' || mode !== 'well'))
+      this.disturbedMs = clock.nowMs();
+    for (const host of hosts) host.storeClient.mode = mode;
+  }
+
+  private _ask(): void {
+    const draw = this._random.below(10);
+    if (draw === 0) this._send(DEADLY[this._random.below(DEADLY.length)] ?? '');
+    else this._send(draw < 5 ? POPULAR : `/single/${this._asked}`);
+  }
+
+  private _send(target: string): void {
+    this._asked += 1;
+    const request: CallerRequest = {
+      id: `r${this._asked}`,
+      credential: '',
+      host: 'mods',
+      method: 'POST',
+      target,
+      headers: [],
+      body: Buffer.from(target),
+      waitMs: 1500,
+    };
+    const atMs = this.fleet.clock.nowMs();
+    const host = this.fleet.hosts[this._random.below(HOSTS)];
+    void host?.gateway.forwarder
+      .forward(request, LOOKUP, NOBODY_LEFT)
+      .then(({ kind }) => this.served.push({ target, atMs, kind }));
+  }
+}
+
+await tap.test(
+  'should keep poison requests from endpoints and sound ones served, under random faults',
+  async t => {
+    const { numRuns, seed: firstSeed } = fuzzRuns(15);
+    for (let seed = firstSeed; seed < firstSeed + numRuns; seed++) {
+      const soak = new Soak(seed);
+      await soak.run();
+      const label = `seed ${seed}`;
+      const isSound = ({ target }: Served): boolean => !DEADLY.includes(target);
+      const rejected = soak.served.filter(served => isSound(served) && served.kind === 'rejected');
+      t.same(rejected, [], `${label}: nothing sound is rejected`);
+      const calmMs = (STEPS + 30) * STEP_MS + 1300;
+      const unserved = soak.served.filter(
+        served => isSound(served) && served.atMs > calmMs + CONTACT_MS && served.kind !== 'answered',
+      );
+      t.same(unserved, [], `${label}: all that is sound is served once it is calm`);
+      for (const target of DEADLY) {
+        const third = soak.endpoints.ends.filter(end => end.target === target)[2];
+        const knownMs = Math.max(third?.atMs ?? Infinity, soak.disturbedMs) + CONTACT_MS;
+        const later = soak.endpoints.ofTarget(target).filter(({ atMs }) => atMs > knownMs);
+        t.ok(later.length <= MAX_LATER_SENDS, `${label}: ${later.length} later sends of ${target}`);
+      }
+    }
+  },
+);
--- a/utils/fuzz.mjs
+++ b/utils/fuzz.mjs
@@ -2,7 +2,7 @@
 import { spawnSync } from 'node:child_process';
 
 const [runs = '2000', seed = String(Date.now() % 1_000_000)] = process.argv.slice(2);
-const FILES = ['keys', 'steps', 'rules', 'protocol'];
+const FILES = ['keys', 'steps', 'rules', 'protocol', 'poisonSoak'];
 
 console.log(`runs ${runs}, seed ${seed}`);
 let failed = 0;
