--- /dev/null
+++ b/tests/poisonCost.spec.ts
@@ -0,0 +1,69 @@
+/**
+ * What a poison request costs a fleet by its size, in counts.
+ */
+import tap from 'tap';
+import type { CallerRequest } from '@fuchsiahitch/gateway';
+import { FragileEndpoints } from './fragileEndpoints.js';
+import { GatewayFleet } from './gatewayFleet.js';
+import { route } from './gatewayWorld.js';
+
+const SETTLE_MS = 8000;
+const MEASURED_S = 5;
+const LOOKUP = route({ run: 'idempotent', pools: [{ pool: 'storefront', weight: 1 }], maxAttempts: 2 });
+const POISON: CallerRequest = {
+  id: 'r1',
+  credential: '',
+  host: 'mods',
+  method: 'POST',
+  target: '/lookup/deadly',
+  headers: [],
+  body: Buffer.from('body'),
+  waitMs: 1500,
+};
+
+interface Costs {
+  /** Calls to the store but renewals of leases, which come by the hosts' clocks. */
+  readonly storeCalls: number;
+  readonly peerBytes: number;
+}
+
+/** The costs of some seconds in which a request comes each second, to one host after the other. */
+async function costs(fleet: GatewayFleet): Promise<Costs> {
+  const sentBytes = (): number => fleet.hosts.reduce((sum, host) => sum + host.sentBytes, 0);
+  const storeCalls = (): number => fleet.store.calls.filter(call => call !== 'keepLease').length;
+  const before = { storeCalls: storeCalls(), peerBytes: sentBytes() };
+  for (let turn = 0; turn < MEASURED_S; turn++) {
+    const host = fleet.hosts[(turn * 7) % fleet.hosts.length];
+    void host?.gateway.forwarder.forward({ ...POISON, id: `r${turn}` }, LOOKUP, new AbortController().signal);
+    await fleet.clock.advance(1000);
+  }
+  return {
+    storeCalls: storeCalls() - before.storeCalls,
+    peerBytes: sentBytes() - before.peerBytes,
+  };
+}
+
+for (const [hosts, domains] of [
+  [12, 3],
+  [69, 4],
+  [195, 5],
+] as const) {
+  await tap.test(`should cost a fleet of ${hosts} hosts a few calls to the store`, async t => {
+    // Two ends and a trial's end, each told by one write under one lease, a claim, and the same again for chance; besides, the
+    // domains' watches that hear of three endpoints which go and come. A host may send 2 KB a second.
+    const fleet = new GatewayFleet({ hosts, domains, endpoints: 0 });
+    const endpoints = new FragileEndpoints(fleet);
+    for (let i = 0; i < 12; i++) endpoints.add('storefront');
+    await fleet.start();
+    await fleet.clock.advance(SETTLE_MS);
+    const sound = await costs(fleet);
+    endpoints.isDeadly = () => true;
+    const deadly = await costs(fleet);
+    fleet.stop();
+    const calls = deadly.storeCalls - sound.storeCalls;
+    const bytesAHost = deadly.peerBytes / hosts / MEASURED_S;
+    t.equal(endpoints.ends.length, 3);
+    t.ok(calls <= 10 + 6 * domains, `${calls} calls to the store`);
+    t.ok(bytesAHost <= 2000, `${Math.round(bytesAHost)} bytes a host and second`);
+  });
+}
