--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -43,7 +43,7 @@
 }
 
 /** What services ask about the other hosts. */
-export interface Hosts {
+export interface Hosts extends Pick<PeerCaller, 'call'> {
   self(): Owner;
   /** False until the store has named the hosts that live. */
   isSynced(): boolean;
@@ -66,12 +66,6 @@
   lastOrders(domain: string): OrdersHandover | undefined;
   /** The other hosts that live. */
   peers(): readonly Owner[];
-  call<Q, A>(
-    address: string,
-    call: CallDefinition<Q, A>,
-    request: Q,
-    timeoutMs: number,
-  ): Promise<Result<A, CallError>>;
 }
 
 /** Hears of the keys under one prefix. */
