--- a/packages/clients/src/connectionProbe.ts
+++ b/packages/clients/src/connectionProbe.ts
@@ -1,6 +1,7 @@
 /**
  * Tells whether anybody listens at an address.
  */
+import { splitAddress } from '@fuchsiahitch/base';
 import { Socket } from 'node:net';
 import { codeOf } from './etcdStore.js';
 import { timeoutAfterReading } from './timeoutAfterReading.js';
@@ -19,14 +20,14 @@
 }
 
 async function endOf(socket: Socket, address: string, timeoutMs: number): Promise<ProbeEnd> {
-  const [host = '', port = ''] = address.split(':');
+  const { ip, port } = splitAddress(address);
   // Nobody listens at a port that there isn't, but that is a fault of the record and not the end of a process.
-  if (Number(port) > LAST_PORT) return 'silent';
+  if (port > LAST_PORT) return 'silent';
   return new Promise(resolve => {
     timeoutAfterReading(timeoutMs).addEventListener('abort', () => resolve('silent'));
     socket.on('connect', () => resolve('connected'));
     // Any other error, such as no way to the host, says nothing of who listens there.
     socket.on('error', thrown => resolve(codeOf(thrown) === 'ECONNREFUSED' ? 'refused' : 'silent'));
-    socket.connect(Number(port), host);
+    socket.connect(port, ip);
   });
 }
