--- a/packages/gateway/src/poisonRecords.ts
+++ b/packages/gateway/src/poisonRecords.ts
@@ -8,6 +8,7 @@
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import type { RevisionedStore, Write } from '@fuchsiahitch/clients';
 import { markName, type PoisonMark } from '@fuchsiahitch/requests';
+import * as z from 'zod';
 import type { GatewayContext } from './gatewayContext.js';
 import { LIVE_PREFIX } from './hostDirectory.js';
 
@@ -19,6 +20,9 @@
   readonly mark: PoisonMark;
 }
 
+/** What the value of a trial's key must tell. */
+const trialSchema = z.object({ endsBefore: z.number().int().min(0).default(0) });
+
 /** The longest life of a lease that the platform's store grants. */
 const LEASE_TTL_MS = 600_000;
 /** A lease takes in no more keys after half of its life, so that each is kept for half of it at least. */
@@ -179,6 +183,11 @@
 
 /** What a trial's value tells; 0, the most careful, if it can't be read. */
 function endsBeforeOf(value: string): number {
-  const parsed = /"endsBefore":(\d+)/.exec(value);
-  return Number(parsed?.[1] ?? 0);
+  try {
+    const parsed = trialSchema.safeParse(JSON.parse(value));
+    return parsed.success ? parsed.data.endsBefore : 0;
+  } catch {
+    // Not JSON: a value of another writer.
+    return 0;
+  }
 }
