--- a/tests/poisonCost.spec.ts
+++ b/tests/poisonCost.spec.ts
@@ -2,24 +2,12 @@
  * What a poison request costs a fleet by its size, in counts.
  */
 import tap from 'tap';
-import type { CallerRequest } from '@fuchsiahitch/gateway';
 import { FragileEndpoints } from './fragileEndpoints.js';
 import { GatewayFleet } from './gatewayFleet.js';
-import { route } from './gatewayWorld.js';
+import { LOOKUP, lookup, NOBODY_LEFT } from './lookups.js';
 
 const SETTLE_MS = 8000;
 const MEASURED_S = 5;
-const LOOKUP = route({ run: 'idempotent', pools: [{ pool: 'storefront', weight: 1 }], maxAttempts: 2 });
-const POISON: CallerRequest = {
-  id: 'r1',
-  credential: '',
-  host: 'mods',
-  method: 'POST',
-  target: '/lookup/deadly',
-  headers: [],
-  body: Buffer.from('body'),
-  waitMs: 1500,
-};
 
 interface Costs {
   /** Calls to the store but renewals of leases, which come by the hosts' clocks. */
@@ -34,7 +22,7 @@
   const before = { storeCalls: storeCalls(), peerBytes: sentBytes() };
   for (let turn = 0; turn < MEASURED_S; turn++) {
     const host = fleet.hosts[(turn * 7) % fleet.hosts.length];
-    void host?.gateway.forwarder.forward({ ...POISON, id: `r${turn}` }, LOOKUP, new AbortController().signal);
+    void host?.gateway.forwarder.forward(lookup(`r${turn}`, '/lookup/deadly'), LOOKUP, NOBODY_LEFT);
     await fleet.clock.advance(1000);
   }
   return {
--- a/tests/poisonRequests.spec.ts
+++ b/tests/poisonRequests.spec.ts
@@ -1,43 +1,16 @@
 /**
  * Requests under which endpoints end, at whole gateways of many hosts.
  */
-import { setMaxListeners } from 'node:events';
 import tap from 'tap';
 import { Deadline } from '@fuchsiahitch/base';
 import type { CallerRequest, ForwardOutcome } from '@fuchsiahitch/gateway';
 import { FragileEndpoints } from './fragileEndpoints.js';
 import { GatewayFleet } from './gatewayFleet.js';
-import { batch, item, route } from './gatewayWorld.js';
+import { batch, item } from './gatewayWorld.js';
+import { CONTACT_MS, LOOKUP, lookup, MAX_LATER_SENDS, NOBODY_LEFT } from './lookups.js';
 
-/** A host that is well must know of an end within this time. */
-const CONTACT_MS = 3000;
-/** Sends of a request later than that after its third end. */
-const MAX_LATER_SENDS = 3;
-const LOOKUP = route({
-  run: 'idempotent',
-  pools: [{ pool: 'storefront', weight: 1 }],
-  maxAttempts: 2,
-  targetMs: 186,
-  timeoutMs: 1500,
-});
-const NOBODY_LEFT = new AbortController().signal;
-setMaxListeners(0, NOBODY_LEFT);
 const DEADLY = '/lookup/deadly';
 
-function lookup(id: string, target: string, overrides: Partial<CallerRequest> = {}): CallerRequest {
-  return {
-    id,
-    credential: '',
-    host: 'mods',
-    method: 'POST',
-    target,
-    headers: [],
-    body: Buffer.from(`body of ${target}`),
-    waitMs: 1500,
-    ...overrides,
-  };
-}
-
 interface World {
   readonly fleet: GatewayFleet;
   readonly endpoints: FragileEndpoints;
--- a/tests/poisonSoak.spec.ts
+++ b/tests/poisonSoak.spec.ts
@@ -1,33 +1,20 @@
 /**
  * Poison requests among sound ones while endpoints end for other reasons, the store is away and hosts start again, by seeds.
  */
-import { setMaxListeners } from 'node:events';
 import tap from 'tap';
 import { SeededRandom, type Random } from '@fuchsiahitch/base';
-import type { CallerRequest, ForwardOutcome } from '@fuchsiahitch/gateway';
+import type { ForwardOutcome } from '@fuchsiahitch/gateway';
 import { FragileEndpoints } from './fragileEndpoints.js';
 import { fuzzRuns } from './fuzzRuns.js';
 import { GatewayFleet } from './gatewayFleet.js';
-import { route } from './gatewayWorld.js';
+import { CONTACT_MS, LOOKUP, lookup, MAX_LATER_SENDS, NOBODY_LEFT } from './lookups.js';
 
 const STEP_MS = 100;
 const STEPS = 300;
 const CALM_STEPS = 100;
 const HOSTS = 9;
-/** Hosts that are in touch know of a third end after this, and send the request three times more at most. */
-const CONTACT_MS = 3000;
-const MAX_LATER_SENDS = 3;
 const DEADLY = ['/deadly/1', '/deadly/2'];
 const POPULAR = '/popular';
-const LOOKUP = route({
-  run: 'idempotent',
-  pools: [{ pool: 'storefront', weight: 1 }],
-  maxAttempts: 2,
-  targetMs: 186,
-  timeoutMs: 1500,
-});
-const NOBODY_LEFT = new AbortController().signal;
-setMaxListeners(0, NOBODY_LEFT);
 
 interface Served {
   readonly target: string;
@@ -40,7 +27,7 @@
   readonly served: Served[] = [];
   readonly fleet = new GatewayFleet({ hosts: HOSTS, domains: 3, endpoints: 0 });
   readonly endpoints = new FragileEndpoints(this.fleet);
-  /** When the store was last disturbed, or hosts were started again. */
+  /** When the store was last disturbed, or the hosts were started again. */
   disturbedMs = 0;
   private readonly _random: Random;
   private _asked = 0;
@@ -56,7 +43,7 @@
     await fleet.start();
     await fleet.clock.advance(1000);
     for (let step = 0; step < STEPS; step++) {
-      this._disturb();
+      await this._disturb();
       this._ask();
       await fleet.clock.advance(STEP_MS);
     }
@@ -69,13 +56,20 @@
     fleet.stop();
   }
 
-  private _disturb(): void {
+  private async _disturb(): Promise<void> {
     const draw = this._random.below(400);
     if (draw < 6) this.endpoints.endOne('storefront');
     if (draw === 6) this.endpoints.endAll('storefront');
     if (draw === 7) this._setStore('away');
     if (draw === 8) this._setStore('silent');
     if (draw >= 9 && draw < 40) this._setStore('well');
+    if (draw === 40) await this._restartAll();
+  }
+
+  private async _restartAll(): Promise<void> {
+    for (const host of this.fleet.hosts) host.kill();
+    await this.fleet.start(`again-${this._asked}`);
+    this.disturbedMs = this.fleet.clock.nowMs();
   }
 
   private _setStore(mode: 'well' | 'away' | 'silent'): void {
@@ -93,20 +87,10 @@
 
   private _send(target: string): void {
     this._asked += 1;
-    const request: CallerRequest = {
-      id: `r${this._asked}`,
-      credential: '',
-      host: 'mods',
-      method: 'POST',
-      target,
-      headers: [],
-      body: Buffer.from(target),
-      waitMs: 1500,
-    };
     const atMs = this.fleet.clock.nowMs();
     const host = this.fleet.hosts[this._random.below(HOSTS)];
     void host?.gateway.forwarder
-      .forward(request, LOOKUP, NOBODY_LEFT)
+      .forward(lookup(`r${this._asked}`, target), LOOKUP, NOBODY_LEFT)
       .then(({ kind }) => this.served.push({ target, atMs, kind }));
   }
 }
