Logs: an attempt's time ends with the attempt, not with the look whether its endpoint has ended

What the log calls the reason of an attempt stood twice, in the order of its two fields only different; one function serves both.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -3,6 +3,7 @@
  */
 import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
 import { BatchLedger, pageFrom, type BatchItem, type BatchReadReply } from '@fuchsiahitch/batches';
+import { reasonOf } from './attemptReason.js';
 import { batchRoute } from './batchRoute.js';
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
 import { ClaimLease, SURE_MS } from './claimLease.js';
@@ -288,9 +289,9 @@
     const claimAgeMs = this._lease.ageMs();
     const claimRevision = this._lease.held.revision;
     const end = await attempt.run();
+    const tookMs = this._context.clock.nowMs() - startedMs;
     await this._suspects.ended(item, endpoint, end);
     this._attempts.delete(item.id);
-    const tookMs = this._context.clock.nowMs() - startedMs;
     this._logAttempt(item, endpoint, { number, tookMs, claimRevision, claimAgeMs }, end);
     if (this._isStopped) return;
     this._settle(item, endpoint, end);
@@ -376,7 +377,7 @@
       endpointId: endpoint.id,
       attempt: number,
       end: end.kind,
-      reason: 'text' in end ? end.text : 'reason' in end ? end.reason : undefined,
+      reason: reasonOf(end),
       status: 'status' in end ? end.status : undefined,
       events: this.ledger.progress(item.id).lastEvent(),
       tookMs: Math.round(tookMs),
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -8,6 +8,7 @@
 import { afterReading, Deadline, messageOf, type CancelTimer } from '@fuchsiahitch/base';
 import { EndpointPicker, RetryBudget, type PickRequest, type PoisonVerdict } from '@fuchsiahitch/requests';
 import type { Route } from '@fuchsiahitch/rules';
+import { reasonOf } from './attemptReason.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -270,7 +271,7 @@
       endpointId: endpoint.id,
       attempt: facts.number,
       end: end.kind,
-      reason: 'reason' in end ? end.reason : 'text' in end ? end.text : undefined,
+      reason: reasonOf(end),
       status: end.kind === 'answered' ? end.answer.status : undefined,
       // Only of what broke, since hashing takes time: it tells whether the same request comes again, under other identifiers.
       fingerprint: end.kind === 'broken' ? this._poison.factsOf(request).fingerprint : undefined,
@@ -455,12 +456,12 @@
     const leftMs = this._deadline.leftMs();
     const startedMs = this._context.clock.nowMs();
     const end = await this._forwarder.attempt(this._request, endpoint, leftMs, this._stop.signal);
+    const tookMs = this._context.clock.nowMs() - startedMs;
     if (end.kind === 'broken') await this._poison.broke(this._request, endpoint);
     if (end.kind === 'answered') this._poison.answered(this._request);
     this._running -= 1;
     this._events.push(end);
     this._wake?.();
-    const tookMs = this._context.clock.nowMs() - startedMs;
     this._forwarder.logAttempt(this._request, endpoint, end, { number: attempt, tookMs, leftMs });
   }
 
