--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -5,82 +5,28 @@
  * is late. Any other request is sent again only after proof that it did not run. One place counts attempts, so
  * that no two layers retry the same request.
  */
-import { afterReading, Deadline, messageOf, type CancelTimer } from '@fuchsiahitch/base';
+import { Deadline, messageOf } from '@fuchsiahitch/base';
 import { EndpointPicker, RetryBudget, type PickRequest, type PoisonVerdict } from '@fuchsiahitch/requests';
 import type { Route } from '@fuchsiahitch/rules';
 import { reasonOf } from './attemptReason.js';
+import {
+  RETRY_AFTER_MS,
+  timeoutOf,
+  type RequestAttemptEnd,
+  type RequestAttemptFacts,
+  type CallerRequest,
+  type ForwardOutcome,
+  type StreamSink,
+} from './callerRequest.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import { ForwardRun } from './forwardRun.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { PoisonGuard } from './poisonGuard.js';
-import type { EndpointAnswer, EndpointClient, EndpointReply, HeaderPair, NotRunReason } from './ports.js';
-
-/** A request of a caller, read whole. */
-export interface CallerRequest {
-  readonly id: string;
-  /** The client account's credential; empty where callers bring none. */
-  readonly credential: string;
-  readonly host: string;
-  readonly method: string;
-  readonly target: string;
-  readonly headers: readonly HeaderPair[];
-  readonly body: Buffer | undefined;
-  /** How long the caller waits, from its arrival; undefined if it did not say. */
-  readonly waitMs: number | undefined;
-  /** The caller's trace context, by the W3C recommendation; undefined when it has none. */
-  readonly trace?: string | undefined;
-  /** True for work of the product's own that may wait: it leaves places of each endpoint to callers. */
-  readonly isBackground?: boolean;
-}
-
-/** An answer as it is passed on. */
-export interface WholeAnswer {
-  readonly status: number;
-  readonly headers: readonly HeaderPair[];
-  readonly body: Buffer;
-  readonly proof: string | undefined;
-}
-
-/** Takes a stream piece by piece; `write` resolves when the caller keeps up. */
-export interface StreamSink {
-  begin(status: number, headers: readonly HeaderPair[]): void;
-  write(chunk: Buffer): Promise<void>;
-  end(): void;
-  /** Breaks the answer off in a way that can't be taken for its end. */
-  abort(): void;
-}
-
-/**
- * How a request ended. `not-run` is a promise, and so is `rejected`: no endpoint ran it or will. `failures`: endpoints that
- * answered it with a failure of their own.
- */
-export type ForwardOutcome =
-  | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly failures: number }
-  | { readonly kind: 'streamed' }
-  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
-  /** The request is at fault: no endpoint is given it, and it is of no use to bring it again. */
-  | { readonly kind: 'rejected'; readonly reason: string }
-  | { readonly kind: 'unknown'; readonly reason: 'broken' | 'late' }
-  | { readonly kind: 'caller-left' };
-
-/** How one attempt ended. */
-type AttemptEnd =
-  | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly isFailure: boolean }
-  | { readonly kind: 'not-run'; readonly reason: NotRunReason }
-  | { readonly kind: 'broken'; readonly text: string }
-  | { readonly kind: 'cancelled' };
+import type { EndpointAnswer, EndpointClient, EndpointReply, NotRunReason } from './ports.js';
 
 /** An end of an attempt, as the log tells it; of a stream, the head of its answer. */
-type LoggedEnd = AttemptEnd | EndpointReply;
-
-/** What the log tells of an attempt beside its end. */
-interface AttemptFacts {
-  /** Sends of the request so far, this one included. */
-  readonly number: number;
-  readonly tookMs: number;
-  /** The time that the request had when it was sent. */
-  readonly leftMs: number;
-}
+type LoggedEnd = RequestAttemptEnd | EndpointReply;
 
 /** How one attempt at a stream ended; `not-sent`: another endpoint may be asked. */
 type StreamEnd = ForwardOutcome | { readonly kind: 'not-sent'; readonly reason: NotRunReason };
@@ -91,15 +37,8 @@
   readonly number: number;
 }
 
-/** Without a word of the caller or the route a request may take this long. */
-const DEFAULT_TIMEOUT_MS = 30_000;
-/** An idempotent request is sent to a second endpoint after this share of its target, if still unanswered. */
-const HEDGE_SHARE = 0.6;
-const MIN_HEDGE_MS = 30;
 /** Second sends without a failure of the first: at most this share of requests, so that load never doubles. */
 const HEDGE_BUDGET = { share: 0.2, burst: 10 };
-/** When every endpoint is full, a place comes free within a few requests' time. */
-const RETRY_AFTER_MS = 300;
 /**
  * The share of an endpoint's places that work of the product's own leaves to callers. A batch that ends asks for 27
  * scores in a second, of 43 ms each, at endpoints of 6 places.
@@ -251,7 +190,7 @@
     endpoint: Endpoint,
     leftMs: number,
     signal: AbortSignal,
-  ): Promise<AttemptEnd> {
+  ): Promise<RequestAttemptEnd> {
     const isBackground = request.isBackground ?? false;
     endpoint.stats.began(isBackground);
     endpoint.limit.used(endpoint.stats.inFlight());
@@ -265,7 +204,7 @@
     return end;
   }
 
-  logAttempt(request: CallerRequest, endpoint: Endpoint, end: LoggedEnd, facts: AttemptFacts): void {
+  logAttempt(request: CallerRequest, endpoint: Endpoint, end: LoggedEnd, facts: RequestAttemptFacts): void {
     this._context.log.info('request attempt', {
       requestId: request.id,
       endpointId: endpoint.id,
@@ -285,7 +224,7 @@
     endpoint: Endpoint,
     leftMs: number,
     signal: AbortSignal,
-  ): Promise<AttemptEnd> {
+  ): Promise<RequestAttemptEnd> {
     const call = toCall(request, endpoint, leftMs);
     const reply = await this._client.send(call, signal);
     if (reply.kind === 'not-run') {
@@ -302,7 +241,7 @@
     endpoint: Endpoint,
     answer: EndpointAnswer,
     signal: AbortSignal,
-  ): Promise<AttemptEnd> {
+  ): Promise<RequestAttemptEnd> {
     noteAnswer(endpoint, answer);
     const chunks: Buffer[] = [];
     try {
@@ -367,151 +306,11 @@
   }
 }
 
-/** One request with its attempts, of which two may run at a time. */
-class ForwardRun {
-  private readonly _context: GatewayContext;
-  private readonly _forwarder: Forwarder;
-  private readonly _poison: PoisonGuard;
-  private readonly _request: CallerRequest;
-  private readonly _route: Route;
-  private readonly _left: AbortSignal;
-  private readonly _deadline: Deadline;
-  private readonly _stop = new AbortController();
-  private readonly _tried = new Set<string>();
-  private readonly _events: AttemptEnd[] = [];
-  private _wake: (() => void) | undefined;
-  private _running = 0;
-  private _sent = 0;
-  /** Sends for which no connection was made: they reached no endpoint. */
-  private _unmade = 0;
-  private _mayHaveRun = false;
-  private _failure: WholeAnswer | undefined;
-  private _failures = 0;
-
-  constructor(
-    context: GatewayContext,
-    forwarder: Forwarder,
-    poison: PoisonGuard,
-    request: CallerRequest,
-    route: Route,
-    left: AbortSignal,
-  ) {
-    this._context = context;
-    this._forwarder = forwarder;
-    this._poison = poison;
-    this._request = request;
-    this._route = route;
-    this._left = left;
-    this._deadline = Deadline.after(context.clock, timeoutOf(request, route));
-  }
-
-  async run(): Promise<ForwardOutcome> {
-    const wake = (): void => this._wake?.();
-    const cancels = [this._context.clock.after(this._deadline.leftMs(), wake), this._armHedge()];
-    this._left.addEventListener('abort', wake);
-    const outcome = await this._decide();
-    this._left.removeEventListener('abort', wake);
-    for (const cancel of cancels) cancel();
-    // Whatever still runs is told to stop: its caller has the answer, or is gone.
-    this._stop.abort();
-    return outcome;
-  }
-
-  private async _decide(): Promise<ForwardOutcome> {
-    this._start();
-    for (;;) {
-      const end = this._events.shift();
-      const outcome = end ? this._take(end) : this._givenUp();
-      if (outcome) return outcome;
-      if (!end) await this._nextEvent();
-    }
-  }
-
-  private async _nextEvent(): Promise<void> {
-    await new Promise<void>(resolve => {
-      this._wake = resolve;
-    });
-    this._wake = undefined;
-  }
-
-  /** Sends the request to one more endpoint, if its route allows another and there is one. */
-  private _start(): boolean {
-    // Where connections that nobody took count as sends, a request is refused after two endpoints that have ended, though
-    // a third one of its pool lives.
-    const sent = this._sent - this._unmade;
-    if (sent >= this._route.maxAttempts || this._deadline.isOver()) return false;
-    // What ended the endpoints that ran it would end the next one, and with it all that others have there.
-    if (sent > 0 && this._poison.verdict(this._request).kind !== 'free') return false;
-    const endpoint = this._forwarder.choose(this._route, this._tried, this._request.isBackground);
-    if (!endpoint) return false;
-    this._tried.add(endpoint.id);
-    this._sent += 1;
-    this._running += 1;
-    void this._attempt(endpoint);
-    return true;
-  }
-
-  private async _attempt(endpoint: Endpoint): Promise<void> {
-    const attempt = this._sent;
-    const leftMs = this._deadline.leftMs();
-    const startedMs = this._context.clock.nowMs();
-    const end = await this._forwarder.attempt(this._request, endpoint, leftMs, this._stop.signal);
-    const tookMs = this._context.clock.nowMs() - startedMs;
-    if (end.kind === 'broken') await this._poison.broke(this._request, endpoint);
-    if (end.kind === 'answered') this._poison.answered(this._request);
-    this._running -= 1;
-    this._events.push(end);
-    this._wake?.();
-    this._forwarder.logAttempt(this._request, endpoint, end, { number: attempt, tookMs, leftMs });
-  }
-
-  private _take(end: AttemptEnd): ForwardOutcome | undefined {
-    const mayRepeat = this._route.run === 'idempotent';
-    if (end.kind === 'answered' && end.isFailure) this._failures += 1;
-    if (end.kind === 'answered' && !(end.isFailure && mayRepeat)) return this._answered(end.answer);
-    if (end.kind === 'answered') this._failure = end.answer;
-    if (end.kind !== 'not-run') this._mayHaveRun = true;
-    else if (end.reason === 'unreachable') this._unmade += 1;
-    if (end.kind === 'not-run' || mayRepeat) this._start();
-    if (this._running > 0 || this._events.length > 0) return undefined;
-    if (this._failure) return this._answered(this._failure);
-    if (this._mayHaveRun) return { kind: 'unknown', reason: 'broken' };
-    return { kind: 'not-run', reason: 'every endpoint refused it', retryAfterMs: RETRY_AFTER_MS };
-  }
-
-  private _answered(answer: WholeAnswer): ForwardOutcome {
-    return { kind: 'answered', answer, failures: this._failures };
-  }
-
-  /** The end of a request that waits for nothing, whose time is up, or whose caller is gone. */
-  private _givenUp(): ForwardOutcome | undefined {
-    if (this._left.aborted) return { kind: 'caller-left' };
-    if (this._running === 0) return { kind: 'not-run', reason: 'no endpoint', retryAfterMs: RETRY_AFTER_MS };
-    return this._deadline.isOver() ? { kind: 'unknown', reason: 'late' } : undefined;
-  }
-
-  private _armHedge(): CancelTimer {
-    if (this._route.run !== 'idempotent') return () => undefined;
-    const afterMs = Math.max(MIN_HEDGE_MS, this._route.targetMs * HEDGE_SHARE);
-    // A late loop that sent before it read would send what is answered already, and be later still. What falls due only
-    // after the deadline by that is not sent: `_start` looks at the time.
-    return afterReading(this._context.clock, afterMs, () => {
-      if (this._running === 1 && this._forwarder.mayHedge()) this._start();
-    });
-  }
-}
-
 /** True while the endpoint has places that callers don't need, by its own last word and what this host has there. */
 function hasRoomForBackground(endpoint: Endpoint): boolean {
   return endpoint.stats.estimatedLoad() < Math.max(1, endpoint.info().slots * (1 - CALLERS_RESERVE));
 }
 
-/** The time that a request has: what its caller waits and what its route allows, whichever is less. */
-function timeoutOf(request: CallerRequest, route: Route): number {
-  const routeMs = route.timeoutMs > 0 ? route.timeoutMs : DEFAULT_TIMEOUT_MS;
-  return Math.min(request.waitMs ?? routeMs, routeMs);
-}
-
 function toCall(
   request: CallerRequest,
   endpoint: Endpoint,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from './batchService.js';
 export * from './batchStore.js';
 export * from './batchSweeper.js';
+export * from './callerRequest.js';
 export * from './callerStore.js';
 export * from './claimLease.js';
 export * from './configurationService.js';
--- a/packages/gateway/src/streamReply.ts
+++ b/packages/gateway/src/streamReply.ts
@@ -2,7 +2,7 @@
  * A streamed answer on its way to a caller.
  */
 import type { ServerResponse } from 'node:http';
-import type { StreamSink } from './forwarder.js';
+import type { StreamSink } from './callerRequest.js';
 import type { HeaderPair } from './ports.js';
 
 export class StreamReply implements StreamSink {
