--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,7 @@
 export * from './ports.js';
 export * from './reachMonitor.js';
 export * from './relayedStore.js';
+export * from './retirement.js';
 export * from './sharedWatch.js';
 export * from './storeLease.js';
 export * from './storeRelayMessages.js';
--- a/platform/src/retirement.ts
+++ b/packages/gateway/src/retirement.ts
@@ -8,8 +8,6 @@
 import type { RevisionedStore, WatchEvent } from '@fuchsiahitch/clients';
 import type { Logger } from '@fuchsiahitch/telemetry';
 
-const WISH_PREFIX = 'op/retire/';
-const STATUS_PREFIX = 'status/retire/';
 const CALL_TIMEOUT_MS = 1500;
 /**
  * How long one watch waits: a connection that fell silent is noticed after it. Asking every two seconds instead took
@@ -18,17 +16,22 @@
 const WATCH_WAIT_MS = 15_000;
 const RETRY_MS = 500;
 
+/** Where the operator's wish for a host is read, and where and with which value it is answered. */
+export interface RetirementRecord {
+  readonly wishKey: string;
+  readonly statusKey: string;
+  readonly completedValue: string;
+}
+
 export class Retirement {
-  private readonly _key: string;
-  private readonly _statusKey: string;
+  private readonly _record: RetirementRecord;
   private readonly _store: RevisionedStore;
   private readonly _clock: Clock;
   private readonly _log: Logger;
   private readonly _answered = new Set<number>();
 
-  constructor(hostId: string, store: RevisionedStore, clock: Clock, log: Logger) {
-    this._key = `${WISH_PREFIX}${hostId}`;
-    this._statusKey = `${STATUS_PREFIX}${hostId}`;
+  constructor(record: RetirementRecord, store: RevisionedStore, clock: Clock, log: Logger) {
+    this._record = record;
     this._store = store;
     this._clock = clock;
     this._log = log;
@@ -44,13 +47,13 @@
 
   /** Reads the wish and waits for others, until a call fails. */
   private async _watch(signal: AbortSignal): Promise<void> {
-    const found = await this._store.snapshot(this._key, this._deadline());
+    const found = await this._store.snapshot(this._record.wishKey, this._deadline());
     if (!found.ok) return;
     if (!(await this._answerAll(found.value.items))) return;
     let { revision } = found.value;
     while (!signal.aborted) {
       const deadline = Deadline.after(this._clock, WATCH_WAIT_MS + CALL_TIMEOUT_MS);
-      const changes = await this._store.changes(this._key, revision, WATCH_WAIT_MS, deadline);
+      const changes = await this._store.changes(this._record.wishKey, revision, WATCH_WAIT_MS, deadline);
       if (!changes.ok) return;
       if (!(await this._answerAll(changes.value.events))) return;
       ({ revision } = changes.value);
@@ -60,15 +63,15 @@
   private async _answerAll(wishes: readonly WatchEvent[]): Promise<boolean> {
     for (const { key, value, version } of wishes) {
       // The prefix fits the keys of hosts with longer names too.
-      if (key !== this._key || value === undefined || this._answered.has(version)) continue;
+      if (key !== this._record.wishKey || value === undefined || this._answered.has(version)) continue;
       if (!(await this._answer(version))) return false;
     }
     return true;
   }
 
   private async _answer(version: number): Promise<boolean> {
-    const value = JSON.stringify({ state: 'completed' });
-    const put = { kind: 'put', key: this._statusKey, value } as const;
+    const { statusKey, completedValue } = this._record;
+    const put = { kind: 'put', key: statusKey, value: completedValue } as const;
     const done = await this._store.transact([], [put], this._deadline());
     this._log.info('retirement', { outcome: done.ok ? 'completed' : done.error, wishRevision: version });
     if (done.ok) this._answered.add(version);
--- a/tests/platformWire.spec.ts
+++ b/tests/platformWire.spec.ts
@@ -4,8 +4,8 @@
 import { setMaxListeners } from 'node:events';
 import tap from 'tap';
 import { Deadline, SystemClock, VirtualClock } from '@fuchsiahitch/base';
-import type { EndpointCall, EndpointInfo, ItemCall } from '@fuchsiahitch/gateway';
-import { PlatformEndpoints, Retirement, StoreClient } from '@fuchsiahitch/platform';
+import { Retirement, type EndpointCall, type EndpointInfo, type ItemCall } from '@fuchsiahitch/gateway';
+import { PlatformEndpoints, retirementRecord, StoreClient } from '@fuchsiahitch/platform';
 import { FakeStore } from './fakeStore.js';
 import { TestLog } from './gatewayWorld.js';
 import { chunk, genuine, LAST_CHUNK, StoreStandIn, streamHead, WireServer } from './platformStandIns.js';
@@ -99,7 +99,7 @@
   const client = store.client();
   const stop = new AbortController();
   setMaxListeners(0, stop.signal);
-  const retirement = new Retirement('storage-1', client, virtual, new TestLog());
+  const retirement = new Retirement(retirementRecord('storage-1'), client, virtual, new TestLog());
   void retirement.run(stop.signal);
   const watches = t.capture(client, 'changes', client.changes.bind(client));
   await virtual.advance(60_000);
@@ -147,6 +147,7 @@
 function call(endpoint: EndpointInfo, overrides: Partial<EndpointCall> = {}): EndpointCall {
   return {
     endpoint,
+    accountName: undefined,
     method: 'POST',
     target: '/a/x?y=%20z',
     headers: [
@@ -345,6 +346,7 @@
   return {
     endpoint,
     itemId: 'x',
+    accountName: undefined,
     host: 'h.example',
     target: '/a/b/x',
     headers: { Model: 'm1', 'Token-Count': '16,400', Host: 'wrong', 'Last-Event-Id': '99' },
