Accounts: every way in asks who is calling, and endpoints are told the account and never the key

Cause: nothing here knew of accounts.

A list that names an account or a key twice is refused whole, and the configuration in force stays. - Rules and accounts of a version come into force together. Who is denied by a view older than 3 s is told 503: another host may know a newer key, so that 401 could be untrue. - Plain requests, streams, submissions, reads, bodies and ends ask. The decision is asked again before each send. - The endpoint gets the account on first sends, retries, hedges, items, scores; what the caller sent under that name is dropped, and so is the credential wherever accounts are known. - A batch and the texts of earlier steps are kept under a name that begins with the account, so that another account that uses its identifier finds nothing, and submits a batch of its own. Taking keys away ends no batch. - A poison request is told apart by account; the field is called caller, since credentials serve where no accounts are. - HttpExchange leaves the adapter: it knows nothing of the platform.

--- a/packages/batches/src/batchKeys.ts
+++ b/packages/batches/src/batchKeys.ts
@@ -6,6 +6,8 @@
  * results stand beside it and are never changed once written.
  */
 
+import { strongDigest } from '@fuchsiahitch/base';
+
 export const ROOT = 'fuchsiahitch/';
 export const CLAIMS = `${ROOT}own/`;
 
@@ -15,13 +17,22 @@
 /** Any revision that a number holds exactly. */
 const REVISION_DIGITS = 16;
 
+/**
+ * The name under which a batch is kept and asked for. Each account has names of its own: whoever uses the identifier of another
+ * account's batch finds nothing. The separator can't stand in the identifier that a caller gives.
+ */
+export function batchIdOf(accountName: string | undefined, givenId: string): string {
+  const id = encodeURIComponent(givenId);
+  return accountName === undefined ? id : `${strongDigest([accountName])}@${id}`;
+}
+
 export function claimKey(batchId: string): string {
   return `${CLAIMS}${batchId}`;
 }
 
 /** The key that names the batch of a model's step. Keys are used again after a few steps, so that none is left behind. */
-export function stepKey(model: string, step: number): string {
-  return `${ROOT}step/${model}/${step % STEP_KEYS}`;
+export function stepKey(accountName: string | undefined, model: string, step: number): string {
+  return `${ROOT}step/${batchIdOf(accountName, model)}/${step % STEP_KEYS}`;
 }
 
 /** The prefix of all parts of the batch as it was submitted. */
--- a/packages/batches/src/model.ts
+++ b/packages/batches/src/model.ts
@@ -44,6 +44,8 @@
 export const batchSchema = z
   .strictObject({
     id: z.string(),
+    /** The client account whose batch it is; absent for a batch that anybody may submit. */
+    accountName: z.string().optional(),
     /** The host name of the route; with an item's path it decides where the item runs. */
     host: z.string(),
     /** The trainer's step; undefined for a batch that belongs to none. */
--- a/packages/clients/src/headerPairs.ts
+++ b/packages/clients/src/headerPairs.ts
@@ -39,6 +39,11 @@
   return headers.filter(([name]) => !dropped.has(name.toLowerCase()));
 }
 
+/** The headers without those of these names, given in lower case, however often they stand there. */
+export function without(headers: readonly HeaderPair[], dropped: readonly string[]): HeaderPair[] {
+  return headers.filter(([name]) => !dropped.includes(name.toLowerCase()));
+}
+
 /** A number in a header; undefined if there is none. */
 export function numberOf(text: string | undefined): number | undefined {
   const value = Number(text);
--- a/packages/gateway/src/batchStore.ts
+++ b/packages/gateway/src/batchStore.ts
@@ -104,7 +104,7 @@
     };
     const writes: Write[] = [{ kind: 'put', key, value: JSON.stringify(claim) }];
     for (const [i, value] of parts.entries()) writes.push({ kind: 'put', key: partKey(batch.id, i), value });
-    if (hasSteps(batch)) writes.push(stepWrite(batch.id, batch.model, batch.step));
+    if (hasSteps(batch)) writes.push(stepWrite(batch));
     let mayBeDone = false;
     for (;;) {
       const askedMs = this._context.clock.nowMs();
@@ -216,7 +216,7 @@
   ): Promise<Result<string | undefined, BatchStoreError>> {
     if (!hasSteps(batch) || batch.step < stepsBack) return ok(undefined);
     const step = batch.step - stepsBack;
-    const key = stepKey(batch.model, step);
+    const key = stepKey(batch.accountName, batch.model, step);
     const stored = await this._store.get(key, deadline);
     if (!stored.ok) return err({ kind: 'out-of-reach', error: stored.error });
     if (!stored.value) return ok(undefined);
@@ -306,7 +306,7 @@
     if (!submitted.ok) return submitted.error.kind === 'damaged';
     const batch = submitted.value;
     if (!hasSteps(batch)) return true;
-    const key = stepKey(batch.model, batch.step);
+    const key = stepKey(batch.accountName, batch.model, batch.step);
     const named = await this._store.get(key, deadline);
     if (!named.ok) return false;
     if (named.value?.value !== stepValue(batchId, batch.step)) return true;
@@ -351,8 +351,8 @@
   return batch.step !== undefined && batch.model !== '';
 }
 
-function stepWrite(batchId: string, model: string, step: number): Write {
-  return { kind: 'put', key: stepKey(model, step), value: stepValue(batchId, step) };
+function stepWrite({ id, accountName, model, step }: Batch & { readonly step: number }): Write {
+  return { kind: 'put', key: stepKey(accountName, model, step), value: stepValue(id, step) };
 }
 
 function stepValue(batchId: string, step: number): string {
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -7,8 +7,12 @@
 /** A request of a caller, read whole. */
 export interface CallerRequest {
   readonly id: string;
-  /** The client account's credential; empty where callers bring none. */
-  readonly credential: string;
+  /** What tells callers apart: the client account or, where none is known, the credential that was brought; empty for neither. */
+  readonly caller: string;
+  /** The client account that endpoints are told; undefined where the request is nobody's. */
+  readonly accountName?: string | undefined;
+  /** False once the caller may no longer send such a request: asked before each send. Absent where nothing can change that. */
+  readonly mayRun?: () => boolean;
   readonly host: string;
   readonly method: string;
   readonly target: string;
@@ -47,6 +51,8 @@
   | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly failures: number }
   | { readonly kind: 'streamed' }
   | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  /** The caller may no longer send it. No endpoint ran it or will. */
+  | { readonly kind: 'denied' }
   /** The request is at fault: no endpoint is given it, and it is of no use to bring it again. */
   | { readonly kind: 'rejected'; readonly reason: string }
   | { readonly kind: 'unknown'; readonly reason: 'broken' | 'late' }
--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -2,6 +2,7 @@
  * The operators' configuration in force on this host, and the versions that trainers named. It only moves
  * forward, whatever order changes arrive in.
  */
+import { AccountIndex, decideAccess, type Access, type Credential } from '@fuchsiahitch/accounts';
 import type { StoredValue } from '@fuchsiahitch/clients';
 import { RuleBook, RuleHistory, type Decision, type Route } from '@fuchsiahitch/rules';
 import type { GatewayContext } from './gatewayContext.js';
@@ -14,6 +15,11 @@
  * of each host, and would show as callers who get 404 for a new route, seconds after it was accepted.
  */
 const WATCH = { waitMs: 1000, answerMs: 600, spacingMs: 0 };
+/**
+ * A host in touch hears of a new configuration within two seconds or so. One that has heard nothing for longer refuses with the
+ * promise that another host may know more, in place of a denial that a client account takes for the last word.
+ */
+const MAX_DENYING_AGE_MS = 3000;
 const noSignals = (): number => 0;
 
 /** Where a request goes, by the rule that decided it. */
@@ -29,6 +35,10 @@
   | { readonly kind: 'no-route'; readonly revision: number }
   | { readonly kind: 'unknown' };
 
+/** `unsure`: the accounts that this host knows are too old to say that a caller is none of them. */
+export type AccessResult =
+  (Access & { readonly revision: number }) | { readonly kind: 'unsure'; readonly revision: number };
+
 export class ConfigurationService {
   private readonly _context: GatewayContext;
   private readonly _keys: RecordKeys;
@@ -37,6 +47,7 @@
   private readonly _history = new RuleHistory();
   private readonly _named = new Map<string, number>();
   private _book: RuleBook | undefined;
+  private _accounts: AccountIndex | undefined;
   private _configuration: FleetConfiguration | undefined;
 
   constructor(context: GatewayContext, store: MirrorSource, keys: RecordKeys, decoder: RecordDecoder) {
@@ -94,6 +105,33 @@
     return toResult(decision);
   }
 
+  /**
+   * What a caller may do by the accounts in force. Who is denied by a view that is older than a change may take is told so only
+   * by hosts that would know of a newer key.
+   */
+  access(credential: Credential, isPublic: boolean): AccessResult {
+    const revision = this._history.revision();
+    const access = decideAccess(this._accounts, credential, isPublic);
+    const isOld = this.ageMs() > MAX_DENYING_AGE_MS;
+    return access.kind === 'denied' && isOld ? { kind: 'unsure', revision } : { ...access, revision };
+  }
+
+  /** False once the key that an earlier decision stands on was taken away. */
+  stillGrants(earlier: Access, credential: Credential): boolean {
+    if (earlier.kind !== 'granted') return true;
+    const access = decideAccess(this._accounts, credential, false);
+    return access.kind !== 'denied';
+  }
+
+  /** True if anybody may submit batches to the host name, and so ask for them. */
+  hasPublicBatches(host: string): boolean {
+    const rules = this._configuration?.rules ?? [];
+    return rules.some(({ when, then }) => {
+      const isBatch = then.route?.run === 'batch' && then.route.isPublic;
+      return isBatch && (when.host?.includes(host) ?? true);
+    });
+  }
+
   private _changed(item: StoredValue): void {
     if (item.key === this._keys.configurationKey) this._takeConfiguration(item.value);
     if (item.key.startsWith(this._keys.versionPrefix)) this._takeVersion(item.value);
@@ -107,13 +145,36 @@
       return;
     }
     const { revision, rules } = configuration;
+    const accounts = this._index(configuration);
+    if (accounts === 'contradictory') return;
     const offered = this._history.offerDocument({ revision, rules, editIds: [] });
-    log.info('configuration', { revision, outcome: offered, routes: rules.length });
+    log.info('configuration', {
+      revision,
+      outcome: offered,
+      routes: rules.length,
+      accounts: configuration.accounts?.length,
+    });
     if (offered !== 'taken') return;
     this._configuration = configuration;
+    this._accounts = accounts;
     this._book = new RuleBook(this._history.document(), clock, noSignals);
   }
 
+  /** The accounts of a configuration; one that contradicts itself is not put in force, in any of its parts. */
+  private _index({ revision, accounts }: FleetConfiguration): AccountIndex | undefined | 'contradictory' {
+    if (!accounts) return undefined;
+    const index = AccountIndex.build(accounts, this._accounts);
+    if (index.ok) return index.value;
+    const inForce = this._history.revision();
+    this._context.log.error('contradictory accounts, the configuration in force stays', {
+      revision,
+      inForce,
+      problem: index.error.kind,
+      accounts: index.error.kind === 'name-twice' ? index.error.name : index.error.names.join(', '),
+    });
+    return 'contradictory';
+  }
+
   private _takeVersion(value: string): void {
     const named = this._decoder.namedVersion(value);
     if (!named) {
--- a/packages/gateway/src/forwardRun.ts
+++ b/packages/gateway/src/forwardRun.ts
@@ -12,7 +12,7 @@
   type WholeAnswer,
 } from './callerRequest.js';
 import type { Endpoint } from './endpoint.js';
-import type { Forwarder } from './forwarder.js';
+import { mayRun, type Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { PoisonGuard } from './poisonGuard.js';
 
@@ -40,6 +40,7 @@
   private _mayHaveRun = false;
   private _failure: WholeAnswer | undefined;
   private _failures = 0;
+  private _isDenied = false;
 
   constructor(
     context: GatewayContext,
@@ -92,6 +93,7 @@
     // Where connections that nobody took count as sends, a request is refused after two endpoints that have ended, though
     // a third one of its pool lives.
     const sent = this._sent - this._unmade;
+    if (!mayRun(this._request)) return this._deny();
     if (sent >= this._route.maxAttempts || this._deadline.isOver()) return false;
     // What ended the endpoints that ran it would end the next one, and with it all that others have there.
     if (sent > 0 && this._poison.verdict(this._request).kind !== 'free') return false;
@@ -104,6 +106,11 @@
     return true;
   }
 
+  private _deny(): false {
+    this._isDenied = true;
+    return false;
+  }
+
   private async _attempt(endpoint: Endpoint): Promise<void> {
     const attempt = this._sent;
     const leftMs = this._deadline.leftMs();
@@ -129,6 +136,7 @@
     if (this._running > 0 || this._events.length > 0) return undefined;
     if (this._failure) return this._answered(this._failure);
     if (this._mayHaveRun) return { kind: 'unknown', reason: 'broken' };
+    if (this._isDenied) return { kind: 'denied' };
     return { kind: 'not-run', reason: 'every endpoint refused it', retryAfterMs: RETRY_AFTER_MS };
   }
 
@@ -139,6 +147,7 @@
   /** The end of a request that waits for nothing, whose time is up, or whose caller is gone. */
   private _givenUp(): ForwardOutcome | undefined {
     if (this._left.aborted) return { kind: 'caller-left' };
+    if (this._running === 0 && this._isDenied) return { kind: 'denied' };
     if (this._running === 0) return { kind: 'not-run', reason: 'no endpoint', retryAfterMs: RETRY_AFTER_MS };
     return this._deadline.isOver() ? { kind: 'unknown', reason: 'late' } : undefined;
   }
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -146,6 +146,7 @@
     const tried = new Set<string>();
     let unmade = 0;
     for (let attempt = 0; attempt - unmade < route.maxAttempts && !deadline.isOver(); attempt++) {
+      if (!mayRun(request)) return { kind: 'denied' };
       const endpoint = this.choose(route, tried);
       if (!endpoint) break;
       tried.add(endpoint.id);
@@ -306,6 +307,11 @@
   }
 }
 
+/** False once the caller may no longer send such a request. */
+export function mayRun(request: CallerRequest): boolean {
+  return request.mayRun?.() ?? true;
+}
+
 /** True while the endpoint has places that callers don't need, by its own last word and what this host has there. */
 function hasRoomForBackground(endpoint: Endpoint): boolean {
   return endpoint.stats.estimatedLoad() < Math.max(1, endpoint.info().slots * (1 - CALLERS_RESERVE));
@@ -316,8 +322,8 @@
   endpoint: Endpoint,
   leftMs: number,
 ): Parameters<EndpointClient['send']>[0] {
-  const { method, target, headers, body } = request;
-  return { endpoint: endpoint.info(), method, target, headers, body, leftMs };
+  const { accountName, method, target, headers, body } = request;
+  return { endpoint: endpoint.info(), accountName, method, target, headers, body, leftMs };
 }
 
 function notSent(endpoint: Endpoint, reason: NotRunReason): StreamEnd {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * from './gatewayContext.js';
 export * from './gatewayMetrics.js';
 export * from './hostDirectory.js';
+export * from './httpExchange.js';
 export * from './itemAttempt.js';
 export * from './itemScoring.js';
 export * from './loopDelay.js';
--- a/packages/gateway/src/itemAttempt.ts
+++ b/packages/gateway/src/itemAttempt.ts
@@ -167,6 +167,7 @@
     return {
       endpoint: this.endpoint.info(),
       itemId: this._item.id,
+      accountName: this._ledger.batch.accountName,
       host: this._ledger.batch.host,
       target: this._item.path,
       headers: this._item.headers,
--- a/packages/gateway/src/itemScoring.ts
+++ b/packages/gateway/src/itemScoring.ts
@@ -113,7 +113,8 @@
   private async _ask(request: ScoreRequest, route: Route, signal: AbortSignal): Promise<ScoreEnd> {
     const call: CallerRequest = {
       id: request.id,
-      credential: '',
+      caller: this._ledger.batch.accountName ?? '',
+      accountName: this._ledger.batch.accountName,
       host: request.host,
       method: 'POST',
       target: request.path,
--- a/packages/gateway/src/itemSuspects.ts
+++ b/packages/gateway/src/itemSuspects.ts
@@ -4,7 +4,7 @@
  * A held item stays in its batch until the batch ends or its route lets it go: it has not failed by its trainer's rules, and
  * the rest of its step goes on without it.
  */
-import type { BatchItem, BatchLedger } from '@fuchsiahitch/batches';
+import type { Batch, BatchItem, BatchLedger } from '@fuchsiahitch/batches';
 import type { PoisonVerdict, RequestIdentity } from '@fuchsiahitch/requests';
 import type { Endpoint } from './endpoint.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -95,7 +95,7 @@
   private _identity(item: BatchItem): RequestIdentity {
     const known = this._identities.get(item.id);
     if (known) return known;
-    const identity = new ItemIdentity(this._ledger.batch.host, item);
+    const identity = new ItemIdentity(this._ledger.batch, item);
     this._identities.set(item.id, identity);
     return identity;
   }
@@ -103,13 +103,14 @@
 
 /** An item as a request. Its body is decoded only where a fingerprint is needed: most items are told apart by their paths. */
 class ItemIdentity implements RequestIdentity {
-  readonly credential = '';
+  readonly caller: string;
   readonly method = 'POST';
   readonly host: string;
   private readonly _item: BatchItem;
 
-  constructor(host: string, item: BatchItem) {
-    this.host = host;
+  constructor(batch: Batch, item: BatchItem) {
+    this.caller = batch.accountName ?? '';
+    this.host = batch.host;
     this._item = item;
   }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,6 +1,7 @@
 /**
  * What the gateway needs from outside: typed calls to endpoints, and what it learns of them.
  */
+import type { Account } from '@fuchsiahitch/accounts';
 import type { GeneratedEvent } from '@fuchsiahitch/batches';
 import type { HeaderPair } from '@fuchsiahitch/clients';
 import type { Rule } from '@fuchsiahitch/rules';
@@ -33,6 +34,8 @@
 /** A request as it is sent to an endpoint. */
 export interface EndpointCall {
   readonly endpoint: EndpointInfo;
+  /** The client account that the request is made for; undefined where it is nobody's. */
+  readonly accountName: string | undefined;
   readonly method: string;
   /** Path and query. */
   readonly target: string;
@@ -74,6 +77,8 @@
 export interface ItemCall {
   readonly endpoint: EndpointInfo;
   readonly itemId: string;
+  /** The client account whose batch it is; undefined where that is nobody's. */
+  readonly accountName: string | undefined;
   /** The host name of the item's route. */
   readonly host: string;
   readonly target: string;
@@ -159,6 +164,8 @@
   readonly revision: number;
   readonly rules: readonly Rule[];
   readonly limits: CallerLimits;
+  /** Undefined where the operators name no accounts: then callers need no keys. */
+  readonly accounts?: readonly Account[] | undefined;
   /** The models that trainers share the pool's endpoints with, by pool. */
   readonly models: ReadonlyMap<string, readonly string[]>;
 }
--- a/packages/requests/src/requestFingerprint.ts
+++ b/packages/requests/src/requestFingerprint.ts
@@ -5,8 +5,8 @@
 
 /** What an endpoint's work on a request depends on. */
 export interface RequestIdentity {
-  /** The client account's credential; empty where callers bring none. */
-  readonly credential: string;
+  /** What tells callers apart: the client account or, where none is known, the credential that was brought; empty for neither. */
+  readonly caller: string;
   readonly host: string;
   readonly method: string;
   /** Path and query. */
@@ -28,8 +28,8 @@
 
 /** A digest of a request's identity, the same at every host. Reads the whole body. */
 export function requestFingerprint(request: RequestIdentity): string {
-  const { credential, host, method, target, body } = request;
-  const identity = strongDigest([credential, host, method, target, body ?? '']);
+  const { caller, host, method, target, body } = request;
+  const identity = strongDigest([caller, host, method, target, body ?? '']);
   return `${targetDigest(request)}-${identity}`;
 }
 
--- a/packages/rules/src/model.ts
+++ b/packages/rules/src/model.ts
@@ -67,6 +67,8 @@
     maxAttempts: z.number().int().min(1),
     /** 0 is the most urgent. */
     rank: z.number().int().min(0),
+    /** Anybody may send such a request: its caller needs no key of an account. */
+    isPublic: z.boolean(),
     /** A broken stream may go on at another endpoint. */
     isResumable: z.boolean(),
     /** All tokens of one result must come from one weight version. */
--- /dev/null
+++ b/tests/accounts.spec.ts
@@ -0,0 +1,297 @@
+/**
+ * Client accounts: whose key a caller brings, and what follows from it on every way in and to every endpoint.
+ */
+import fc from 'fast-check';
+import tap from 'tap';
+import { AccountIndex, decideAccess, type Account, type Credential } from '@fuchsiahitch/accounts';
+import { SeededRandom, VirtualClock } from '@fuchsiahitch/base';
+import { ConfigurationService } from '@fuchsiahitch/gateway';
+import { PlatformRecords, recordKeys } from '@fuchsiahitch/platform';
+import { FakeStore } from './fakeStore.js';
+import { testContext } from './gatewayWorld.js';
+import { PlatformHost } from './platformHost.js';
+import { chunk, genuine, LAST_CHUNK, streamHead } from './platformStandIns.js';
+
+const LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 100_000,
+  header_timeout_ms: 3000,
+  idle_timeout_ms: 15_000,
+};
+const ROUTES = [
+  { name: 'lookup', host: 'h', prefix: '/a/', type: 'idempotent', service: 's1', max_attempts: 2 },
+  { name: 'open', host: 'h', prefix: '/open/', type: 'idempotent', service: 's1', public: true },
+  { name: 'talk', host: 'h', prefix: '/talk/', type: 'streaming', service: 's1' },
+  { name: 'steps', host: 'h', prefix: '/b/', type: 'rollout', service: 's1', due_ms: 7500, queue_ttl_s: 40 },
+];
+const ACCOUNTS = [
+  { name: 'ann', api_keys: ['ann-1', 'ann-2'], priority: 1 },
+  { name: 'bob', api_keys: ['bob-1'] },
+];
+
+function configuration(
+  version: number,
+  tenants: unknown = ACCOUNTS,
+): { readonly version: number; readonly tenants: unknown } {
+  const fixed = { routes: ROUTES, services: [], limits: LIMITS };
+  return { version, ...fixed, tenants };
+}
+
+function account(name: string, ...keys: readonly string[]): Account {
+  return { name, keys, rank: undefined };
+}
+
+function indexOf(accounts: readonly Account[], before?: AccountIndex): AccountIndex {
+  const index = AccountIndex.build(accounts, before);
+  if (!index.ok) throw new Error(index.error.kind);
+  return index.value;
+}
+
+const key = (text: string): Credential => ({ kind: 'key', key: text });
+
+await tap.test('should tell a known key from one that was removed and one that never was', t => {
+  const first = indexOf([account('ann', 'a1', 'a2'), account('bob', 'b1')]);
+  const second = indexOf([account('ann', 'a2')], first);
+  t.same(decideAccess(second, key('a2'), false), { kind: 'granted', accountName: 'ann' });
+  t.same(decideAccess(second, key('a1'), false), {
+    kind: 'denied',
+    reason: 'removed-key',
+    accountName: 'ann',
+  });
+  t.match(decideAccess(second, key('b1'), false), { reason: 'removed-key', accountName: 'bob' });
+  t.match(decideAccess(second, key('A2'), false), { reason: 'unknown-key' });
+  t.match(decideAccess(second, { kind: 'none' }, false), { reason: 'no-key' });
+  t.match(decideAccess(second, { kind: 'unreadable' }, false), { reason: 'unreadable-key' });
+  const third = indexOf([account('bob', 'b1', 'a1')], second);
+  t.match(decideAccess(third, key('a1'), false), { kind: 'granted', accountName: 'bob' }, 'given to another');
+  t.end();
+});
+
+await tap.test('should ask for no key on public routes, nor where no accounts are known', t => {
+  const index = indexOf([account('ann', 'a1')]);
+  t.same(decideAccess(index, { kind: 'none' }, true), { kind: 'public' });
+  t.same(decideAccess(index, key('other'), true), { kind: 'public' });
+  t.match(decideAccess(index, key('a1'), true), { accountName: 'ann' });
+  t.same(decideAccess(undefined, key('other'), false), { kind: 'unmanaged' });
+  t.match(
+    decideAccess(indexOf([]), key('a1'), false),
+    { kind: 'denied' },
+    'accounts are known, and there are none',
+  );
+  t.end();
+});
+
+await tap.test('should refuse lists that name an account or a key twice', t => {
+  t.match(AccountIndex.build([account('ann', 'a'), account('ann', 'b')]), { error: { kind: 'name-twice' } });
+  t.match(AccountIndex.build([account('ann', 'a'), account('bob', 'a')]), {
+    error: { kind: 'key-shared', names: ['ann', 'bob'] },
+  });
+  t.ok(AccountIndex.build([account('ann', 'a', 'a')]).ok, 'its own key twice does no harm');
+  t.end();
+});
+
+await tap.test('should grant a key to the one account that holds it, whatever versions came before', t => {
+  const names = fc.constantFrom('ann', 'bob', 'cat');
+  const keys = fc.constantFrom('k1', 'k2', 'k3', 'k4');
+  const version = fc.uniqueArray(fc.tuple(keys, names), { selector: ([held]) => held });
+  fc.assert(
+    fc.property(fc.array(version, { minLength: 1, maxLength: 5 }), versions => {
+      let index: AccountIndex | undefined;
+      for (const held of versions) {
+        const owners = new Map<string, string>(held);
+        const accounts = ['ann', 'bob', 'cat'].map(name =>
+          account(name, ...held.filter(([, owner]) => owner === name).map(([text]) => text)),
+        );
+        index = indexOf(accounts, index);
+        for (const text of ['k1', 'k2', 'k3', 'k4']) {
+          const access = decideAccess(index, key(text), false);
+          const granted = access.kind === 'granted' ? access.accountName : undefined;
+          if (granted !== owners.get(text)) return false;
+        }
+      }
+      return true;
+    }),
+    { seed: 34 },
+  );
+  t.end();
+});
+
+await tap.test('should index 5,000 accounts without holding the event loop up', t => {
+  const random = new SeededRandom(34);
+  const accounts = Array.from({ length: 5000 }, (_, i) =>
+    account(`account-${i}`, ...Array.from({ length: 4 }, () => random.id())),
+  );
+  const takesMs: number[] = [];
+  for (let i = 0; i < 9; i++) {
+    const startedMs = performance.now();
+    indexOf(accounts);
+    takesMs.push(performance.now() - startedMs);
+  }
+  t.ok(Math.min(...takesMs) < 20, `an index in ${Math.min(...takesMs).toFixed(1)} ms`);
+  t.end();
+});
+
+await tap.test('should keep the configuration in force when accounts contradict themselves', async t => {
+  const clock = new VirtualClock();
+  const store = new FakeStore(clock);
+  const context = testContext(clock);
+  const service = new ConfigurationService(context, store.client(), recordKeys, new PlatformRecords());
+  const put = async (content: object): Promise<void> => {
+    store.put(recordKeys.configurationKey, JSON.stringify(content));
+    await clock.advance(200);
+  };
+  service.start();
+  await put(configuration(1));
+  await put(configuration(2, [...ACCOUNTS, { name: 'cat', api_keys: ['ann-1'] }]));
+  t.match(service.access(key('ann-1'), false), { kind: 'granted', accountName: 'ann', revision: 1 });
+  t.ok(context.log.has('contradictory accounts, the configuration in force stays'));
+  await put(configuration(3, [{ name: 'cat' }]));
+  await put(configuration(4, [{ name: 5, api_keys: ['x'] }]));
+  t.match(
+    service.access(key('ann-1'), false),
+    { accountName: 'ann', revision: 1 },
+    'accounts that lack fields',
+  );
+  await put(configuration(5, [{ name: 'cat', api_keys: ['ann-1'], more: 1 }]));
+  t.match(service.access(key('ann-1'), false), { accountName: 'cat', revision: 5 });
+  t.notMatch(JSON.stringify(context.log.lines), /ann-1/, 'no key in a log');
+  context.stop.abort();
+});
+
+await tap.test('should deny nobody by accounts that may be out of date', async t => {
+  // A host that the store is silent to tells the holder of a new key that there is no such key.
+  const clock = new VirtualClock();
+  const store = new FakeStore(clock);
+  const context = testContext(clock);
+  const client = store.client();
+  const service = new ConfigurationService(context, client, recordKeys, new PlatformRecords());
+  store.put(recordKeys.configurationKey, JSON.stringify(configuration(1)));
+  service.start();
+  await clock.advance(200);
+  t.equal(service.access(key('new'), false).kind, 'denied');
+  client.mode = 'away';
+  await clock.advance(5000);
+  t.equal(service.access(key('new'), false).kind, 'unsure');
+  t.equal(service.access(key('ann-1'), false).kind, 'granted', 'what it knows it serves');
+  t.equal(service.access({ kind: 'none' }, true).kind, 'public');
+  context.stop.abort();
+});
+
+await tap.test('should ask every caller for its key and tell endpoints the account only', async t => {
+  // A server runs a request that nobody's key allows, or learns a key, or believes the account that a caller names.
+  const host = await PlatformHost.start(configuration(1), ['s1']);
+  const { server } = host;
+  server.answer = (request, socket) => void socket.write(genuine(request, 'whole'));
+  const ask = async (path: string, headers: Record<string, string | string[]>): Promise<number> =>
+    (await host.ask({ method: 'POST', path, headers: { host: 'h', 'request-id': 'r', ...headers } }, 'x'))
+      .status;
+  const denied: readonly Record<string, string | string[]>[] = [
+    {},
+    { authorization: 'Token nobody' },
+    { authorization: 'Bearer ann-1' },
+    { authorization: 'ann-1' },
+    { authorization: 'Token ANN-1' },
+    { authorization: 'Token ' },
+    { authorization: 'Token ann-1 bob-1' },
+  ];
+  for (const headers of denied)
+    for (const path of ['/a/x', '/talk/x', '/b/x', '/v1/lots/x', '/v1/items/x?id=1'])
+      t.equal(await ask(path, headers), 401, `${path} ${JSON.stringify(headers)}`);
+  t.equal(server.requests.length, 0, 'none of them ran');
+  t.equal(await ask('/a/x', { authorization: 'Token ann-2', tenant: 'bob' }), 200);
+  t.equal(await ask('/a/x', { authorization: 'token  bob-1', Tenant: ['ann', 'cat'] }), 200);
+  t.equal(await ask('/talk/x', { authorization: 'Token ann-1', connection: 'Tenant' }), 200);
+  t.equal(await ask('/open/x', { tenant: 'ann' }), 200);
+  t.equal(await ask('/open/x', { authorization: 'Token nobody' }), 200);
+  t.same(
+    server.requests.map(({ headers }) => headers.tenant),
+    ['ann', 'bob', 'ann', undefined, undefined],
+  );
+  t.notMatch(JSON.stringify(server.requests), /ann-\d|bob-\d|nobody/, 'no key at a server');
+  t.notMatch(JSON.stringify(host.log.lines), /ann-\d|bob-\d|nobody/, 'no key in a log');
+  await host.stop();
+});
+
+await tap.test('should deny a key by two headers', async t => {
+  // One of two readers takes the first key of a request, and the other the last.
+  const host = await PlatformHost.start(configuration(1), ['s1']);
+  const headers = ['Host', 'h', 'Authorization', 'Token ann-1', 'Authorization', 'Token bob-1'];
+  t.equal((await host.ask({ path: '/a/x', headers: headers })).status, 401);
+  t.equal(host.server.requests.length, 0);
+  await host.stop();
+});
+
+await tap.test('should not send a request again once its key was taken away', async t => {
+  // A request whose first endpoint refuses it runs at the next, though its key is gone by then.
+  const host = await PlatformHost.start(configuration(1), ['s1', 's1']);
+  const { server } = host;
+  server.answer = (request, socket) => {
+    void host.configure(configuration(2, [ACCOUNTS[1]])).then(() => {
+      socket.write(
+        `HTTP/1.1 503 Busy\r\nRequest-Id: ${request.headers['request-id'] ?? ''}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`,
+      );
+    });
+  };
+  const headers = { host: 'h', 'request-id': 'r', authorization: 'Token ann-1', 'deadline-ms': '5000' };
+  const answered = await host.ask({ method: 'POST', path: '/a/x', headers }, 'x');
+  t.equal(answered.status, 401);
+  t.equal(server.requests.length, 1);
+  await host.stop();
+});
+
+const SUBMISSION = {
+  model: 'm1',
+  min_version: 1,
+  group_count: 1,
+  items: [
+    {
+      id: 'x',
+      path: '/b/x',
+      headers: { Tenant: 'bob', Authorization: 'Token bob-1', Model: 'm1' },
+      body: Buffer.from('prompt').toString('base64'),
+      group: 'g',
+    },
+  ],
+};
+
+await tap.test(
+  'should keep a batch for its account, whichever key asks, and hide it from others',
+  async t => {
+    // Another account reads, ends or replaces a batch whose identifier it has learnt.
+    const host = await PlatformHost.start(configuration(1), ['s1']);
+    const { server } = host;
+    server.answer = (request, socket) =>
+      void socket.write(streamHead(request, 2) + chunk('id: 1\ndata: one\n\n') + LAST_CHUNK);
+    const as = (name: string): Record<string, string> => ({
+      host: 'h',
+      'request-id': 'b1',
+      'wait-ms': '1000',
+      authorization: `Token ${name}`,
+    });
+    const submit = async (name: string): Promise<number> =>
+      (await host.ask({ method: 'POST', path: '/b/lot', headers: as(name) }, JSON.stringify(SUBMISSION)))
+        .status;
+    const read = async (name: string): Promise<number> =>
+      (await host.ask({ path: '/v1/lots/b1?after=0', headers: as(name) })).status;
+    t.equal(await submit('ann-1'), 202);
+    t.equal(await read('bob-1'), 404);
+    t.equal((await host.ask({ path: '/v1/items/b1?id=x', headers: as('bob-1') })).status, 404);
+    t.equal((await host.ask({ method: 'DELETE', path: '/v1/lots/b1', headers: as('bob-1') })).status, 404);
+    t.equal(await read('ann-2'), 200);
+    t.equal((await host.ask({ path: '/v1/items/b1?id=x', headers: as('ann-2') })).body, 'prompt');
+    await host.until(() => server.requests.length > 0);
+    t.same(
+      server.requests.map(request => [request.headers.tenant, request.headers.authorization]),
+      [['ann', undefined]],
+    );
+    t.equal(await submit('bob-1'), 202, 'under the same identifier');
+    await host.until(() => server.requests.length > 1);
+    t.same(server.requests[1]?.headers.tenant, 'bob');
+    await host.configure(configuration(2, [{ name: 'ann', api_keys: ['ann-3'] }]));
+    t.equal(await read('ann-1'), 401);
+    t.equal(await read('ann-3'), 200, 'a newer key of the account');
+    t.equal((await host.ask({ method: 'DELETE', path: '/v1/lots/b1', headers: as('ann-3') })).status, 200);
+    t.notMatch(JSON.stringify(host.store.data.keys('').map(name => host.store.data.value(name))), /ann-1/);
+    await host.stop();
+  },
+);
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -44,7 +44,7 @@
 
 const REQUEST: CallerRequest = {
   id: 'r1',
-  credential: '',
+  caller: '',
   host: 'quests',
   method: 'POST',
   target: '/run/1',
--- a/tests/gatewayWorld.ts
+++ b/tests/gatewayWorld.ts
@@ -104,6 +104,7 @@
     targetMs: 400,
     maxAttempts: 3,
     rank: 1,
+    isPublic: false,
     isResumable: true,
     isSingleVersion: false,
     dueMs: 7500,
--- a/tests/lateLoopPeers.spec.ts
+++ b/tests/lateLoopPeers.spec.ts
@@ -318,7 +318,7 @@
   const safe = route({ run: 'idempotent', maxAttempts: 2, targetMs: 200, timeoutMs: 1500 });
   const request = {
     id: 'r1',
-    credential: '',
+    caller: '',
     host: 'quests',
     method: 'GET',
     target: '/',
--- a/tests/lookups.ts
+++ b/tests/lookups.ts
@@ -24,7 +24,7 @@
 export function lookup(id: string, target: string, overrides: Partial<CallerRequest> = {}): CallerRequest {
   return {
     id,
-    credential: '',
+    caller: '',
     host: 'mods',
     method: 'POST',
     target,
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -303,7 +303,7 @@
 
   store.data.put('op/config', JSON.stringify(CONFIGURATION));
   // Other hosts have seen three endpoints end under a request, the last of them under its trial.
-  const deadly = { credential: 'key-1', host: 'h.example', method: 'POST', target: '/a/deadly' };
+  const deadly = { caller: 'key-1', host: 'h.example', method: 'POST', target: '/a/deadly' };
   const marks = `fuchsiahitch/live/poison/${requestFingerprint({ ...deadly, body: Buffer.from('body') })}`;
   for (const end of ['end-i-7@0', 'end-i-8@0', 'end-i-9@0']) store.data.put(`${marks}/${end}`, '{}');
   store.data.put(`${marks}/trial-1`, JSON.stringify({ hostId: 'edge-2', endsBefore: 2 }));
--- /dev/null
+++ b/tests/platformHost.ts
@@ -0,0 +1,176 @@
+/**
+ * One host on the platform's protocols, over sockets: its store, one server behind it, and callers.
+ */
+import http from 'node:http';
+import { SystemClock, SystemRandom } from '@fuchsiahitch/base';
+import { Gateway, GatewayMetrics, LoopDelay, PeerLinks, type GatewayContext } from '@fuchsiahitch/gateway';
+import {
+  CallerServer,
+  PlatformEndpoints,
+  PlatformRecords,
+  recordKeys,
+  StoreClient,
+} from '@fuchsiahitch/platform';
+import { PeerServer } from '@fuchsiahitch/protocol';
+import { Tracing } from '@fuchsiahitch/telemetry';
+import { TestLog } from './gatewayWorld.js';
+import { StoreStandIn, WireServer } from './platformStandIns.js';
+
+const POLL_MS = 10;
+const MAX_POLLS = 500;
+const FLEET_KEY = 'fleet-key-for-tests';
+
+export interface Answered {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+export class PlatformHost {
+  readonly store = new StoreStandIn();
+  readonly server = new WireServer();
+  readonly log = new TestLog();
+  readonly gateway: Gateway;
+  private readonly _stop = new AbortController();
+  private readonly _callers: CallerServer;
+  private readonly _peers: PeerServer;
+  private readonly _address: string;
+
+  private constructor(parts: HostParts) {
+    this.store = parts.store;
+    this.server = parts.server;
+    this.log = parts.log;
+    this.gateway = parts.gateway;
+    this._stop = parts.stop;
+    this._callers = parts.callers;
+    this._peers = parts.peers;
+    this._address = parts.address;
+  }
+
+  /** Starts a host whose pools, by name, each have the one server. */
+  static async start(configuration: unknown, pools: readonly string[]): Promise<PlatformHost> {
+    const store = new StoreStandIn();
+    const server = new WireServer();
+    const storeAddress = await store.listen();
+    const record = serverRecord(await server.listen());
+    for (const [i, service] of pools.entries())
+      store.data.put(`servers/i-${i}`, JSON.stringify({ ...record, service }));
+    store.data.put(recordKeys.configurationKey, JSON.stringify(configuration));
+    const stop = new AbortController();
+    const context = makeContext(stop.signal);
+    const { clock, metrics } = context;
+    const identity = { hostId: 'edge-1', incarnation: '1', domain: 'tekapo', programVersion: '0' };
+    const link = { fleetKey: FLEET_KEY, identity, clock, counters: metrics };
+    const peers = new PeerServer({ address: '127.0.0.1:0', ...link });
+    const gateway = new Gateway(context, {
+      store: new StoreClient(storeAddress, () => undefined),
+      client: new PlatformEndpoints(),
+      keys: recordKeys,
+      decoder: new PlatformRecords(),
+      hosts: { peers: new PeerLinks(link), address: await peers.listen() },
+      orders: { handoverMs: 3000 },
+      domains: ['tekapo'],
+      batchReadableMs: 120_000,
+      batchEndMs: 3000,
+    });
+    const callers = new CallerServer({ address: '127.0.0.1:0', gateway, clock, log: context.log, metrics });
+    const address = await callers.listen();
+    gateway.start(peers);
+    const host = new PlatformHost({
+      store,
+      server,
+      log: context.log,
+      gateway,
+      stop,
+      callers,
+      peers,
+      address,
+    });
+    await host.until(() => gateway.isReady());
+    return host;
+  }
+
+  async ask(options: http.RequestOptions, body?: string): Promise<Answered> {
+    const [host = '', port = ''] = this._address.split(':');
+    return new Promise((resolve, reject) => {
+      const request = http.request({ host, port: Number(port), agent: false, ...options }, response => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(chunks).toString(),
+          }),
+        );
+        response.on('error', reject);
+      });
+      request.on('error', reject);
+      request.end(body);
+    });
+  }
+
+  /** Puts another configuration in force at the host. */
+  async configure(configuration: { readonly version: number }): Promise<void> {
+    this.store.data.put(recordKeys.configurationKey, JSON.stringify(configuration));
+    const { version } = configuration;
+    await this.until(() =>
+      this.log.lines.some(line => line.text === 'configuration' && line.details.revision === version),
+    );
+  }
+
+  async until(isTrue: () => boolean): Promise<void> {
+    for (let i = 0; i < MAX_POLLS && !isTrue(); i++)
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    if (!isTrue()) throw new Error('the host did not come to it');
+  }
+
+  async stop(): Promise<void> {
+    this._stop.abort();
+    await this.gateway.shutDown(0);
+    await this._callers.close();
+    await this._peers.close();
+    await this.server.close();
+    await this.store.close();
+  }
+}
+
+interface HostParts {
+  readonly store: StoreStandIn;
+  readonly server: WireServer;
+  readonly log: TestLog;
+  readonly gateway: Gateway;
+  readonly stop: AbortController;
+  readonly callers: CallerServer;
+  readonly peers: PeerServer;
+  readonly address: string;
+}
+
+function makeContext(stopped: AbortSignal): GatewayContext & { readonly log: TestLog } {
+  const clock = new SystemClock();
+  return {
+    hostId: 'edge-1',
+    incarnation: '1',
+    domain: 'tekapo',
+    clock,
+    random: new SystemRandom(),
+    log: new TestLog(),
+    metrics: new GatewayMetrics(),
+    tracing: new Tracing(),
+    loop: new LoopDelay(clock, stopped),
+    stopped,
+  };
+}
+
+function serverRecord(address: string): object {
+  return {
+    address,
+    zone: 'tekapo',
+    slots: 4,
+    version: 'v1',
+    cold_left_ms: 0,
+    seq: 1,
+    state: 'ready',
+    models: [{ name: 'm1', version: 2 }],
+  };
+}
--- a/tests/poisonCases.spec.ts
+++ b/tests/poisonCases.spec.ts
@@ -5,7 +5,7 @@
 import { VirtualClock } from '@fuchsiahitch/base';
 import { PoisonCases, requestFingerprint, targetDigest, targetOfFingerprint } from '@fuchsiahitch/requests';
 
-const REQUEST = { credential: '', host: 'mods', method: 'POST', target: '/a', body: Buffer.from('b') };
+const REQUEST = { caller: '', host: 'mods', method: 'POST', target: '/a', body: Buffer.from('b') };
 const FP = requestFingerprint(REQUEST);
 
 interface World {
@@ -112,14 +112,14 @@
 
 await tap.test('should tell requests apart by caller, host, method, path and body', t => {
   const others = [
-    { credential: 'k' },
+    { caller: 'k' },
     { host: 'mod' },
     { method: 'GET' },
     { target: '/a?b' },
     { body: Buffer.from('c') },
     { body: undefined },
     { target: '/ab', body: Buffer.from('') },
-    { credential: 'POST', method: '' },
+    { caller: 'POST', method: '' },
   ].map(change => requestFingerprint({ ...REQUEST, ...change }));
   t.equal(new Set([FP, ...others]).size, 9);
   t.equal(requestFingerprint({ ...REQUEST, body: Buffer.from('b') }), FP);
--- a/tests/poisonRequests.spec.ts
+++ b/tests/poisonRequests.spec.ts
@@ -149,7 +149,7 @@
 await tap.test('should take a request for the same by its caller, method, path and body only', async t => {
   const world = await started();
   const { fleet } = world;
-  void ask(world, 0, lookup('r0', DEADLY, { credential: 'a', headers: [['x', '1']] }));
+  void ask(world, 0, lookup('r0', DEADLY, { caller: 'a', headers: [['x', '1']] }));
   await fleet.clock.advance(2500);
   world.endpoints.isDeadly = () => false;
   const kindOf = async (request: CallerRequest): Promise<string> => {
@@ -157,10 +157,10 @@
     await fleet.clock.advance(100);
     return (await outcome).kind;
   };
-  t.equal(await kindOf(lookup('r1', DEADLY, { credential: 'b' })), 'answered', 'another account');
-  t.equal(await kindOf(lookup('r2', DEADLY, { credential: 'a', body: Buffer.from('b') })), 'answered');
-  t.equal(await kindOf(lookup('r3', `${DEADLY}?page=2`, { credential: 'a' })), 'answered');
-  t.equal(await kindOf(lookup('r4', DEADLY, { credential: 'a', method: 'PUT' })), 'answered');
+  t.equal(await kindOf(lookup('r1', DEADLY, { caller: 'b' })), 'answered', 'another account');
+  t.equal(await kindOf(lookup('r2', DEADLY, { caller: 'a', body: Buffer.from('b') })), 'answered');
+  t.equal(await kindOf(lookup('r3', `${DEADLY}?page=2`, { caller: 'a' })), 'answered');
+  t.equal(await kindOf(lookup('r4', DEADLY, { caller: 'a', method: 'PUT' })), 'answered');
   fleet.stop();
 });
 
