Duties: what is about holding the right to weight orders leaves weightOrders.ts

A move, for the duties to come: DutyLease has the lease, the guard, the wait of a successor, the hand-over by subject and the noticed pause; packages/duties has the parts without input or output (they were in packages/orders). New beside the move: a duty without a domain, and standAside, which leaves a duty to others for a while; a renewal that comes back after the lease was given up is dropped.

--- a/packages/orders/src/leaseGuard.ts
+++ b/packages/duties/src/leaseGuard.ts
@@ -1,5 +1,5 @@
 /**
- * Whether this host may still give orders under its lease.
+ * Whether this host may still act under its lease.
  *
  * What goes wrong without it: the holder is paused past its lease, wakes, still believes that it holds it, and
  * orders an endpoint that does not check tokens back to an old version. One sees the endpoint change version
@@ -10,11 +10,11 @@
 
 export interface LeaseTimes {
   readonly leaseMs: number;
-  /** Orders stop this long before the lease ends. */
+  /** Acts stop this long before the lease ends. */
   readonly marginMs: number;
 }
 
-/** The lease of one domain's orders. */
+/** The lease of one duty. */
 export class LeaseGuard {
   private readonly _clock: Clock;
   private readonly _times: LeaseTimes;
@@ -37,7 +37,7 @@
     this._untilMs = -Infinity;
   }
 
-  /** The token to put on an order now, or undefined when no order may be given. */
+  /** The token to put on a call now, or undefined when none may be made. */
   token(): number | undefined {
     const isSafe = this._clock.nowMs() < this._untilMs - this._times.marginMs;
     return isSafe ? this._token : undefined;
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -4,7 +4,7 @@
 import type { CancelTimer, Result } from '@fuchsiahitch/base';
 import { isSameOwner, ownerFields, ROOT, type Owner } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
-import { decodeHandover, type OrdersHandover } from '@fuchsiahitch/orders';
+import { decodeHandover, type DutyHandover } from '@fuchsiahitch/duties';
 import type { CallDefinition, CallError, PeerServer } from '@fuchsiahitch/protocol';
 import * as z from 'zod';
 import type { GatewayContext } from './gatewayContext.js';
@@ -63,7 +63,7 @@
   /** Runs something whenever the key's holder may have changed, and once the hosts that live are known. */
   onKey(key: string, run: () => void): void;
   /** What the last holder of a domain's orders left, also when nobody holds them now. */
-  lastOrders(domain: string): OrdersHandover | undefined;
+  lastOrders(domain: string): DutyHandover | undefined;
   /** The other hosts that live. */
   peers(): readonly Owner[];
 }
@@ -171,7 +171,7 @@
     this._listeners.set(prefix, listener);
   }
 
-  lastOrders(domain: string): OrdersHandover | undefined {
+  lastOrders(domain: string): DutyHandover | undefined {
     const value = this._values.get(lastOrdersKey(domain));
     return value === undefined ? undefined : decodeHandover(value);
   }
--- a/packages/gateway/src/storeLease.ts
+++ b/packages/gateway/src/storeLease.ts
@@ -72,6 +72,11 @@
   async release(): Promise<void> {
     this._isReleased = true;
     this._wake();
+    await this.giveUp();
+  }
+
+  /** As `release`, and takes the key again once the holder wants it. */
+  async giveUp(): Promise<void> {
     const leaseId = this._leaseId;
     this._leaseId = undefined;
     if (leaseId === undefined) return;
@@ -133,6 +138,8 @@
   private async _renew(leaseId: string): Promise<boolean> {
     const sentMs = this._context.clock.nowMs();
     const kept = await this._store.keepLease(leaseId, this._deadline());
+    // Given up meanwhile: the key may be another host's by now.
+    if (this._leaseId !== leaseId) return false;
     if (kept.ok && kept.value) {
       this._holder.held(this._token, sentMs);
       return true;
--- a/packages/orders/src/index.ts
+++ b/packages/orders/src/index.ts
@@ -1,7 +1,6 @@
 /** Decisions about weight orders to endpoints. */
-export * from './leaseGuard.js';
+export { decodeHandover, LeaseGuard } from '@fuchsiahitch/duties';
 export * from './loadChoice.js';
 export * from './loadSchedule.js';
 export * from './model.js';
-export * from './ordersHandover.js';
 export * from './swapPlanner.js';
