Metering: what endpoints began is reported to the platform, once and whole for each window

Now packages/metering (no input or output) has the meter of a host, the ledger of the host that reports, and true time as the median of the hosts' wall clocks, each against the reporter's monotonic clock; the gateway tells and reports.

- Hosts tell the reporter over the peer link within a second, with all counts of a window each time, so that a message may be lost or repeated; a host that is asked nothing tells nothing.
A window is decided when every host that was busy near it has said that nothing can be added, or 4 s before it is due.
- A report's content is written under a condition before it is first sent, and on the condition that reports have not gone on: a write that is carried out late decides nothing.
It is sent until it is answered, with the same bytes.
- The duty is held by DutyLease, as orders are; each call has a connection of its own; after four failures in a row the duty is left to another host for 6 s.

Found on the way by metering.spec.ts, each red first: a busy host was waited for in windows before its first; a late tell of a host that had a longer timer; a successor that found no note began with its own first window (windows 2 and 3 of 100 requests each lost in an outage of the store); a process that reported before was not told anew.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -11,5 +11,6 @@
 export * from './resetGuard.js';
 export * from './scorer.js';
 export * from './serviceClient.js';
+export * from './singleCall.js';
 export * from './timeoutAfterReading.js';
 export * from './watchByChanges.js';
--- a/packages/gateway/src/callerStore.ts
+++ b/packages/gateway/src/callerStore.ts
@@ -19,7 +19,8 @@
 import type { GatewayMetrics } from './gatewayMetrics.js';
 
 /** The parts of the gateway that call the store. */
-export type StoreCaller = 'watch' | 'host-lease' | 'orders-lease' | 'batches' | 'sweep' | 'poison';
+export type StoreCaller =
+  'watch' | 'host-lease' | 'orders-lease' | 'batches' | 'sweep' | 'poison' | 'usage-lease' | 'usage';
 
 export class CallerStore implements RevisionedStore {
   private readonly _store: RevisionedStore;
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -7,6 +7,7 @@
  */
 import { Deadline, messageOf } from '@fuchsiahitch/base';
 import { EndpointPicker, RetryBudget, type PickRequest, type PoisonVerdict } from '@fuchsiahitch/requests';
+import type { MeteredSend } from '@fuchsiahitch/metering';
 import type { Route } from '@fuchsiahitch/rules';
 import { reasonOf } from './attemptReason.js';
 import {
@@ -49,12 +50,18 @@
 const SERVER_ERROR = 500;
 const FIRST_ERROR = 400;
 
+/** Counts what endpoints begin, by account. */
+export interface RequestMeter {
+  sent(accountName: string): MeteredSend;
+}
+
 export class Forwarder {
   private readonly _context: GatewayContext;
   private readonly _endpoints: EndpointDirectory;
   private readonly _client: EndpointClient;
   private readonly _picker: EndpointPicker;
   private readonly _poison: PoisonGuard;
+  private readonly _meter: RequestMeter | undefined;
   private readonly _hedges = new RetryBudget(HEDGE_BUDGET.share, HEDGE_BUDGET.burst);
 
   constructor(
@@ -62,11 +69,13 @@
     endpoints: EndpointDirectory,
     client: EndpointClient,
     poison: PoisonGuard,
+    meter?: RequestMeter,
   ) {
     this._context = context;
     this._endpoints = endpoints;
     this._client = client;
     this._poison = poison;
+    this._meter = meter;
     this._picker = new EndpointPicker(context.random);
   }
 
@@ -196,7 +205,9 @@
     endpoint.stats.began(isBackground);
     endpoint.limit.used(endpoint.stats.inFlight());
     const hop = this._context.tracing.begin('endpoint', request.trace);
+    const metered = this._metered(request);
     const end = await this._exchange(request, endpoint, leftMs, signal);
+    metered?.ended(end.kind !== 'not-run');
     hop.end({ requestId: request.id, endpointId: endpoint.id, end: end.kind });
     const isFailure = end.kind === 'broken' || (end.kind === 'answered' && end.isFailure);
     if (end.kind === 'cancelled') endpoint.stats.cancelled(isBackground);
@@ -271,7 +282,9 @@
     endpoint.stats.began(false);
     const startedMs = this._context.clock.nowMs();
     const leftMs = deadline.leftMs();
+    const metered = this._metered(request);
     const reply = await this._client.send(toCall(request, endpoint, leftMs), left);
+    metered?.ended(reply.kind !== 'not-run');
     const tookMs = this._context.clock.nowMs() - startedMs;
     this.logAttempt(request, endpoint, reply, { number, tookMs, leftMs });
     if (reply.kind === 'broken') await this._poison.broke(request, endpoint);
@@ -296,6 +309,11 @@
     return { kind: 'streamed' };
   }
 
+  /** What is billed: work of the product's own, such as scores, stands outside, and so do requests of nobody. */
+  private _metered({ accountName, isBackground = false }: CallerRequest): MeteredSend | undefined {
+    return accountName === undefined || isBackground ? undefined : this._meter?.sent(accountName);
+  }
+
   private _pool(route: Route): string {
     const total = route.pools.reduce((sum, share) => sum + share.weight, 0);
     let draw = this._context.random.below(Math.max(1, Math.round(total * WEIGHT_STEPS))) / WEIGHT_STEPS;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import { SharedWatch } from './sharedWatch.js';
 import { storeRelayCall } from './storeRelayMessages.js';
 import type { EndpointClient, RecordDecoder, RecordKeys } from './ports.js';
+import { UsageService, type UsageServiceOptions } from './usageService.js';
 import { watchedPrefixes } from './watchedPrefixes.js';
 import { serveVersions, WeightOrders, type WeightOrdersOptions } from './weightOrders.js';
 
@@ -30,6 +31,8 @@
   readonly decoder: RecordDecoder;
   readonly hosts: HostDirectoryOptions;
   readonly orders: WeightOrdersOptions;
+  /** Undefined where the platform bills nobody. */
+  readonly usage?: UsageServiceOptions | undefined;
   /** All failure domains of the deployment. */
   readonly domains: readonly string[];
   /** How long after its submission a batch must be readable. */
@@ -56,6 +59,7 @@
   private readonly _reach: ReachMonitor;
   private readonly _sweeper: BatchSweeper;
   private readonly _orphans: OrphanedBatches;
+  private readonly _usage: UsageService | undefined;
   private _inFlight = 0;
   private _isLeaving = false;
 
@@ -81,7 +85,9 @@
     });
     this._reach = new ReachMonitor(context, store, this.hosts);
     this._poison = new PoisonGuard(context, storeOf('poison'), this.hosts, client);
-    this.forwarder = new Forwarder(context, this.endpoints, client, this._poison);
+    const { usage } = options;
+    this._usage = usage && new UsageService(context, storeOf, this.hosts, usage);
+    this.forwarder = new Forwarder(context, this.endpoints, client, this._poison, this._usage);
     const ports = {
       store: new BatchStore(context, storeOf('batches')),
       endpoints: this.endpoints,
@@ -110,12 +116,14 @@
     this.batches.serve(server);
     this._poison.serve(server);
     serveVersions(server, this.endpoints);
+    this._usage?.serve(server);
     this.configuration.start();
     this.endpoints.start();
     this.hosts.start();
     this._reach.start();
     this._sweeper.start();
     for (const orders of this.orders) orders.start();
+    this._usage?.start();
   }
 
   /** True if this host reaches neither the store nor another failure domain. */
@@ -147,7 +155,7 @@
     this._isLeaving = true;
     const { clock, log } = this._context;
     log.info('shutting down', { graceMs, inFlight: this._inFlight, batches: this.batches.ownedCount() });
-    await Promise.all(this.orders.map(orders => orders.stop()));
+    await Promise.all([...this.orders.map(orders => orders.stop()), this._usage?.stop()]);
     await this.batches.handOver();
     await this.hosts.leave();
     const endMs = clock.nowMs() + graceMs;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -40,6 +40,10 @@
     ['caller', 'call'],
   );
   readonly orders = this.counter('fuchsiahitch_orders_total', 'Weight orders by answer', ['answer']);
+  readonly duties = this.counter('fuchsiahitch_duty_calls_total', 'Calls that are a duty, by answer', [
+    'duty',
+    'answer',
+  ]);
   readonly latency = this.histogram(
     'fuchsiahitch_request_duration_seconds',
     'Time from arrival of a forwarded request to its whole answer',
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -92,7 +92,7 @@
   private readonly _owners = new Map<string, Owner>();
   private readonly _domains = new Map<string, string>();
   private readonly _values = new Map<string, string>();
-  private readonly _keyWatches = new Map<string, () => void>();
+  private readonly _keyWatches = new Map<string, (() => void)[]>();
   private readonly _listeners = new Map<string, KeyListener>();
   private readonly _gone = new GoneProcesses();
   private readonly _changes: HostChangeLog;
@@ -113,7 +113,7 @@
     this._mirror = new StoreMirror(context, source, MIRROR, {
       changed: item => this._changed(item.key, item.value),
       removed: key => this._removed(key),
-      readWhole: () => this._keyWatches.forEach(run => run()),
+      readWhole: () => [...this._keyWatches.values()].flat().forEach(run => run()),
     });
     this._lease = new StoreLease(context, store, `${HOST_PREFIX}${context.hostId}`, HOST_LEASE, false, {
       value: () => JSON.stringify({ ...this.self(), domain: context.domain }),
@@ -164,7 +164,12 @@
   }
 
   onKey(key: string, run: () => void): void {
-    this._keyWatches.set(key, run);
+    this._keyWatches.set(key, [...(this._keyWatches.get(key) ?? []), run]);
+  }
+
+  /** What stands under a key; undefined while nobody holds it. */
+  valueOf(key: string): string | undefined {
+    return this._values.get(key);
   }
 
   watchKeys(prefix: string, listener: KeyListener): void {
@@ -205,7 +210,7 @@
       return;
     }
     this._values.set(key, value);
-    this._keyWatches.get(key)?.();
+    this._tellWatches(key);
     if (!key.startsWith(HOST_PREFIX)) return;
     const owner = readOwner(value);
     if (!owner) {
@@ -221,6 +226,10 @@
     this._changes.came(owner.hostId, owner.incarnation);
   }
 
+  private _tellWatches(key: string): void {
+    for (const run of this._keyWatches.get(key) ?? []) run();
+  }
+
   private _ended(process: Owner): void {
     this._gone.add(process);
     this._hostGone();
@@ -233,7 +242,7 @@
       return;
     }
     this._values.delete(key);
-    this._keyWatches.get(key)?.();
+    this._tellWatches(key);
     if (!key.startsWith(HOST_PREFIX)) return;
     const hostId = key.slice(HOST_PREFIX.length);
     const known = this._owners.get(hostId);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -4,6 +4,7 @@
 import type { Account } from '@fuchsiahitch/accounts';
 import type { GeneratedEvent } from '@fuchsiahitch/batches';
 import type { HeaderPair } from '@fuchsiahitch/clients';
+import type { UsageReport } from '@fuchsiahitch/metering';
 import type { Rule } from '@fuchsiahitch/rules';
 
 export type { HeaderPair };
@@ -151,6 +152,30 @@
   restarted(address: string): void;
 }
 
+/** Who performs a duty: calls of holders with lower tokens are out of date. */
+export interface DutyAct {
+  readonly holder: string;
+  readonly fencingToken: number;
+}
+
+/**
+ * How the platform answered a call that is a duty. `busy`: not now. `refused`: never in this form. `unreached`: it certainly did
+ * not arrive. `unknown`: it may have, also later.
+ */
+export type DutyAnswer = 'accepted' | 'busy' | 'refused' | 'unreached' | 'unknown';
+
+/** `connectMs`: a call that has no connection by then is never sent. */
+export interface DutyTimeouts {
+  readonly connectMs: number;
+  readonly answerMs: number;
+}
+
+/** Calls to the platform that one host makes at a time. */
+export interface PlatformDuties {
+  /** The same report again is harmless; another one for its window is not. */
+  reportUsage(act: DutyAct, report: UsageReport, timeouts: DutyTimeouts): Promise<DutyAnswer>;
+}
+
 /** What callers may send, and how long they may take. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
--- /dev/null
+++ b/packages/gateway/src/programFlags.ts
@@ -0,0 +1,27 @@
+/**
+ * Settings of the gateway's programs that an operator gives: flags and environment variables.
+ */
+import { logLevels } from '@fuchsiahitch/telemetry';
+import * as z from 'zod';
+
+const MIN_KEY = 16;
+
+/** `node-file` is the path of what the platform tells a process of itself. */
+export const programFlags = {
+  'node-file': { schema: z.string().min(1), help: "the path of the platform's settings file" },
+  'fleet-key': {
+    schema: z.string().min(MIN_KEY),
+    help: `a secret of the fleet, ${MIN_KEY} characters or more`,
+  },
+  'metrics-port': {
+    schema: z.coerce.number().int().min(0).max(65_535),
+    help: 'the port of metrics',
+    fallback: '9464',
+  },
+  'trace-file': {
+    schema: z.string(),
+    help: 'the file that spans are written to; empty for none',
+    fallback: '',
+  },
+  'log-level': { schema: z.enum(logLevels), help: `one of ${logLevels.join(', ')}`, fallback: 'info' },
+} as const;
--- /dev/null
+++ b/packages/gateway/src/usageReports.ts
@@ -0,0 +1,320 @@
+/**
+ * The duty to report to the platform what endpoints began, once for each window.
+ *
+ * A window is decided when every host that was busy has said that it counted to the window's end, or when the time left is just
+ * enough to send it. It is sent until it is answered, always with the same content; what comes later is lost, and the log says
+ * whose it was.
+ */
+import type { Result } from '@fuchsiahitch/base';
+import type { RevisionedStore } from '@fuchsiahitch/clients';
+import { PauseDetector } from '@fuchsiahitch/duties';
+import {
+  ClockVote,
+  totalOf,
+  UsageLedger,
+  windowAt,
+  windowEndMs,
+  type ToldWindows,
+  type UsageReport,
+  type UsageTold,
+  type UsageToldReply,
+} from '@fuchsiahitch/metering';
+import { DutyLease, type Duty, type DutyHosts, type DutyPorts } from './dutyLease.js';
+import type { GatewayContext } from './gatewayContext.js';
+import { LIVE_PREFIX } from './hostDirectory.js';
+import type { DutyAnswer, PlatformDuties } from './ports.js';
+import { UsageRecords } from './usageRecords.js';
+import { tellSpacingMs } from './usageTeller.js';
+
+export const USAGE_KEY = `${LIVE_PREFIX}usage`;
+export const LAST_USAGE_KEY = `${LIVE_PREFIX}last-usage`;
+/** All windows are one subject to the platform. */
+const SUBJECT = 'usage';
+/** Seconds matter less here than calls to the store: a report is due well after a successor has taken over. */
+const LEASE = { ttlMs: 3000, renewMs: 1000, rightMs: 2500, marginMs: 600 };
+/** A call that connects within this and is answered within that: the connection decides when it may still arrive. */
+const CALL_TIMEOUT_MS = 1500;
+const ARRIVAL_MS = 500;
+/** What a host tells in time may be on its way for so long. */
+const TELL_SLACK_MS = 400;
+/** Hosts tell a new reporter everything anew within this. */
+const RETELL_MS = 2500;
+/** Before a report is due, so much time is kept for sending it again. */
+const SEND_RESERVE_MS = 4000;
+const RETRY_MS = 300;
+/** What hosts told is kept for a successor this often, if it fits. */
+const KEEP_MS = 1000;
+const MAX_KEPT_CHARS = 16_384;
+/** Failures in a row after which another host may have a way to the platform that this one lacks. */
+const MAX_FAILURES = 4;
+const ASIDE_MS = 6000;
+
+export interface UsageReportsOptions {
+  readonly windowMs: number;
+  /** A report is due so long after its window's end. */
+  readonly dueMs: number;
+  /** Calls of two holders must be further apart than this: the platform's bound. */
+  readonly handoverMs: number;
+}
+
+export interface UsagePorts {
+  readonly store: RevisionedStore;
+  readonly leaseStore: RevisionedStore;
+  readonly hosts: DutyHosts;
+  readonly lastHandover: DutyPorts['lastHandover'];
+  readonly duties: PlatformDuties;
+}
+
+export class UsageReports implements Duty {
+  private readonly _context: GatewayContext;
+  private readonly _ports: UsagePorts;
+  private readonly _options: UsageReportsOptions;
+  private readonly _duty: DutyLease;
+  private readonly _records: UsageRecords;
+  private readonly _pauses: PauseDetector;
+  private readonly _clocks = new ClockVote();
+  private readonly _ledger = new UsageLedger();
+  /** What this holder knows of the windows before; undefined until it has read them. */
+  private _progress: { readonly settledUpTo: number; readonly revision: number } | undefined;
+  private _decided = new Map<number, UsageReport>();
+  private _takenMs = -Infinity;
+  private _pausedUntilMs = -Infinity;
+  private _isBusy = false;
+  private _kept = '';
+  private _keepAtMs = -Infinity;
+  private _failures = 0;
+
+  constructor(context: GatewayContext, ports: UsagePorts, options: UsageReportsOptions) {
+    this._context = context;
+    this._ports = ports;
+    this._options = options;
+    this._records = new UsageRecords(context, ports.store);
+    this._pauses = new PauseDetector(context.clock);
+    const name = { label: 'usage lease', key: USAGE_KEY, lastKey: LAST_USAGE_KEY, domain: undefined };
+    const dutyPorts = { ...ports, store: ports.leaseStore };
+    this._duty = new DutyLease(context, dutyPorts, name, { ...LEASE, handoverMs: options.handoverMs }, this);
+  }
+
+  start(): void {
+    this._duty.start();
+  }
+
+  async stop(): Promise<void> {
+    await this._duty.stop();
+  }
+
+  /** Takes in what a host tells. */
+  take(told: UsageTold): UsageToldReply {
+    if (!this._duty.isHolder()) return { kind: 'not-reporter' };
+    this._noticePause();
+    const { clock } = this._context;
+    this._clocks.heard(told.hostId, told.wallMs, clock.nowMs());
+    this._logLate(told);
+    this._ledger.told(told);
+    return { kind: 'taken', trueMs: this._trueMs(), decidedUpTo: this._decidedUpTo() };
+  }
+
+  /** What this process was told before still holds: hosts tell it again only to a process that does not know it. */
+  taken(): void {
+    this._takenMs = this._context.clock.nowMs();
+    this._progress = undefined;
+    this._decided = new Map();
+    this._failures = 0;
+  }
+
+  tick(): void {
+    this._noticePause();
+    if (this._isBusy || this._context.clock.nowMs() < this._pausedUntilMs) return;
+    this._isBusy = true;
+    this._duty.track(this._step());
+  }
+
+  private async _step(): Promise<void> {
+    if (await this._work()) this._pausedUntilMs = -Infinity;
+    else this._pause();
+    this._isBusy = false;
+  }
+
+  /** The next thing to do; false if it failed and is to be tried again after a pause. */
+  private async _work(): Promise<boolean> {
+    const progress = this._progress ?? (await this._read());
+    if (!progress) return false;
+    const window = progress.settledUpTo + 1;
+    if (!this._isDue(window)) {
+      await this._keepTold(progress.revision);
+      return true;
+    }
+    const report = this._decided.get(window) ?? (await this._decide(window, progress.revision));
+    if (!report) return false;
+    const answer = await this._send(report);
+    if (answer === 'no-right') return true;
+    this._logSent(report, answer);
+    if (answer === 'accepted' || answer === 'refused') return this._settle(window, progress.revision);
+    await this._countFailure(answer);
+    return false;
+  }
+
+  /** Reads how far the holder before came. Windows whose time has passed are given up. */
+  private async _read(): Promise<UsageReports['_progress']> {
+    const read = await this._records.read();
+    if (!read.ok) return undefined;
+    const { settledUpTo, revision, decided, told } = read.value;
+    const { windowMs, dueMs } = this._options;
+    const current = windowAt(this._trueMs(), windowMs);
+    const firstInTime = windowAt(this._trueMs() - dueMs, windowMs);
+    if (settledUpTo === undefined) return this._beginAt(current - 1);
+    const before = settledUpTo;
+    const from = Math.max(before, firstInTime - 1);
+    if (from > before)
+      this._context.log.warn('usage lost', {
+        window: before + 1,
+        windows: from - before,
+        reason: 'nobody could report in time',
+      });
+    for (const report of decided) if (report.window > from) this._decided.set(report.window, report);
+    for (const words of told) this._ledger.told(words);
+    this._ledger.forget(from);
+    this._progress = { settledUpTo: from, revision };
+    return this._progress;
+  }
+
+  /** Nothing was ever reported. Noted at once: a successor that found no note would begin with its own first window. */
+  private async _beginAt(settledUpTo: number): Promise<UsageReports['_progress']> {
+    const settled = await this._records.settle(settledUpTo, 0);
+    if (settled.ok) this._progress = { settledUpTo, revision: settled.value };
+    return this._progress;
+  }
+
+  /** Keeps what was told since the last time; small on purpose, and left out where it grows large. */
+  private async _keepTold(revision: number): Promise<void> {
+    const nowMs = this._context.clock.nowMs();
+    if (nowMs < this._keepAtMs) return;
+    this._keepAtMs = nowMs + KEEP_MS;
+    const all = JSON.stringify(this._ledger.undecided());
+    const text = all.length <= MAX_KEPT_CHARS ? all : JSON.stringify(this._ownWords());
+    if (text === this._kept || text.length > MAX_KEPT_CHARS) return;
+    if (await this._records.keepTold(text, revision)) this._kept = text;
+  }
+
+  private _ownWords(): readonly ToldWindows[] {
+    return this._ledger.undecided().filter(({ incarnation }) => incarnation === this._context.incarnation);
+  }
+
+  /** True once a window can be decided: nothing more is to come, or no more time is left. */
+  private _isDue(window: number): boolean {
+    const { windowMs, dueMs } = this._options;
+    const sinceEndMs = this._trueMs() - windowEndMs(window, windowMs);
+    // A host that was not busy before may have counted something just now.
+    if (sinceEndMs < tellSpacingMs(this._ports.hosts.peers().length) + TELL_SLACK_MS) return false;
+    if (this._decided.has(window) || sinceEndMs >= dueMs - SEND_RESERVE_MS) return true;
+    if (this._context.clock.nowMs() < this._takenMs + RETELL_MS) return false;
+    return this._missing(window).length === 0;
+  }
+
+  private _missing(window: number): readonly string[] {
+    return this._ledger
+      .missing(window)
+      .filter(({ hostId, incarnation }) => this._isAlive(hostId, incarnation))
+      .map(({ hostId }) => hostId);
+  }
+
+  private _isAlive(hostId: string, incarnation: string): boolean {
+    if (hostId === this._context.hostId) return incarnation === this._context.incarnation;
+    return this._ports.hosts.peers().some(peer => peer.hostId === hostId && peer.incarnation === incarnation);
+  }
+
+  private async _decide(window: number, revision: number): Promise<UsageReport | undefined> {
+    const counts = this._ledger.countsOf(window);
+    const missing = this._missing(window);
+    const decided = await this._records.decide({ window, counts }, revision);
+    this._context.log.info('usage decided', {
+      window,
+      outcome: decided.ok ? 'decided' : decided.error,
+      requests: decided.ok ? totalOf(decided.value.counts) : undefined,
+      missing: missing.join(' '),
+    });
+    if (decided.ok) {
+      this._decided.set(window, decided.value);
+      return decided.value;
+    }
+    if (decided.error === 'progressed') this._progress = undefined;
+    return undefined;
+  }
+
+  private async _send(report: UsageReport): Promise<DutyAnswer | 'no-right'> {
+    const fencingToken = this._duty.token();
+    if (fencingToken === undefined || !this._duty.mayActOn(SUBJECT)) return 'no-right';
+    this._duty.acts(SUBJECT, this._context.clock.nowMs() + ARRIVAL_MS);
+    const act = { holder: this._context.hostId, fencingToken };
+    const timeouts = { connectMs: ARRIVAL_MS, answerMs: CALL_TIMEOUT_MS };
+    return this._ports.duties.reportUsage(act, report, timeouts);
+  }
+
+  private async _settle(window: number, revision: number): Promise<boolean> {
+    this._failures = 0;
+    const settled: Result<number, string> = await this._records.settle(window, revision);
+    if (!settled.ok) {
+      // The report was answered: all that is left is to say so, and to learn how far all is.
+      this._progress = undefined;
+      return false;
+    }
+    this._progress = { settledUpTo: window, revision: settled.value };
+    this._decided.delete(window);
+    this._ledger.forget(window);
+    return true;
+  }
+
+  private async _countFailure(answer: DutyAnswer): Promise<void> {
+    this._failures = answer === 'busy' ? 0 : this._failures + 1;
+    if (this._failures < MAX_FAILURES) return;
+    this._failures = 0;
+    this._context.log.warn('usage lease', { change: 'left to another host', reason: answer });
+    // Not awaited: it waits for this very step to end.
+    void this._duty.standAside(ASIDE_MS);
+    await Promise.resolve();
+  }
+
+  private _pause(): void {
+    const { clock, random } = this._context;
+    this._pausedUntilMs = clock.nowMs() + RETRY_MS + random.below(RETRY_MS);
+  }
+
+  /** Up to which window nothing can be added any more. */
+  private _decidedUpTo(): number {
+    const settledUpTo = this._progress?.settledUpTo ?? -1;
+    return this._decided.has(settledUpTo + 1) ? settledUpTo + 1 : settledUpTo;
+  }
+
+  private _logLate({ hostId, windows }: UsageTold): void {
+    for (const { window, counts } of windows) {
+      if (window > this._decidedUpTo()) continue;
+      const told = this._decided.get(window);
+      if (totalOf(counts) > 0 && !told)
+        this._context.log.info('usage told late', { window, of: hostId, requests: totalOf(counts) });
+    }
+  }
+
+  private _logSent(report: UsageReport, answer: DutyAnswer): void {
+    const lateMs = this._trueMs() - windowEndMs(report.window, this._options.windowMs);
+    this._context.metrics.duties.inc({ duty: SUBJECT, answer });
+    this._context.log.info('usage report', {
+      window: report.window,
+      answer,
+      requests: totalOf(report.counts),
+      accounts: Object.keys(report.counts).length,
+      sinceEndMs: Math.round(lateMs),
+    });
+  }
+
+  /** True time: that of most hosts, or of this one's clock while no other was heard. */
+  private _trueMs(): number {
+    const { clock, hostId } = this._context;
+    const nowMs = clock.nowMs();
+    this._clocks.heard(hostId, clock.wallMs(), nowMs);
+    return nowMs + (this._clocks.offsetMs(nowMs) ?? clock.wallMs() - nowMs);
+  }
+
+  private _noticePause(): void {
+    if (this._pauses.wasPaused()) this._clocks.forget();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/usageTeller.ts
@@ -0,0 +1,187 @@
+/**
+ * Tells the host that reports usage what this host saw endpoints begin.
+ *
+ * A host that is never asked anything tells nothing. One that counted something tells it within a second, so that little is lost
+ * with it, and says of each window when nothing can be added any more, so that nobody waits for it. All counts of a window go
+ * with each message, which may therefore be lost, repeated, or taken by a reporter that knows nothing yet.
+ */
+import { err, ok, type CancelTimer, type Result } from '@fuchsiahitch/base';
+import { isSameOwner, type Owner } from '@fuchsiahitch/batches';
+import { PauseDetector } from '@fuchsiahitch/duties';
+import {
+  totalOf,
+  type MeteredSend,
+  type UsageMeter,
+  type UsageTold,
+  type UsageToldReply,
+} from '@fuchsiahitch/metering';
+import { defineCall, type CallError } from '@fuchsiahitch/protocol';
+import { usageToldReplySchema, usageToldSchema } from '@fuchsiahitch/metering';
+import type { GatewayContext } from './gatewayContext.js';
+import type { Hosts } from './hostDirectory.js';
+
+export const usageToldCall = defineCall('usageTold', usageToldSchema, usageToldReplySchema);
+
+/** Counts are told so long after the first of them, together with those that came meanwhile. */
+const TELL_MS = 1000;
+/** In a large fleet the reporter hears no more than so many messages a second. */
+const MAX_TELLS_A_SECOND = 100;
+const TELL_TIMEOUT_MS = 1000;
+/** A reporter that did not answer, or does not exist yet, is looked for again after this. */
+const RETRY_MS = 500;
+const MS_A_SECOND = 1000;
+
+/** A host tells what it counted so long after it, at the latest. */
+export function tellSpacingMs(hosts: number): number {
+  return Math.max(TELL_MS, (hosts / MAX_TELLS_A_SECOND) * MS_A_SECOND);
+}
+
+export type UsageHosts = Pick<Hosts, 'self' | 'peers' | 'call' | 'onKey'> & {
+  /** What the holder of a key wrote into it; undefined while nobody holds it. */
+  valueOf(key: string): string | undefined;
+};
+
+/** Takes what hosts tell, where this host itself is the reporter. */
+export type TakeUsage = (told: UsageTold) => UsageToldReply;
+
+export class UsageTeller {
+  private readonly _context: GatewayContext;
+  private readonly _meter: UsageMeter;
+  private readonly _hosts: UsageHosts;
+  private readonly _reporterKey: string;
+  private readonly _take: TakeUsage;
+  private readonly _pauses: PauseDetector;
+  /** When it is told next; Infinity while nothing is to tell. */
+  private _dueMs = Infinity;
+  private _cancel: CancelTimer = () => undefined;
+  private _reporter: Owner | undefined;
+  private _isTelling = false;
+
+  /** `reporterKey`: its value names the host that reports. */
+  constructor(
+    context: GatewayContext,
+    meter: UsageMeter,
+    hosts: UsageHosts,
+    reporterKey: string,
+    take: TakeUsage,
+  ) {
+    this._context = context;
+    this._meter = meter;
+    this._hosts = hosts;
+    this._reporterKey = reporterKey;
+    this._take = take;
+    this._pauses = new PauseDetector(context.clock);
+  }
+
+  start(): void {
+    this._hosts.onKey(this._reporterKey, () => this._lookAtReporter());
+  }
+
+  /** A request of an account is sent to an endpoint. */
+  sent(accountName: string): MeteredSend {
+    this._noticePause();
+    const send = this._meter.sent(accountName, this._context.clock.nowMs());
+    return {
+      ended: didBegin => {
+        send.ended(didBegin);
+        if (didBegin) this._tellIn(this._spacingMs());
+      },
+    };
+  }
+
+  private _spacingMs(): number {
+    return tellSpacingMs(this._hosts.peers().length);
+  }
+
+  private _lookAtReporter(): void {
+    this._noticeReporter();
+    if (this._meter.hasNews()) this._tellIn(this._context.random.below(TELL_MS));
+  }
+
+  /** A process that did not report before knows nothing of what was told to others. */
+  private _noticeReporter(): void {
+    const reporter = this._reporterNow();
+    if (!reporter || (this._reporter && isSameOwner(reporter, this._reporter))) return;
+    this._reporter = reporter;
+    this._meter.reporterChanged();
+  }
+
+  private _reporterNow(): Owner | undefined {
+    const hostId = this._hosts.valueOf(this._reporterKey);
+    if (hostId === this._context.hostId) return this._hosts.self();
+    return this._hosts.peers().find(peer => peer.hostId === hostId);
+  }
+
+  /** A time that was learnt before a pause, or before the clock was set, says nothing of what comes after. */
+  private _noticePause(): void {
+    if (this._pauses.wasPaused()) this._meter.undated();
+  }
+
+  private _tellIn(delayMs: number): void {
+    const { clock, stopped } = this._context;
+    const dueMs = clock.nowMs() + Math.max(0, delayMs);
+    if (dueMs >= this._dueMs || this._isTelling || stopped.aborted) return;
+    this._cancel();
+    this._dueMs = dueMs;
+    this._cancel = clock.after(Math.max(0, delayMs), () => {
+      this._dueMs = Infinity;
+      void this._tell();
+    });
+  }
+
+  private async _tell(): Promise<void> {
+    this._isTelling = true;
+    this._noticePause();
+    const isTold = await this._tellOnce();
+    this._isTelling = false;
+    this._dropExpired();
+    const nowMs = this._context.clock.nowMs();
+    if (!isTold) {
+      this._tellIn(RETRY_MS);
+      return;
+    }
+    const finalMs = this._meter.nextFinalMs(nowMs);
+    if (this._meter.hasNews()) this._tellIn(this._spacingMs());
+    else if (finalMs !== undefined) this._tellIn(Math.max(finalMs - nowMs, RETRY_MS / 2));
+  }
+
+  /** Learns what time it is first, where that is not known, and tells then: counts belong to windows of true time. */
+  private async _tellOnce(): Promise<boolean> {
+    if (!this._meter.isDated() && !(await this._exchange([], () => undefined))) return false;
+    this._noticeReporter();
+    const { windows, told } = this._meter.toTell(this._context.clock.nowMs());
+    return windows.length === 0 || this._exchange(windows, told);
+  }
+
+  private async _exchange(windows: UsageTold['windows'], told: () => void): Promise<boolean> {
+    const { clock, hostId, incarnation, log } = this._context;
+    const sentMs = clock.nowMs();
+    const reply = await this._send({ hostId, incarnation, wallMs: clock.wallMs(), windows });
+    if (!reply.ok || reply.value.kind !== 'taken') {
+      const outcome = reply.ok ? reply.value.kind : reply.error.kind;
+      log.info('usage not told', { outcome, reporter: this._reporter?.hostId, windows: windows.length });
+      return false;
+    }
+    told();
+    this._meter.dated(reply.value.trueMs - (sentMs + clock.nowMs()) / 2);
+    this._meter.decided(reply.value.decidedUpTo);
+    return true;
+  }
+
+  private async _send(request: UsageTold): Promise<Result<UsageToldReply, CallError>> {
+    const reporter = this._reporterNow();
+    if (!reporter) return err({ kind: 'not-sent', text: 'nobody reports' });
+    if (isSameOwner(reporter, this._hosts.self())) return ok(this._take(request));
+    return this._hosts.call(reporter.address, usageToldCall, request, TELL_TIMEOUT_MS);
+  }
+
+  private _dropExpired(): void {
+    for (const { window, counts } of this._meter.expired(this._context.clock.nowMs()))
+      this._context.log.warn('usage lost', {
+        window,
+        requests: totalOf(counts),
+        of: this._context.hostId,
+        reason: 'no reporter took it in time',
+      });
+  }
+}
--- /dev/null
+++ b/packages/metering/src/usageLedger.ts
@@ -0,0 +1,83 @@
+/**
+ * What all hosts have told of their counts, at the host that reports usage.
+ */
+import type { HostWindow, ToldWindows } from './usageMessages.js';
+import { totalOf, type UsageCounts } from './usageWindow.js';
+
+/** A host that told something in one of so many windows before is waited for. */
+const ACTIVE_WINDOWS = 2;
+
+/** One process of a host. */
+export interface Teller {
+  readonly hostId: string;
+  readonly incarnation: string;
+}
+
+interface TellerWindows {
+  readonly teller: Teller;
+  readonly windows: Map<number, HostWindow>;
+  /** Windows in which it counted something, also some that are decided. */
+  readonly busy: Set<number>;
+}
+
+export class UsageLedger {
+  private readonly _tellers = new Map<string, TellerWindows>();
+
+  /** Takes in what a host tells; what it told of a window before is replaced by what has grown since. */
+  told({ hostId, incarnation, windows }: ToldWindows): void {
+    const key = `${hostId}\n${incarnation}`;
+    const entry: TellerWindows = this._tellers.get(key) ?? {
+      teller: { hostId, incarnation },
+      windows: new Map(),
+      busy: new Set(),
+    };
+    this._tellers.set(key, entry);
+    for (const told of windows) {
+      if (isOlder(told, entry.windows.get(told.window))) continue;
+      entry.windows.set(told.window, told);
+      if (totalOf(told.counts) > 0) entry.busy.add(told.window);
+    }
+  }
+
+  /** The counts of all hosts together, their accounts in order. */
+  countsOf(window: number): UsageCounts {
+    const sums = new Map<string, number>();
+    for (const { windows } of this._tellers.values())
+      for (const [name, count] of Object.entries(windows.get(window)?.counts ?? {}))
+        sums.set(name, (sums.get(name) ?? 0) + count);
+    return Object.fromEntries([...sums].sort(([a], [b]) => (a < b ? -1 : 1)));
+  }
+
+  /** The processes that were busy just before, and have not said that they counted the window to its end. */
+  missing(window: number): readonly Teller[] {
+    return [...this._tellers.values()]
+      .filter(entry => isBusyNear(entry, window))
+      .filter(entry => entry.windows.get(window)?.isFinal !== true)
+      .map(entry => entry.teller);
+  }
+
+  /** What is not decided yet, as hosts told it. */
+  undecided(): readonly ToldWindows[] {
+    return [...this._tellers.values()]
+      .filter(({ windows }) => windows.size > 0)
+      .map(({ teller, windows }) => ({ ...teller, windows: [...windows.values()] }));
+  }
+
+  /** Windows up to this one are decided, and what was told of them is needed no more. */
+  forget(upTo: number): void {
+    for (const [key, entry] of this._tellers) {
+      for (const window of entry.windows.keys()) if (window <= upTo) entry.windows.delete(window);
+      for (const window of entry.busy) if (window < upTo - ACTIVE_WINDOWS) entry.busy.delete(window);
+      if (entry.busy.size === 0) this._tellers.delete(key);
+    }
+  }
+}
+
+/** True for a word that another has overtaken: counts only grow. */
+function isOlder(told: HostWindow, known: HostWindow | undefined): boolean {
+  return known !== undefined && totalOf(told.counts) < totalOf(known.counts);
+}
+
+function isBusyNear({ busy }: TellerWindows, window: number): boolean {
+  return [...busy].some(known => known <= window && known >= window - ACTIVE_WINDOWS);
+}
--- a/tests/gatewayFleet.ts
+++ b/tests/gatewayFleet.ts
@@ -2,8 +2,9 @@
  * Whole gateways of many hosts on a virtual clock, over one store: what a fleet costs while nothing is asked of it.
  */
 import { err, ok, sleep, type Result, VirtualClock } from '@fuchsiahitch/base';
-import { Gateway, type CallRegistry, type PeerCaller } from '@fuchsiahitch/gateway';
+import { Gateway, type CallRegistry, type GatewayOptions, type PeerCaller } from '@fuchsiahitch/gateway';
 import { encodeFrame, type CallDefinition, type CallError } from '@fuchsiahitch/protocol';
+import { DutyStandIn } from './dutyStandIn.js';
 import { FakeStore, type FakeStoreClient } from './fakeStore.js';
 import { endpointRecord, keys, PlainRecords, route, ScriptedClient, testContext } from './gatewayWorld.js';
 import type { TestContext } from './gatewayWorld.js';
@@ -11,6 +12,7 @@
 /** One way between two hosts. */
 const WAY_MS = 2;
 const HEARTBEAT_MS = 1200;
+const HANDOVER_MS = 3000;
 
 export interface FleetSize {
   readonly hosts: number;
@@ -18,6 +20,13 @@
   readonly endpoints: number;
   /** Endpoints write their records only when these change. */
   readonly isQuiet?: boolean;
+  /** Where usage is reported; nobody is billed without it. */
+  readonly usage?: UsageBounds;
+}
+
+export interface UsageBounds {
+  readonly windowMs: number;
+  readonly dueMs: number;
 }
 
 /** A host: its process, and what it costs. */
@@ -32,6 +41,8 @@
   timers = 0;
   sentBytes = 0;
   isRunning = false;
+  /** How far this host's wall clock is off. */
+  skewMs = 0;
   private readonly _fleet: GatewayFleet;
   private readonly _handlers = new Map<string, (request: unknown) => unknown>();
 
@@ -49,10 +60,11 @@
       keys,
       decoder: this.records,
       hosts: { peers, address: hostId },
-      orders: { handoverMs: 3000 },
+      orders: { handoverMs: HANDOVER_MS },
       domains: fleet.domains,
       batchReadableMs: 120_000,
       batchEndMs: 3000,
+      usage: fleet.usageOf(hostId),
     });
   }
 
@@ -78,6 +90,7 @@
       this.timers += 1;
       return clock.after(delayMs, run);
     };
+    own.wallMs = () => clock.wallMs() + this.skewMs;
     return own;
   }
 
@@ -91,7 +104,7 @@
     this.calls.set(call.name, (this.calls.get(call.name) ?? 0) + 1);
     this.sentBytes += encodeFrame({ t: 'call', id: 1, name: call.name, body: request }).length;
     await sleep(clock, WAY_MS);
-    const target = this._fleet.at(address);
+    const target = this._fleet.isCut(this.context.hostId, address) ? undefined : this._fleet.at(address);
     if (!target?.isRunning) return err({ kind: 'not-sent', text: 'nobody listens' });
     const late = new Promise<Result<A, CallError>>(resolve => {
       clock.after(timeoutMs, () => resolve(err({ kind: 'timed-out' })));
@@ -128,6 +141,9 @@
   readonly client = new ScriptedClient(this.clock);
   readonly domains: readonly string[];
   readonly hosts: FleetHost[] = [];
+  readonly duties = new DutyStandIn(this.clock, HANDOVER_MS);
+  /** Hosts that neither reach the others nor are reached by them. */
+  readonly cut = new Set<string>();
   private readonly _size: FleetSize;
   private _beats = 0;
   private _isOver = false;
@@ -152,6 +168,26 @@
     await this.clock.advance(300);
   }
 
+  usageOf(hostId: string): GatewayOptions['usage'] {
+    const { usage } = this._size;
+    return usage && { ...usage, duties: this.duties.from(hostId), handoverMs: HANDOVER_MS };
+  }
+
+  isCut(hostId: string, address: string): boolean {
+    return this.cut.has(hostId) !== this.cut.has(address);
+  }
+
+  /** Ends a host's process and starts another at the same host. */
+  restart(host: FleetHost, incarnation: string): FleetHost {
+    host.kill();
+    const { hostId, domain } = host.context;
+    const next = new FleetHost(this, hostId, domain, incarnation);
+    next.skewMs = host.skewMs;
+    this.hosts.splice(this.hosts.indexOf(host), 1, next);
+    next.start();
+    return next;
+  }
+
   at(address: string): FleetHost | undefined {
     return this.hosts.find(host => host.context.hostId === address);
   }
--- /dev/null
+++ b/tests/metering.spec.ts
@@ -0,0 +1,193 @@
+/**
+ * Usage: what endpoints began is reported once, whole, for each window of true time.
+ */
+import tap from 'tap';
+import { SeededRandom } from '@fuchsiahitch/base';
+import { ClockVote, UsageLedger, UsageMeter } from '@fuchsiahitch/metering';
+import { reporterOf, SMALL, startedFleet, WINDOW_MS } from './usageFleet.js';
+
+await tap.test('should take true time from most clocks, whichever jump', t => {
+  const vote = new ClockVote();
+  t.equal(vote.offsetMs(0), undefined);
+  for (const [i, skewMs] of [0, 5, -5, 2000, 2000].entries())
+    vote.heard(`h${i}`, 1_000_000 + 100 + skewMs, 100);
+  t.equal(vote.offsetMs(100), 1_000_005);
+  vote.heard('h3', 1_000_200, 200);
+  t.equal(vote.offsetMs(200), 1_000_000);
+  t.equal(vote.offsetMs(60_000), undefined, 'old words say nothing');
+  t.end();
+});
+
+await tap.test('should count a request once and in the window in which it was sent', t => {
+  const meter = new UsageMeter({ windowMs: 1000, keepMs: 5000 });
+  const open = meter.sent('ann', 900);
+  meter.sent('ann', 950).ended(true);
+  meter.sent('bob', 960).ended(false);
+  t.same(meter.toTell(2000).windows, [], 'nothing before the time is known');
+  meter.dated(10_000);
+  t.same(
+    meter.toTell(1050).windows,
+    [{ window: 10, counts: { ann: 1 }, isFinal: false }],
+    'not over for all',
+  );
+  t.same(meter.toTell(1200).windows[0]?.isFinal, false, 'one is still on its way');
+  open.ended(true);
+  open.ended(true);
+  t.same(meter.toTell(1200).windows[0], { window: 10, counts: { ann: 2 }, isFinal: true });
+  meter.toTell(1200).told();
+  t.notOk(meter.hasNews());
+  meter.decided(10);
+  t.same(
+    meter.toTell(2200).windows,
+    [{ window: 11, counts: {}, isFinal: true }],
+    'the next window, so that nobody waits for this host',
+  );
+  t.end();
+});
+
+await tap.test('should keep what it could not tell, up to a bound, and then say so', t => {
+  const meter = new UsageMeter({ windowMs: 1000, keepMs: 5000 });
+  meter.dated(0);
+  meter.sent('ann', 500).ended(true);
+  t.same(meter.expired(5900), []);
+  t.same(meter.expired(6100), [{ window: 0, counts: { ann: 1 }, isFinal: true }]);
+  t.same(
+    meter.toTell(6100).windows.filter(({ counts }) => Object.keys(counts).length > 0),
+    [],
+  );
+  t.end();
+});
+
+await tap.test('should add up what processes tell, and replace what they told before', t => {
+  const ledger = new UsageLedger();
+  const told = (hostId: string, incarnation: string, ann: number, isFinal = false): void =>
+    ledger.told({ hostId, incarnation, windows: [{ window: 7, counts: { ann }, isFinal }] });
+  told('a', '1', 2);
+  told('a', '1', 3, true);
+  told('a', '2', 4);
+  told('b', '1', 5, true);
+  t.same(ledger.countsOf(7), { ann: 12 });
+  t.same(ledger.missing(7), [{ hostId: 'a', incarnation: '2' }]);
+  t.same(ledger.missing(8).length, 3, 'who was busy just before');
+  t.same(ledger.missing(12), []);
+  ledger.forget(7);
+  t.same(ledger.countsOf(7), {});
+  t.end();
+});
+
+await tap.test('should report every window whole and in time, and each once', async t => {
+  const { fleet, truth } = await startedFleet();
+  const random = new SeededRandom(1);
+  await truth.load(random, 20, 30_000);
+  await fleet.clock.advance(8000);
+  t.same(truth.wrong(2, 7), []);
+  t.same(fleet.duties.broken, []);
+  t.ok(fleet.duties.arrivals.length <= fleet.duties.reports.size, 'each sent once');
+  const lateMs = fleet.duties.arrivals.map(({ atMs }) => atMs % WINDOW_MS);
+  t.ok(Math.max(...lateMs) < 2500, 'as soon as all are in');
+  fleet.stop();
+});
+
+await tap.test('should wait for no host of a large fleet that has few requests', async t => {
+  // Hosts that count something now and then are waited for until the time is nearly up.
+  const { fleet, truth } = await startedFleet({ ...SMALL, hosts: 69 });
+  const random = new SeededRandom(6);
+  await truth.load(random, 7, 40_000);
+  await fleet.clock.advance(8000);
+  t.same(truth.wrong(2, 9), []);
+  const lateMs = fleet.duties.arrivals.map(({ atMs }) => atMs % WINDOW_MS);
+  t.ok(Math.max(...lateMs) < 2500, `${Math.max(...lateMs)} ms after the end`);
+  t.notOk(fleet.hosts.some(host => host.context.log.has('usage told late')));
+  fleet.stop();
+});
+
+await tap.test('should report by true time where clocks are off, and where they jump', async t => {
+  const { fleet, truth } = await startedFleet();
+  const random = new SeededRandom(2);
+  for (const [i, host] of fleet.hosts.entries()) host.skewMs = [0, 3, -4, 2000, -2000, 1, 0, 2, -1][i] ?? 0;
+  await truth.load(random, 20, 12_000);
+  for (const host of fleet.hosts.slice(0, 4)) host.skewMs += 2000;
+  await truth.load(random, 20, 5000);
+  for (const host of fleet.hosts.slice(0, 4)) host.skewMs -= 2000;
+  await truth.load(random, 20, 13_000);
+  await fleet.clock.advance(8000);
+  t.same(truth.wrong(2, 7), []);
+  fleet.stop();
+});
+
+await tap.test(
+  'should lose at most a second of a host that ends, and nothing of one that reports',
+  async t => {
+    // The host that reports dies with all that it was told, and its successor reports less.
+    for (const seed of [3, 4, 5]) {
+      const { fleet, truth } = await startedFleet();
+      const random = new SeededRandom(seed);
+      await truth.load(random, 20, 9000 + random.below(5000));
+      const reporter = reporterOf(fleet);
+      fleet.restart(reporter, 'again');
+      await truth.load(random, 20, 25_000);
+      await fleet.clock.advance(12_000);
+      t.same(truth.wrong(3, 7), [], `seed ${seed}`);
+      t.same(fleet.duties.broken, [], `seed ${seed}`);
+      fleet.stop();
+    }
+  },
+);
+
+await tap.test(
+  'should send the same content again whoever sends it, and break no rule under faults',
+  async t => {
+    // The reporter dies between sending and the answer, and its successor bills another sum for the same window.
+    for (let seed = 10; seed < 22; seed++) {
+      const { fleet, truth } = await startedFleet();
+      const random = new SeededRandom(seed);
+      const modes = ['silent', 'busy', 'away', 'lost', 'late'] as const;
+      for (let fault = 0; fault < 4; fault++) {
+        await truth.load(random, 10, 1000 + random.below(4000));
+        const reporter = fleet.at(fleet.store.value('fuchsiahitch/live/usage') ?? '');
+        const mode = modes[random.below(modes.length)] ?? 'well';
+        const kind = random.below(4);
+        if (kind === 0) fleet.duties.mode = mode;
+        if (kind === 1 && reporter) fleet.restart(reporter, `again-${fault}`);
+        if (kind === 2 && reporter) fleet.duties.cut.add(reporter.context.hostId);
+        if (kind === 3 && reporter) reporter.storeClient.mode = 'silent';
+        await truth.load(random, 10, 2000 + random.below(4000));
+        fleet.duties.mode = 'well';
+        fleet.duties.cut.clear();
+        if (reporter) reporter.storeClient.mode = 'well';
+      }
+      await fleet.clock.advance(15_000);
+      t.same(fleet.duties.broken, [], `seed ${seed}`);
+      t.ok(fleet.duties.reports.size >= 5, `seed ${seed}: ${fleet.duties.reports.size} windows`);
+      fleet.stop();
+    }
+  },
+);
+
+await tap.test('should leave the duty to a host that reaches the platform', async t => {
+  const { fleet, truth } = await startedFleet();
+  const random = new SeededRandom(30);
+  await truth.load(random, 20, 7000);
+  const reporter = reporterOf(fleet);
+  fleet.duties.cut.add(reporter.context.hostId);
+  await truth.load(random, 20, 25_000);
+  await fleet.clock.advance(10_000);
+  t.not(reporterOf(fleet).context.hostId, reporter.context.hostId);
+  t.same(truth.wrong(3, 7), []);
+  t.same(fleet.duties.broken, []);
+  fleet.stop();
+});
+
+await tap.test('should report the windows of an outage of the store that ends in time', async t => {
+  const { fleet, truth } = await startedFleet();
+  const random = new SeededRandom(31);
+  await truth.load(random, 20, 7000);
+  for (const host of fleet.hosts) host.storeClient.mode = 'away';
+  await truth.load(random, 20, 5000);
+  for (const host of fleet.hosts) host.storeClient.mode = 'well';
+  await truth.load(random, 20, 15_000);
+  await fleet.clock.advance(10_000);
+  t.same(truth.wrong(2, 6), []);
+  t.same(fleet.duties.broken, []);
+  fleet.stop();
+});
