Capacity: the duty to order endpoints, with a policy behind it that keeps what there is

Nobody could order endpoints of pools that the operators allow to scale. packages/capacity (no input or output) has the policies, keep (the one that stands, and the default) and by-model (as many endpoints for each model as the operators set, more where they are cheaper), and an order book: an order says how many there are to be, is repeated only where it may not have arrived or endpoints stay away three times their boot, rests longer after each refusal, and 20 a minute are the most.

Prefix routes as ordered rules, and which duties a host takes part in, leave the adapter.

--- a/packages/gateway/src/callerStore.ts
+++ b/packages/gateway/src/callerStore.ts
@@ -20,7 +20,15 @@
 
 /** The parts of the gateway that call the store. */
 export type StoreCaller =
-  'watch' | 'host-lease' | 'orders-lease' | 'batches' | 'sweep' | 'poison' | 'usage-lease' | 'usage';
+  | 'watch'
+  | 'host-lease'
+  | 'orders-lease'
+  | 'batches'
+  | 'sweep'
+  | 'poison'
+  | 'usage-lease'
+  | 'usage'
+  | 'capacity-lease';
 
 export class CallerStore implements RevisionedStore {
   private readonly _store: RevisionedStore;
--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -3,6 +3,7 @@
  * forward, whatever order changes arrive in.
  */
 import { AccountIndex, decideAccess, type Access, type Credential } from '@fuchsiahitch/accounts';
+import type { PoolScaling } from '@fuchsiahitch/capacity';
 import type { StoredValue } from '@fuchsiahitch/clients';
 import { RuleBook, RuleHistory, type Decision, type Route } from '@fuchsiahitch/rules';
 import type { GatewayContext } from './gatewayContext.js';
@@ -79,6 +80,11 @@
     return this._configuration?.models ?? new Map<string, readonly string[]>();
   }
 
+  /** Pools whose endpoints can be ordered. */
+  scalings(): ReadonlyMap<string, PoolScaling> {
+    return this._configuration?.scalings ?? new Map<string, PoolScaling>();
+  }
+
   /** The newest version that was named for a model; 1 before any. */
   namedVersion(model: string): number {
     return this._named.get(model) ?? 1;
--- /dev/null
+++ b/packages/gateway/src/dutyOptions.ts
@@ -0,0 +1,38 @@
+/**
+ * Which duties a host takes part in, from its settings.
+ */
+import { CapacityByModel, KeepCapacity, type CapacityPolicy } from '@fuchsiahitch/capacity';
+import type { CapacityOptions } from './capacityOrders.js';
+import type { PlatformDuties } from './ports.js';
+import type { UsageServiceOptions } from './usageService.js';
+
+export interface DutySettings {
+  /** Undefined where nobody is billed. */
+  readonly usage: { readonly windowMs: number; readonly dueMs: number } | undefined;
+  /** True where endpoints can be ordered. */
+  readonly ordersCapacity: boolean;
+  /** Calls of two holders must be further apart than this. */
+  readonly handoverMs: number;
+}
+
+export interface DutyOptions {
+  readonly usage: UsageServiceOptions | undefined;
+  readonly capacity: CapacityOptions | undefined;
+}
+
+/** `endpointsPerModel`: 0 keeps the endpoints that there are. */
+export function dutyOptions(
+  { usage, ordersCapacity, handoverMs }: DutySettings,
+  duties: PlatformDuties,
+  endpointsPerModel: number,
+): DutyOptions {
+  const policy = capacityPolicy(endpointsPerModel);
+  return {
+    usage: usage && { ...usage, duties, handoverMs },
+    capacity: ordersCapacity ? { policy, duties, handoverMs } : undefined,
+  };
+}
+
+function capacityPolicy(endpointsPerModel: number): CapacityPolicy {
+  return endpointsPerModel > 0 ? new CapacityByModel(endpointsPerModel) : new KeepCapacity();
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,11 +3,13 @@
  */
 import { sleep } from '@fuchsiahitch/base';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
+import type { DutyHandover } from '@fuchsiahitch/duties';
 import { BatchService } from './batchService.js';
 import { BatchStore } from './batchStore.js';
 import { BatchSweeper } from './batchSweeper.js';
 import { CallerStore, type StoreCaller } from './callerStore.js';
 import { claimLeaseMs } from './claimLease.js';
+import { CapacityOrders, LAST_CAPACITY_KEY, type CapacityOptions } from './capacityOrders.js';
 import { ConfigurationService } from './configurationService.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import { Forwarder } from './forwarder.js';
@@ -33,6 +35,8 @@
   readonly orders: WeightOrdersOptions;
   /** Undefined where the platform bills nobody. */
   readonly usage?: UsageServiceOptions | undefined;
+  /** Undefined where endpoints can't be ordered. */
+  readonly capacity?: CapacityOptions | undefined;
   /** All failure domains of the deployment. */
   readonly domains: readonly string[];
   /** How long after its submission a batch must be readable. */
@@ -60,6 +64,7 @@
   private readonly _sweeper: BatchSweeper;
   private readonly _orphans: OrphanedBatches;
   private readonly _usage: UsageService | undefined;
+  private readonly _capacity: CapacityOrders | undefined;
   private _inFlight = 0;
   private _isLeaving = false;
 
@@ -107,6 +112,7 @@
     this.orders = options.domains.map(
       domain => new WeightOrders(context, orderPorts, domain, options.orders),
     );
+    this._capacity = options.capacity && this._makeCapacity(options.capacity, storeOf('capacity-lease'));
     this._registerGauges();
   }
 
@@ -124,6 +130,7 @@
     this._sweeper.start();
     for (const orders of this.orders) orders.start();
     this._usage?.start();
+    this._capacity?.start();
   }
 
   /** True if this host reaches neither the store nor another failure domain. */
@@ -155,7 +162,11 @@
     this._isLeaving = true;
     const { clock, log } = this._context;
     log.info('shutting down', { graceMs, inFlight: this._inFlight, batches: this.batches.ownedCount() });
-    await Promise.all([...this.orders.map(orders => orders.stop()), this._usage?.stop()]);
+    await Promise.all([
+      ...this.orders.map(orders => orders.stop()),
+      this._usage?.stop(),
+      this._capacity?.stop(),
+    ]);
     await this.batches.handOver();
     await this.hosts.leave();
     const endMs = clock.nowMs() + graceMs;
@@ -166,6 +177,16 @@
     log.info('stopped', { inFlight: this._inFlight });
   }
 
+  private _makeCapacity(options: CapacityOptions, store: RevisionedStore): CapacityOrders {
+    const { configuration, endpoints, hosts } = this;
+    const lastHandover = (): DutyHandover | undefined => hosts.handover(LAST_CAPACITY_KEY);
+    return new CapacityOrders(
+      this._context,
+      { store, hosts, lastHandover, configuration, endpoints },
+      options,
+    );
+  }
+
   private _registerGauges(): void {
     const { metrics } = this._context;
     metrics.gauge('fuchsiahitch_in_flight', 'Calls of callers that run', () => this._inFlight);
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -177,7 +177,12 @@
   }
 
   lastOrders(domain: string): DutyHandover | undefined {
-    const value = this._values.get(lastOrdersKey(domain));
+    return this.handover(lastOrdersKey(domain));
+  }
+
+  /** What the last holder of a duty left under a key, also when nobody holds it now. */
+  handover(key: string): DutyHandover | undefined {
+    const value = this._values.get(key);
     return value === undefined ? undefined : decodeHandover(value);
   }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -2,6 +2,7 @@
  * What the gateway needs from outside: typed calls to endpoints, and what it learns of them.
  */
 import type { Account } from '@fuchsiahitch/accounts';
+import type { PoolScaling } from '@fuchsiahitch/capacity';
 import type { GeneratedEvent } from '@fuchsiahitch/batches';
 import type { HeaderPair } from '@fuchsiahitch/clients';
 import type { UsageReport } from '@fuchsiahitch/metering';
@@ -170,10 +171,19 @@
   readonly answerMs: number;
 }
 
+/** Endpoints that a pool is to have in a failure domain. */
+export interface CapacityOrder {
+  readonly pool: string;
+  readonly domain: string;
+  readonly count: number;
+}
+
 /** Calls to the platform that one host makes at a time. */
 export interface PlatformDuties {
   /** The same report again is harmless; another one for its window is not. */
   reportUsage(act: DutyAct, report: UsageReport, timeouts: DutyTimeouts): Promise<DutyAnswer>;
+  /** `refused` where the platform has no more endpoints now. */
+  orderCapacity(act: DutyAct, order: CapacityOrder, timeouts: DutyTimeouts): Promise<DutyAnswer>;
 }
 
 /** What callers may send, and how long they may take. */
@@ -193,6 +203,8 @@
   readonly accounts?: readonly Account[] | undefined;
   /** The models that trainers share the pool's endpoints with, by pool. */
   readonly models: ReadonlyMap<string, readonly string[]>;
+  /** Pools whose endpoints can be ordered. */
+  readonly scalings?: ReadonlyMap<string, PoolScaling>;
 }
 
 /** Reads what stands in the store under the operators' and the endpoints' keys. */
--- a/packages/gateway/src/programFlags.ts
+++ b/packages/gateway/src/programFlags.ts
@@ -18,6 +18,11 @@
     help: 'the port of metrics',
     fallback: '9464',
   },
+  'endpoints-per-model': {
+    schema: z.coerce.number().int().min(0).max(1000),
+    help: 'endpoints to order for each model of a pool that can be scaled; 0 keeps what there is',
+    fallback: '0',
+  },
   'trace-file': {
     schema: z.string(),
     help: 'the file that spans are written to; empty for none',
--- a/packages/gateway/src/usageService.ts
+++ b/packages/gateway/src/usageService.ts
@@ -1,7 +1,6 @@
 /**
  * Usage at one host: what it counts, tells, and reports where that is its duty.
  */
-import { decodeHandover } from '@fuchsiahitch/duties';
 import { UsageMeter, type MeteredSend } from '@fuchsiahitch/metering';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import type { StoreCaller } from './callerStore.js';
@@ -37,10 +36,7 @@
       leaseStore: storeOf('usage-lease'),
       hosts,
       duties: options.duties,
-      lastHandover: () => {
-        const value = hosts.valueOf(LAST_USAGE_KEY);
-        return value === undefined ? undefined : decodeHandover(value);
-      },
+      lastHandover: () => hosts.handover(LAST_USAGE_KEY),
     };
     this._reports = new UsageReports(context, ports, options);
     const meter = new UsageMeter({ windowMs: options.windowMs, keepMs: options.dueMs });
--- a/packages/rules/src/index.ts
+++ b/packages/rules/src/index.ts
@@ -9,3 +9,4 @@
 export * from './stateGate.js';
 export * from './ruleEditor.js';
 export * from './ruleHistory.js';
+export * from './prefixRules.js';
--- a/tests/dutyStandIn.ts
+++ b/tests/dutyStandIn.ts
@@ -2,7 +2,7 @@
  * The platform's side of duties in memory: it remembers every call, and which rules of theirs were broken.
  */
 import { sleep, type Clock } from '@fuchsiahitch/base';
-import type { DutyAct, DutyAnswer, PlatformDuties } from '@fuchsiahitch/gateway';
+import type { CapacityOrder, DutyAct, DutyAnswer, PlatformDuties } from '@fuchsiahitch/gateway';
 import { totalOf, type UsageReport } from '@fuchsiahitch/metering';
 
 /** `late`: no answer, and carried out seconds later, as the platform may do with any call. */
@@ -21,9 +21,12 @@
   /** Machines that can't reach it. */
   readonly cut = new Set<string>();
   readonly reports = new Map<number, UsageReport>();
+  readonly orders: CapacityOrder[] = [];
   readonly arrivals: Arrival[] = [];
   /** What broke a rule of duties. */
   readonly broken: string[] = [];
+  /** No endpoints are left to order. */
+  isSoldOut = false;
   lateMs = 3000;
   private readonly _clock: Clock;
   private readonly _handoverMs: number;
@@ -37,6 +40,7 @@
   from(machine: string): PlatformDuties {
     return {
       reportUsage: (act, report) => this._call(machine, act, () => this._take(report)),
+      orderCapacity: (act, order) => this._call(machine, act, () => this.orders.push(order)),
     };
   }
 
@@ -51,6 +55,7 @@
     if (mode === 'late') return this._carryOutLate(carryOut);
     this._judge({ ...act, machine, atMs: this._clock.nowMs() });
     if (mode === 'busy') return 'busy';
+    if (this.isSoldOut) return 'refused';
     if (mode !== 'silent') carryOut();
     if (mode === 'well') return 'accepted';
     await sleep(this._clock, SILENT_MS);
--- a/tests/dutyWire.spec.ts
+++ b/tests/dutyWire.spec.ts
@@ -23,9 +23,9 @@
 await tap.test('should report usage only where the platform asks for it', t => {
   const usageOf = (settings: unknown): unknown => {
     const parsed = parseSettings(JSON.stringify(settings));
-    return parsed.ok ? parsed.value.usage : parsed.error;
+    return parsed.ok ? parsed.value.duties.usage : parsed.error;
   };
-  t.same(usageOf(SETTINGS), { address: '127.0.0.1:8182', windowMs: 5000, dueMs: 10_000 });
+  t.same(usageOf(SETTINGS), { windowMs: 5000, dueMs: 10_000 });
   t.equal(usageOf({ ...SETTINGS, cloud: undefined }), undefined);
   t.equal(usageOf({ ...SETTINGS, cloud: null }), undefined);
   t.equal(usageOf({ ...SETTINGS, cloud: { duties: ['usage_report'] } }), undefined);
--- a/tests/gatewayFleet.ts
+++ b/tests/gatewayFleet.ts
@@ -2,6 +2,7 @@
  * Whole gateways of many hosts on a virtual clock, over one store: what a fleet costs while nothing is asked of it.
  */
 import { err, ok, sleep, type Result, VirtualClock } from '@fuchsiahitch/base';
+import type { CapacityPolicy } from '@fuchsiahitch/capacity';
 import { Gateway, type CallRegistry, type GatewayOptions, type PeerCaller } from '@fuchsiahitch/gateway';
 import { encodeFrame, type CallDefinition, type CallError } from '@fuchsiahitch/protocol';
 import { DutyStandIn } from './dutyStandIn.js';
@@ -22,6 +23,8 @@
   readonly isQuiet?: boolean;
   /** Where usage is reported; nobody is billed without it. */
   readonly usage?: UsageBounds;
+  /** Who decides how many endpoints there are; nobody orders any without it. */
+  readonly capacity?: CapacityPolicy;
 }
 
 export interface UsageBounds {
@@ -65,6 +68,7 @@
       batchReadableMs: 120_000,
       batchEndMs: 3000,
       usage: fleet.usageOf(hostId),
+      capacity: fleet.capacityOf(hostId),
     });
   }
 
@@ -173,6 +177,11 @@
     return usage && { ...usage, duties: this.duties.from(hostId), handoverMs: HANDOVER_MS };
   }
 
+  capacityOf(hostId: string): GatewayOptions['capacity'] {
+    const { capacity: policy } = this._size;
+    return policy && { policy, duties: this.duties.from(hostId), handoverMs: HANDOVER_MS };
+  }
+
   isCut(hostId: string, address: string): boolean {
     return this.cut.has(hostId) !== this.cut.has(address);
   }
--- a/tests/gatewayWorld.ts
+++ b/tests/gatewayWorld.ts
@@ -3,6 +3,7 @@
  */
 import { setMaxListeners } from 'node:events';
 import { err, SeededRandom, VirtualClock } from '@fuchsiahitch/base';
+import type { PoolScaling } from '@fuchsiahitch/capacity';
 import type { Batch, BatchItem } from '@fuchsiahitch/batches';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import {
@@ -129,10 +130,12 @@
       revision,
       route: given,
       models,
+      scaling,
     } = JSON.parse(value) as {
       revision: number;
       route: Route;
       models: string[];
+      scaling?: Omit<PoolScaling, 'prices'> & { readonly prices: Readonly<Record<string, number>> };
     };
     return {
       revision,
@@ -157,6 +160,9 @@
         idleTimeoutMs: 15_000,
       },
       models: new Map([['gen-pool', models]]),
+      scalings: new Map(
+        scaling ? [['gen-pool', { ...scaling, prices: new Map(Object.entries(scaling.prices)) }]] : [],
+      ),
     };
   }
 
