Batches: the owner tells the other hosts of its claim, so that readers' hosts need not read it

A claim that is told is a hint like one that was read before; an older one is passed over. Kept: no read where the owner has told.

--- a/packages/batches/src/records.ts
+++ b/packages/batches/src/records.ts
@@ -23,6 +23,12 @@
   .readonly();
 export type Claim = z.infer<typeof claimSchema>;
 
+/** An owner tells the other hosts of its claim: `revision` is that of the record. */
+export const claimNewsSchema = z
+  .strictObject({ batchId: z.string(), claim: claimSchema, revision: z.number().int().min(0) })
+  .readonly();
+export type ClaimNews = z.infer<typeof claimNewsSchema>;
+
 const resultListSchema = z.array(itemResultSchema).readonly();
 
 /** The batch of a step. */
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -11,6 +11,7 @@
   BatchEndReply,
   BatchItemReply,
   BatchReadReply,
+  ClaimNews,
   ItemEvents,
   Owner,
 } from '@fuchsiahitch/batches';
@@ -78,6 +79,7 @@
     server.handle(calls.batchRuns, ({ batchId }) => ({
       isRun: this._owned.get(batchId)?.mayAct() ?? false,
     }));
+    server.handle(calls.batchClaimed, news => this._heardOf(news));
     server.handle(calls.batchEnd, request => this._endHere(request.batchId));
   }
 
@@ -304,11 +306,28 @@
       unfinished: owner.ledger.unfinished().length,
     });
     owner.start();
+    this._tellClaim(id, held);
     // A host that shuts down still takes what arrives, and passes it on at once.
     if (this._isLeaving && this._owned.delete(id)) void this._handOver(owner);
     return owner;
   }
 
+  /**
+   * Tells the other hosts who runs the batch: readers come to any of them, and each would read the claim from the store. It is
+   * a hint like any claim that was read before; a host that is not told reads it.
+   */
+  private _tellClaim(batchId: string, { claim, revision }: HeldClaim): void {
+    for (const { address } of this._hosts.peers())
+      void this._hosts.call(address, calls.batchClaimed, { batchId, claim, revision }, PEER_TIMEOUT_MS);
+  }
+
+  private _heardOf({ batchId, claim, revision }: ClaimNews): Readonly<Record<string, never>> {
+    const known = this._claims.get(batchId);
+    // The teller asked the store before it told, and nobody here knows when.
+    if (!known || known.revision < revision) this._remember(batchId, { claim, revision, askedMs: -Infinity });
+    return {};
+  }
+
   private _own(held: HeldClaim, stored: StoredBatch): BatchOwner {
     const { id } = stored.batch;
     this._forgetEnded();
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -13,6 +13,7 @@
   endpointVersionSchema,
   batchRunsReplySchema,
   batchRunsSchema,
+  claimNewsSchema,
 } from '@fuchsiahitch/batches';
 import { leavingNoticeSchema, memberDocumentSchema, memberUpdateSchema } from '@fuchsiahitch/membership';
 import {
@@ -149,6 +150,7 @@
   versionSeen: defineCall('versionSeen', endpointVersionSchema, emptySchema),
   loadBegan: defineCall('loadBegan', endpointVersionSchema, emptySchema),
   batchAdopt: defineCall('batchAdopt', batchAdoptSchema, batchAdoptReplySchema),
+  batchClaimed: defineCall('batchClaimed', claimNewsSchema, emptySchema),
   batchRuns: defineCall('batchRuns', batchRunsSchema, batchRunsReplySchema),
   batchEnd: defineCall('batchEnd', batchEndSchema, batchEndReplySchema),
   heldSamples: defineCall('heldSamples', heldSamplesSchema, heldSamplesReplySchema),
