Batches: owners tell each other how quick endpoints are

A trace of one (step 1, 128 items): its longest text, 141 events, began at an endpoint of 65 ms an event, moved after 1.8 s, and ended at 7.97 s; texts of the same length that began at 50 ms ended at 7.2 to 7.4 s. Cause: each step has another owner, which knows no endpoint's pace when it places the items.

--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -76,6 +76,21 @@
   .readonly();
 export type EndpointVersion = z.infer<typeof endpointVersionSchema>;
 
+/** How quick a host has found endpoints to be, a moment ago. */
+export const pacesSeenSchema = z
+  .strictObject({
+    paces: z
+      .array(
+        z
+          .strictObject({ endpointId: z.string(), startWallMs: z.number(), paceMs: z.number().positive() })
+          .readonly(),
+      )
+      .max(2000)
+      .readonly(),
+  })
+  .readonly();
+export type PacesSeen = z.infer<typeof pacesSeenSchema>;
+
 /** Asks a host that owns a batch whether it lives and runs it. */
 export const batchRunsSchema = z.strictObject({ batchId: z.string() }).readonly();
 
--- a/packages/batches/src/itemPlacement.ts
+++ b/packages/batches/src/itemPlacement.ts
@@ -60,20 +60,61 @@
   readonly avoid: ReadonlySet<string>;
 }
 
+/** Which of the endpoints that are not slow an item goes to. */
+export interface PlacementPolicy {
+  /** `quick`: endpoints with a free place; `together`: the one of them that runs others of the item's group, if any. */
+  choose(
+    quick: readonly PlacementEndpoint[],
+    together: PlacementEndpoint | undefined,
+    request: PlacementRequest,
+  ): PlacementEndpoint | undefined;
+}
+
+/** Long items to the quickest endpoint, others to their group, or to the endpoint with the most room. */
+export class RoomiestPlacement implements PlacementPolicy {
+  choose(
+    quick: readonly PlacementEndpoint[],
+    together: PlacementEndpoint | undefined,
+    { isLong, ownDomain }: PlacementRequest,
+  ): PlacementEndpoint | undefined {
+    if (isLong) return quickest(quick);
+    return together ?? best(quick, ownDomain);
+  }
+}
+
+/**
+ * Every item to the quickest endpoint that has a place, of equals to its group's. Lengths are estimated badly: an item that turns
+ * out to be among the longest then runs well already, where it would have to move.
+ */
+export class QuickestPlacement implements PlacementPolicy {
+  choose(
+    quick: readonly PlacementEndpoint[],
+    together: PlacementEndpoint | undefined,
+    { isLong }: PlacementRequest,
+  ): PlacementEndpoint | undefined {
+    const found = quickest(quick);
+    if (!found || !together || isLong) return found;
+    return isClearlyQuicker(found, together) ? found : together;
+  }
+}
+
 /** The endpoint for an item, or undefined when it is better to wait for a place. */
 export function placeItem(
   endpoints: readonly PlacementEndpoint[],
   request: PlacementRequest,
+  policy: PlacementPolicy = DEFAULT_PLACEMENT,
 ): PlacementEndpoint | undefined {
   const medianMs = medianPaceMs(endpoints);
   const open = endpoints.filter(endpoint => endpoint.freePlaces > 0 && !request.avoid.has(endpoint.id));
   const quick = open.filter(endpoint => !isSlow(endpoint, medianMs));
   const together = quick.find(endpoint => endpoint.id === request.groupEndpointId);
-  if (together && !request.isLong) return together;
-  if (request.isLong) return quickest(quick) ?? (hasQuick(endpoints, medianMs) ? undefined : best(open, ''));
-  return best(quick, request.ownDomain) ?? (hasQuick(endpoints, medianMs) ? undefined : best(open, ''));
+  return (
+    policy.choose(quick, together, request) ?? (hasQuick(endpoints, medianMs) ? undefined : best(open, ''))
+  );
 }
 
+const DEFAULT_PLACEMENT: PlacementPolicy = new RoomiestPlacement();
+
 /** True if an endpoint that is not slow exists: an item that waits for its place still ends sooner there. */
 function hasQuick(endpoints: readonly PlacementEndpoint[], medianMs: number | undefined): boolean {
   return endpoints.some(endpoint => !isSlow(endpoint, medianMs));
@@ -89,14 +130,16 @@
 }
 
 function isQuicker(a: PlacementEndpoint, b: PlacementEndpoint): boolean {
-  const aPaceMs = a.paceMs ?? 0;
-  const bPaceMs = b.paceMs ?? 0;
-  // Paces are measured: a tenth is no difference.
-  if (aPaceMs * PACE_TOLERANCE < bPaceMs) return true;
-  if (bPaceMs * PACE_TOLERANCE < aPaceMs) return false;
+  if (isClearlyQuicker(a, b)) return true;
+  if (isClearlyQuicker(b, a)) return false;
   return a.freePlaces > b.freePlaces;
 }
 
+/** Paces are measured: a tenth is no difference. */
+function isClearlyQuicker(a: PlacementEndpoint, b: PlacementEndpoint): boolean {
+  return (a.paceMs ?? 0) * PACE_TOLERANCE < (b.paceMs ?? 0);
+}
+
 /** The endpoint with the most free places; among equals one of the own failure domain. */
 function best(endpoints: readonly PlacementEndpoint[], ownDomain: string): PlacementEndpoint | undefined {
   let found: PlacementEndpoint | undefined;
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -22,6 +22,7 @@
 import { EarlierTexts } from './earlierTexts.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallRegistry, Hosts } from './hostDirectory.js';
+import { PaceNews } from './paceNews.js';
 import { StoredBatches } from './storedBatches.js';
 
 /** Where a batch stands, as far as this host could learn. */
@@ -43,6 +44,8 @@
 /** Taking a batch over is two calls to the store and one read of it. */
 const ADOPT_TIMEOUT_MS = 1500;
 const MAX_SUCCESSORS = 3;
+/** So long after it began to run a batch, a host knows how quick its endpoints are. */
+const PACES_KNOWN_MS = 2000;
 /** A refused batch may come back after this: an outage of the store lasts seconds. */
 const RETRY_AFTER_MS = 1000;
 /** Ended batches that are kept in memory for their readers; the rest is read from the store. */
@@ -61,12 +64,14 @@
   /** Claims as last read: where to ask first. The owner itself says if it is one no more. */
   private readonly _claims = new Map<string, HeldClaim>();
   private readonly _stored: StoredBatches;
+  private readonly _paces: PaceNews;
   private _isLeaving = false;
 
   constructor(context: GatewayContext, ports: BatchPorts, hosts: Hosts) {
     this._context = context;
     this._ports = ports;
     this._hosts = hosts;
+    this._paces = new PaceNews(ports.endpoints, hosts);
     this._texts = new EarlierTexts(context, ports.store);
     const isEnded = (batchId: string): boolean => this._claims.get(batchId)?.claim.isEnded ?? false;
     this._stored = new StoredBatches(context, ports.store, isEnded);
@@ -79,6 +84,7 @@
     server.handle(calls.batchRuns, ({ batchId }) => ({
       isRun: this._owned.get(batchId)?.mayAct() ?? false,
     }));
+    this._paces.serve(server);
     server.handle(calls.batchClaimed, news => this._heardOf(news));
     server.handle(calls.batchEnd, request => this._endHere(request.batchId));
   }
@@ -307,6 +313,7 @@
     });
     owner.start();
     this._tellClaim(id, held);
+    this._context.clock.after(PACES_KNOWN_MS, () => this._paces.tell());
     // A host that shuts down still takes what arrives, and passes it on at once.
     if (this._isLeaving && this._owned.delete(id)) void this._handOver(owner);
     return owner;
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -32,12 +32,23 @@
  */
 const UNREACHABLE_MS = 1000;
 
+/** An own pace goes before what others tell for so long after its last event. */
+const PACE_FRESH_MS = 3000;
+/** What another host found is believed for so long: steps begin every few seconds, and slow endpoints recover within ten. */
+const PACE_VALID_MS = 10_000;
+
 /** A weight version that an endpoint generated with, older than the one that it was known to have. */
 interface OlderVersion {
   readonly version: number;
   readonly untilMs: number;
 }
 
+/** A pace that another host has found. */
+interface HeardPace {
+  readonly paceMs: number;
+  readonly untilMs: number;
+}
+
 /** A load of weights that an endpoint was ordered to do. */
 interface RunningLoad {
   readonly model: string;
@@ -60,6 +71,8 @@
   private _closedUntilMs = -Infinity;
   private _unreachableUntilMs = -Infinity;
   private readonly _pace = new Pace();
+  private _pacedMs = -Infinity;
+  private _heardPace: HeardPace | undefined;
   private _load: RunningLoad | undefined;
 
   constructor(info: EndpointInfo, clock: Clock) {
@@ -203,11 +216,28 @@
   /** So much time passed between two events of a stream at this endpoint. */
   paced(pauseMs: number): void {
     this._pace.seen(pauseMs);
+    this._pacedMs = this._clock.nowMs();
+  }
+
+  /** Another host has found the pace. */
+  heardPace(paceMs: number): void {
+    this._heardPace = { paceMs, untilMs: this._clock.nowMs() + PACE_VALID_MS };
+  }
+
+  /** The pace that this host found itself a moment ago; undefined where it has not. */
+  freshPaceMs(): number | undefined {
+    const isFresh = this._clock.nowMs() - this._pacedMs < PACE_FRESH_MS;
+    return isFresh ? this._pace.ms() : undefined;
   }
 
-  /** The time between two events of a stream at this endpoint; undefined before enough were seen. */
+  /** The time between two events of a stream at this endpoint; undefined before enough were seen, here or elsewhere. */
   paceMs(): number | undefined {
-    return this._pace.ms();
+    return this.freshPaceMs() ?? this._heardPaceMs() ?? this._pace.ms();
+  }
+
+  private _heardPaceMs(): number | undefined {
+    const heard = this._heardPace;
+    return heard && this._clock.nowMs() < heard.untilMs ? heard.paceMs : undefined;
   }
 
   /** As `paceMs`, from the first two events on. */
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -5,6 +5,7 @@
 import { controlSockets } from './controlSockets.js';
 import { controlSim } from './controlSim.js';
 import { hop } from './hop.js';
+import { placement } from './placement.js';
 import { requests } from './requests.js';
 import { ruleDecisions } from './ruleDecisions.js';
 import { steps } from './steps.js';
@@ -16,6 +17,7 @@
   steps,
   controlSockets,
   controlSim,
+  placement,
 ];
 
 const names = process.argv.slice(2);
--- /dev/null
+++ b/packages/measure/src/placement.ts
@@ -0,0 +1,262 @@
+/**
+ * How long a trainer's steps take under each way of placing their items, in a model of the endpoints.
+ *
+ * The placement and the moves are the product's own. Endpoints differ in pace only; a batch has groups of items whose lengths have a
+ * long tail and whose estimates err, and a step begins every few seconds. Both ways see the same steps.
+ */
+import {
+  placeItem,
+  QuickestPlacement,
+  RoomiestPlacement,
+  shouldMove,
+  type PlacementEndpoint,
+  type PlacementPolicy,
+} from '@fuchsiahitch/batches';
+import { SeededRandom } from '@fuchsiahitch/base';
+import type { Measurement } from './figure.js';
+
+const SEEDS = 40;
+const STEPS = 12;
+const TICK_MS = 25;
+const MOVE_MS = 250;
+/** A step must be whole by then: its due time, what is forgiven, less acceptance and listing. */
+const WHOLE_MS = 7900;
+/** Events after which an owner knows an endpoint's pace. */
+const SEEN_EVENTS = 16;
+const LONG_SHARE = 0.25;
+const DRAW = 1_000_000;
+
+/** A trainer's work, and the endpoints that its model has. */
+interface Workload {
+  readonly name: string;
+  readonly groups: number;
+  readonly groupSize: number;
+  readonly wantedGroups: number;
+  readonly everyMs: number;
+  readonly meanEvents: number;
+  readonly maxEvents: number;
+  /** Milliseconds an event of each endpoint. */
+  readonly pacesMs: readonly number[];
+  readonly places: number;
+}
+
+const QUICK_MS = 50;
+const SLOWER_MS = 65;
+
+function paces(quick: number, slower: number): readonly number[] {
+  return [...Array<number>(quick).fill(QUICK_MS), ...Array<number>(slower).fill(SLOWER_MS)];
+}
+
+const WORKLOADS: readonly Workload[] = [
+  workload('few large groups', { groups: 8, groupSize: 16, wantedGroups: 8 }),
+  workload('many groups', { groups: 15, groupSize: 8, wantedGroups: 14 }),
+  workload('short texts', { groups: 15, groupSize: 8, wantedGroups: 14, meanEvents: 11, maxEvents: 77 }),
+  workload('equal endpoints', { groups: 8, groupSize: 16, wantedGroups: 8, pacesMs: paces(9, 0) }),
+  workload('few endpoints', { groups: 8, groupSize: 16, wantedGroups: 8, pacesMs: paces(3, 2) }),
+  workload('half as many again', { groups: 8, groupSize: 16, wantedGroups: 8, pacesMs: paces(9, 5) }),
+];
+
+function workload(name: string, overrides: Partial<Workload>): Workload {
+  return {
+    name,
+    groups: 8,
+    groupSize: 16,
+    wantedGroups: 8,
+    everyMs: 4000,
+    meanEvents: 19.6,
+    maxEvents: 141,
+    pacesMs: paces(6, 3),
+    places: 8,
+    ...overrides,
+  };
+}
+
+/** A way to place items. `isTold`: an owner knows the paces that owners before it have seen; else only those that it sees itself. */
+interface Way {
+  readonly name: string;
+  readonly policy: PlacementPolicy;
+  readonly isTold: boolean;
+}
+
+const WAYS: readonly Way[] = [
+  { name: 'roomiest, own paces', policy: new RoomiestPlacement(), isTold: false },
+  { name: 'quickest, own paces', policy: new QuickestPlacement(), isTold: false },
+  { name: 'roomiest, told paces', policy: new RoomiestPlacement(), isTold: true },
+  { name: 'quickest, told paces', policy: new QuickestPlacement(), isTold: true },
+];
+
+interface ModelItem {
+  readonly group: string;
+  readonly events: number;
+  readonly estimate: number;
+  readonly beganMs: number;
+  done: number;
+  endpoint: number | undefined;
+  ranSinceMs: number;
+}
+
+interface ModelStep {
+  readonly startMs: number;
+  readonly items: readonly ModelItem[];
+  readonly longFrom: number;
+  readonly groupEndpoints: Map<string, string>;
+  /** Events that the step's owner has seen of each endpoint. */
+  readonly seen: Map<number, number>;
+  wholeMs: number | undefined;
+}
+
+export const placement: Measurement = {
+  name: 'placement',
+  about: 'steps that are whole in time under each way of placing items, in a model',
+  async run(print) {
+    for (const work of WORKLOADS) {
+      for (const way of WAYS) {
+        const { name } = way;
+        const wholeMs = Array.from({ length: SEEDS }, (_, seed) => runSteps(work, way, seed + 1)).flat();
+        const inTime = wholeMs.filter(ms => ms <= WHOLE_MS).length / wholeMs.length;
+        const mean = wholeMs.reduce((a, b) => a + b, 0) / wholeMs.length;
+        print({ figure: `${work.name}, ${name}: steps whole in time`, value: inTime, unit: 'share' });
+        print({ figure: `${work.name}, ${name}: a step is whole after`, value: mean, unit: 'ms' });
+      }
+      await Promise.resolve();
+    }
+  },
+};
+
+/** The time that each step takes until the groups that its trainer waits for are whole. */
+function runSteps(work: Workload, way: Way, seed: number): readonly number[] {
+  const random = new SeededRandom(seed);
+  const steps = Array.from({ length: STEPS }, (_, i) => newStep(work, random, i * work.everyMs));
+  const used = work.pacesMs.map(() => 0);
+  for (let nowMs = 0; steps.some(step => step.wholeMs === undefined); nowMs += TICK_MS) {
+    const open = steps.filter(step => step.startMs <= nowMs && step.wholeMs === undefined);
+    for (const step of open) {
+      advance(step, work, used, nowMs);
+      placeWaiting(step, work, way, used, nowMs);
+      if (nowMs % MOVE_MS === 0) moveFromSlow(step, work, way, used, nowMs);
+      if (wholeGroups(step, work) >= work.wantedGroups) end(step, used, nowMs);
+    }
+  }
+  return steps.map(step => (step.wholeMs ?? 0) - step.startMs);
+}
+
+function newStep(work: Workload, random: SeededRandom, startMs: number): ModelStep {
+  const items = Array.from({ length: work.groups * work.groupSize }, (_, i): ModelItem => {
+    const events = drawEvents(work, random);
+    return {
+      group: `g${Math.floor(i / work.groupSize)}`,
+      events,
+      estimate: events * Math.exp(0.5 * drawNormal(random)),
+      beganMs: startMs,
+      done: 0,
+      endpoint: undefined,
+      ranSinceMs: startMs,
+    };
+  });
+  const estimates = items.map(item => item.estimate).sort((a, b) => b - a);
+  const longFrom = estimates[Math.floor(estimates.length * LONG_SHARE)] ?? Infinity;
+  return { startMs, items, longFrom, groupEndpoints: new Map(), seen: new Map(), wholeMs: undefined };
+}
+
+/** Lengths around the mean, a tenth of them five times as long, up to a bound. */
+function drawEvents({ meanEvents, maxEvents }: Workload, random: SeededRandom): number {
+  const spread = 0.84;
+  const isTail = random.below(DRAW) < 0.104 * DRAW;
+  const median = meanEvents / (1 + 0.104 * 4) / Math.exp((spread * spread) / 2);
+  const length = median * Math.exp(spread * drawNormal(random)) * (isTail ? 5 : 1);
+  return Math.max(1, Math.min(maxEvents, Math.round(length)));
+}
+
+function drawNormal(random: SeededRandom): number {
+  const u = (random.below(DRAW) + 1) / (DRAW + 1);
+  const v = random.below(DRAW) / DRAW;
+  return Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * v);
+}
+
+function isOpen(item: ModelItem): boolean {
+  return item.done < item.events;
+}
+
+function advance(step: ModelStep, work: Workload, used: number[], nowMs: number): void {
+  for (const item of step.items) {
+    if (item.endpoint === undefined || !isOpen(item) || nowMs <= item.ranSinceMs) continue;
+    const events = TICK_MS / (work.pacesMs[item.endpoint] ?? QUICK_MS);
+    item.done += events;
+    step.seen.set(item.endpoint, (step.seen.get(item.endpoint) ?? 0) + events);
+    if (!isOpen(item)) leave(item, used);
+  }
+}
+
+function placeWaiting(step: ModelStep, work: Workload, way: Way, used: number[], nowMs: number): void {
+  const waiting = step.items
+    .filter(item => isOpen(item) && item.endpoint === undefined)
+    .sort((a, b) => b.estimate - a.estimate);
+  for (const item of waiting) {
+    const request = {
+      groupEndpointId: step.groupEndpoints.get(item.group),
+      isLong: item.estimate >= step.longFrom || item.done > 0,
+      ownDomain: '',
+      avoid: new Set<string>(),
+    };
+    const found = placeItem(views(step, work, way, used), request, way.policy);
+    if (!found) return;
+    step.groupEndpoints.set(item.group, found.id);
+    begin(item, Number(found.id), used, nowMs);
+  }
+}
+
+function views(
+  step: ModelStep,
+  work: Workload,
+  way: Way,
+  used: readonly number[],
+): readonly PlacementEndpoint[] {
+  return work.pacesMs.map((paceMs, i) => ({
+    id: String(i),
+    domain: '',
+    freePlaces: work.places - (used[i] ?? 0),
+    paceMs: isPaceKnown(step, way, i) ? paceMs : undefined,
+  }));
+}
+
+function isPaceKnown(step: ModelStep, { isTold }: Way, endpoint: number): boolean {
+  return isTold || (step.seen.get(endpoint) ?? 0) >= SEEN_EVENTS;
+}
+
+function moveFromSlow(step: ModelStep, work: Workload, way: Way, used: number[], nowMs: number): void {
+  for (const item of step.items) {
+    if (item.endpoint === undefined || !isOpen(item)) continue;
+    if (!isPaceKnown(step, way, item.endpoint)) continue;
+    const paceMs = work.pacesMs[item.endpoint] ?? QUICK_MS;
+    const ranMs = nowMs - item.ranSinceMs;
+    const other = work.pacesMs.findIndex(
+      (otherMs, i) =>
+        (used[i] ?? 0) < work.places && isPaceKnown(step, way, i) && shouldMove(ranMs, paceMs, otherMs),
+    );
+    if (other < 0) continue;
+    leave(item, used);
+    begin(item, other, used, nowMs);
+  }
+}
+
+function begin(item: ModelItem, endpoint: number, used: number[], nowMs: number): void {
+  used[endpoint] = (used[endpoint] ?? 0) + 1;
+  item.endpoint = endpoint;
+  item.ranSinceMs = nowMs;
+}
+
+function leave(item: ModelItem, used: number[]): void {
+  if (item.endpoint !== undefined) used[item.endpoint] = (used[item.endpoint] ?? 1) - 1;
+  item.endpoint = undefined;
+}
+
+function wholeGroups(step: ModelStep, work: Workload): number {
+  const open = new Set(step.items.filter(isOpen).map(item => item.group));
+  return work.groups - open.size;
+}
+
+/** What still runs of a step that is whole ends with it. */
+function end(step: ModelStep, used: number[], nowMs: number): void {
+  step.wholeMs = nowMs;
+  for (const item of step.items) leave(item, used);
+}
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -14,6 +14,7 @@
   batchRunsReplySchema,
   batchRunsSchema,
   claimNewsSchema,
+  pacesSeenSchema,
 } from '@fuchsiahitch/batches';
 import { leavingNoticeSchema, memberDocumentSchema, memberUpdateSchema } from '@fuchsiahitch/membership';
 import {
@@ -149,6 +150,7 @@
   batchItem: defineCall('batchItem', batchItemReadSchema, batchItemReplySchema),
   versionSeen: defineCall('versionSeen', endpointVersionSchema, emptySchema),
   loadBegan: defineCall('loadBegan', endpointVersionSchema, emptySchema),
+  pacesSeen: defineCall('pacesSeen', pacesSeenSchema, emptySchema),
   batchAdopt: defineCall('batchAdopt', batchAdoptSchema, batchAdoptReplySchema),
   batchClaimed: defineCall('batchClaimed', claimNewsSchema, emptySchema),
   batchRuns: defineCall('batchRuns', batchRunsSchema, batchRunsReplySchema),
