Duties and accounts, read as a newcomer: a right that begins, a trial that is dropped, an index that is quick

- DutyLease gives no token before the wait for the holder before it is over: a report whose decision took long came back under a new lease, within the bound of the holder between the two.
Found by reading; orders compare tokens already.
- A trial of a poison request whose key was taken away meanwhile has not run, and is dropped like any that has not.
A map hashes the whole key with a seed of the process.
- Failures to tell usage are logged when they change.

--- a/packages/accounts/src/accountIndex.ts
+++ b/packages/accounts/src/accountIndex.ts
@@ -1,8 +1,7 @@
 /**
  * Accounts by their keys, built once for each version of the configuration.
  */
-import { randomBytes, timingSafeEqual } from 'node:crypto';
-import { digest, err, ok, type Result } from '@fuchsiahitch/base';
+import { err, ok, type Result } from '@fuchsiahitch/base';
 import type { Account, AccountsError } from './model.js';
 
 /** What a key proves. `removed`: an earlier version had it. */
@@ -11,24 +10,18 @@
   | { readonly kind: 'removed'; readonly accountName: string }
   | { readonly kind: 'unknown' };
 
-interface KeyEntry {
-  readonly key: Buffer;
-  readonly account: Account;
-}
-
-/** Keys that earlier versions had are remembered, only to tell in the log why one is refused. */
-const MAX_REMOVED = 1000;
-const SALT_BYTES = 16;
 /**
- * Keys are found by a digest that begins with a secret of the process: without it a caller could learn from the time of an answer
- * how many characters of a guess are right.
+ * Accounts by key. A map finds a key by a hash of the whole of it, which the process seeds by chance, so that the time of an
+ * answer tells nothing of how much of a guess is right.
  */
-const SALT = randomBytes(SALT_BYTES).toString('hex');
+type KeyTable = Map<string, Account>;
 
+/** Keys that earlier versions had are remembered, only to tell in the log why one is refused. */
+const MAX_REMOVED = 1000;
 export class AccountIndex {
-  private readonly _entries = new Map<string, KeyEntry>();
-  private readonly _accounts = new Map<string, Account>();
-  private readonly _removed = new Map<string, KeyEntry>();
+  private readonly _accounts: KeyTable = new Map();
+  private readonly _names = new Set<string>();
+  private readonly _removed: KeyTable = new Map();
 
   private constructor() {
     // `build` fills it, since a list may contradict itself.
@@ -46,47 +39,27 @@
   }
 
   find(key: string): KeyFinding {
-    const place = placeOf(key);
-    const bytes = Buffer.from(key);
-    const entry = this._entries.get(place);
-    if (entry && isEqual(entry.key, bytes)) return { kind: 'known', account: entry.account };
-    const removed = this._removed.get(place);
-    if (removed && isEqual(removed.key, bytes)) return { kind: 'removed', accountName: removed.account.name };
-    return { kind: 'unknown' };
-  }
-
-  account(name: string): Account | undefined {
-    return this._accounts.get(name);
-  }
-
-  all(): Iterable<Account> {
-    return this._accounts.values();
+    const known = this._accounts.get(key);
+    if (known) return { kind: 'known', account: known };
+    const removed = this._removed.get(key);
+    return removed ? { kind: 'removed', accountName: removed.name } : { kind: 'unknown' };
   }
 
   private _add(account: Account): AccountsError | undefined {
-    if (this._accounts.has(account.name)) return { kind: 'name-twice', name: account.name };
-    this._accounts.set(account.name, account);
+    if (this._names.has(account.name)) return { kind: 'name-twice', name: account.name };
+    this._names.add(account.name);
     for (const key of account.keys) {
-      const place = placeOf(key);
-      const other = this._entries.get(place)?.account;
+      const other = this._accounts.get(key);
       if (other && other !== account) return { kind: 'key-shared', names: [other.name, account.name] };
-      this._entries.set(place, { key: Buffer.from(key), account });
+      this._accounts.set(key, account);
     }
     return undefined;
   }
 
   private _rememberRemoved(before: AccountIndex): void {
-    for (const entries of [before._removed, before._entries])
-      for (const [place, entry] of entries) if (!this._entries.has(place)) this._removed.set(place, entry);
+    for (const table of [before._removed, before._accounts])
+      for (const [key, account] of table) if (!this._accounts.has(key)) this._removed.set(key, account);
     const surplus = this._removed.size - MAX_REMOVED;
-    for (const place of [...this._removed.keys()].slice(0, Math.max(0, surplus))) this._removed.delete(place);
+    for (const key of [...this._removed.keys()].slice(0, Math.max(0, surplus))) this._removed.delete(key);
   }
 }
-
-function placeOf(key: string): string {
-  return digest(SALT + key);
-}
-
-function isEqual(known: Buffer, given: Buffer): boolean {
-  return known.length === given.length && timingSafeEqual(known, given);
-}
--- a/packages/gateway/src/dutyLease.ts
+++ b/packages/gateway/src/dutyLease.ts
@@ -121,9 +121,12 @@
     return this._token !== undefined;
   }
 
-  /** The fencing token of an act now; undefined when this host may not act. */
+  /**
+   * The fencing token of an act now; undefined when this host may not act. What began under an earlier lease may come back under a
+   * new one, while the holder between the two may still act.
+   */
   token(): number | undefined {
-    return this._guard.token();
+    return this._context.clock.nowMs() < this._mayBeginMs ? undefined : this._guard.token();
   }
 
   /** False while the holder before this one may just have acted on the subject. */
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -120,7 +120,8 @@
         return this._noted(request, await run(route));
       case 'trial': {
         const outcome = await run({ ...route, maxAttempts: 1 });
-        if (outcome.kind === 'not-run') this._poison.trialDropped(request, verdict.number);
+        if (outcome.kind === 'not-run' || outcome.kind === 'denied')
+          this._poison.trialDropped(request, verdict.number);
         return this._noted(request, outcome);
       }
       case 'held':
--- a/packages/gateway/src/usageReports.ts
+++ b/packages/gateway/src/usageReports.ts
@@ -150,7 +150,7 @@
     if (answer === 'no-right') return true;
     this._logSent(report, answer);
     if (answer === 'accepted' || answer === 'refused') return this._settle(window, progress.revision);
-    await this._countFailure(answer);
+    this._countFailure(answer);
     return false;
   }
 
@@ -160,15 +160,13 @@
     if (!read.ok) return undefined;
     const { settledUpTo, revision, decided, told } = read.value;
     const { windowMs, dueMs } = this._options;
-    const current = windowAt(this._trueMs(), windowMs);
+    if (settledUpTo === undefined) return this._beginAt(windowAt(this._trueMs(), windowMs) - 1);
     const firstInTime = windowAt(this._trueMs() - dueMs, windowMs);
-    if (settledUpTo === undefined) return this._beginAt(current - 1);
-    const before = settledUpTo;
-    const from = Math.max(before, firstInTime - 1);
-    if (from > before)
+    const from = Math.max(settledUpTo, firstInTime - 1);
+    if (from > settledUpTo)
       this._context.log.warn('usage lost', {
-        window: before + 1,
-        windows: from - before,
+        window: settledUpTo + 1,
+        windows: from - settledUpTo,
         reason: 'nobody could report in time',
       });
     for (const report of decided) if (report.window > from) this._decided.set(report.window, report);
@@ -264,14 +262,13 @@
     return true;
   }
 
-  private async _countFailure(answer: DutyAnswer): Promise<void> {
+  private _countFailure(answer: DutyAnswer): void {
     this._failures = answer === 'busy' ? 0 : this._failures + 1;
     if (this._failures < MAX_FAILURES) return;
     this._failures = 0;
     this._context.log.warn('usage lease', { change: 'left to another host', reason: answer });
     // Not awaited: it waits for this very step to end.
     void this._duty.standAside(ASIDE_MS);
-    await Promise.resolve();
   }
 
   private _pause(): void {
@@ -288,8 +285,7 @@
   private _logLate({ hostId, windows }: UsageTold): void {
     for (const { window, counts } of windows) {
       if (window > this._decidedUpTo()) continue;
-      const told = this._decided.get(window);
-      if (totalOf(counts) > 0 && !told)
+      if (totalOf(counts) > 0 && !this._decided.has(window))
         this._context.log.info('usage told late', { window, of: hostId, requests: totalOf(counts) });
     }
   }
--- a/packages/gateway/src/usageTeller.ts
+++ b/packages/gateway/src/usageTeller.ts
@@ -14,9 +14,10 @@
   type UsageMeter,
   type UsageTold,
   type UsageToldReply,
+  usageToldReplySchema,
+  usageToldSchema,
 } from '@fuchsiahitch/metering';
 import { defineCall, type CallError } from '@fuchsiahitch/protocol';
-import { usageToldReplySchema, usageToldSchema } from '@fuchsiahitch/metering';
 import type { GatewayContext } from './gatewayContext.js';
 import type { Hosts } from './hostDirectory.js';
 
@@ -55,6 +56,8 @@
   private _dueMs = Infinity;
   private _cancel: CancelTimer = () => undefined;
   private _reporter: Owner | undefined;
+  /** How the last try failed: each of a row of failures would fill the log. */
+  private _lastFailure: string | undefined;
   private _isTelling = false;
 
   /** `reporterKey`: its value names the host that reports. */
@@ -159,9 +162,12 @@
     const reply = await this._send({ hostId, incarnation, wallMs: clock.wallMs(), windows });
     if (!reply.ok || reply.value.kind !== 'taken') {
       const outcome = reply.ok ? reply.value.kind : reply.error.kind;
-      log.info('usage not told', { outcome, reporter: this._reporter?.hostId, windows: windows.length });
+      if (outcome !== this._lastFailure)
+        log.info('usage not told', { outcome, reporter: this._reporter?.hostId, windows: windows.length });
+      this._lastFailure = outcome;
       return false;
     }
+    this._lastFailure = undefined;
     told();
     this._meter.dated(reply.value.trueMs - (sentMs + clock.nowMs()) / 2);
     this._meter.decided(reply.value.decidedUpTo);
