--- a/tests/accounts.spec.ts
+++ b/tests/accounts.spec.ts
@@ -4,11 +4,13 @@
 import fc from 'fast-check';
 import tap from 'tap';
 import { AccountIndex, decideAccess, type Account, type Credential } from '@fuchsiahitch/accounts';
-import { SeededRandom, VirtualClock } from '@fuchsiahitch/base';
+import { Deadline, SeededRandom, VirtualClock } from '@fuchsiahitch/base';
+import { batchIdOf } from '@fuchsiahitch/batches';
 import { ConfigurationService } from '@fuchsiahitch/gateway';
 import { PlatformRecords, recordKeys } from '@fuchsiahitch/platform';
 import { FakeStore } from './fakeStore.js';
-import { testContext } from './gatewayWorld.js';
+import { GatewayWorld } from './gatewayHosts.js';
+import { batch, item, testContext } from './gatewayWorld.js';
 import { PlatformHost } from './platformHost.js';
 import { chunk, genuine, LAST_CHUNK, streamHead } from './platformStandIns.js';
 
@@ -295,3 +297,25 @@
     await host.stop();
   },
 );
+
+await tap.test('should name a batch’s account to endpoints after a takeover', async t => {
+  // The next owner has never seen who submitted the batch, and its items run as nobody's.
+  const world = new GatewayWorld();
+  const [a, b] = [world.start('a'), world.start('b')];
+  await world.clock.advance(200);
+  world.client.script = () => ({ events: 100, eventMs: 50, end: { kind: 'done' } });
+  const id = batchIdOf('ann', 'b1');
+  const work = batch(id, [item('x'), item('y')], { accountName: 'ann' });
+  await world.until(a.batches.submit(work, Deadline.after(world.clock, 3000)));
+  await world.clock.advance(300);
+  a.kill();
+  world.expire('a');
+  t.match(await world.until(b.batches.read(id, 0, 0)), { kind: 'page' });
+  await world.clock.advance(300);
+  const accounts = world.client.items.map(({ accountName }) => accountName);
+  t.ok(accounts.length >= 4, 'both owners have sent both');
+  t.same([...new Set(accounts)], ['ann']);
+  t.notSame(batchIdOf('bob', 'b1'), id);
+  t.notSame(batchIdOf(undefined, id), id, 'no caller can name another account’s batch');
+  world.stop();
+});
