--- /dev/null
+++ b/packages/accounts/src/accountsFile.ts
@@ -0,0 +1,29 @@
+/**
+ * Accounts as operators write them for a daemon: a YAML list under `accounts`.
+ */
+import { err, ok, type Result } from '@fuchsiahitch/base';
+import { parse } from 'yaml';
+import * as z from 'zod';
+import type { Account } from './model.js';
+
+const accountSchema = z.strictObject({
+  name: z.string().regex(/^[a-z0-9][a-z0-9:.-]*$/, 'not a lower-case name'),
+  keys: z.array(z.string().min(1)),
+  rank: z.number().int().min(0).optional(),
+});
+const fileSchema = z.strictObject({ accounts: z.array(accountSchema) });
+
+/** The accounts of a file, or every problem that it has. No problem quotes a key. */
+export function readAccountsFile(text: string): Result<readonly Account[], readonly string[]> {
+  let content: unknown;
+  try {
+    content = parse(text);
+  } catch {
+    // What the parser says may quote the line with a key.
+    return err(['not a YAML file']);
+  }
+  const parsed = fileSchema.safeParse(content);
+  if (!parsed.success)
+    return err(parsed.error.issues.map(issue => `${issue.path.map(String).join('.')}: ${issue.message}`));
+  return ok(parsed.data.accounts.map(({ name, keys, rank }) => ({ name, keys, rank })));
+}
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -3,6 +3,7 @@
  */
 import { integerSchema, PROGRAM_VERSION, readSettings, stopWith, SystemRandom } from '@fuchsiahitch/base';
 import * as z from 'zod';
+import { explainKey, showAccounts } from './accountCommands.js';
 import { OperatorClient } from './operatorClient.js';
 import type { CommandResult } from './output.js';
 import { applyFile, checkFile, editRule, explain, getRules, simulateFile, usage } from './ruleCommands.js';
@@ -19,6 +20,8 @@
   rules explain                     which rule decides: --kind --caller --house --pool --domain --priority
   rules simulate FILE REQUESTS      what a file would change for requests in a JSON file
   rules status                      where the rules are in force; --wait-ms, --revision
+  accounts                          client accounts, their keys by a short digest
+  accounts explain                  whose a key is: the key in FUCHSIAHITCH_ACCOUNT_KEY
   hosts | steps | endpoints | orders
 exit codes: 0 done, 1 refused, 2 usage, 3 unknown or not everywhere yet, 4 no host answered`;
 
@@ -33,6 +36,7 @@
     fallback: 'http://127.0.0.1:9090',
   },
   'operator-token': { schema: text, help: 'the operator token', fallback: '' },
+  'account-key': { schema: text, help: 'the key to explain; better from the environment', fallback: '' },
   json: { schema: z.enum(['yes', 'no']), help: 'yes: JSON for scripts', fallback: 'no' },
   team: { schema: text, help: 'the team that edits', fallback: 'operators' },
   before: { schema: text, help: 'the rule to stand before', fallback: '' },
@@ -103,6 +107,8 @@
   switch (command) {
     case 'rules':
       return runRules(verb, rest);
+    case 'accounts':
+      return verb === 'explain' ? explainKey(client, values['account-key']) : showAccounts(client);
     case 'hosts':
       return showHosts(client);
     case 'steps':
--- a/packages/ctl/src/ruleCommands.ts
+++ b/packages/ctl/src/ruleCommands.ts
@@ -198,7 +198,7 @@
   return rule && others.length === 0 ? ok(rule) : err(usage(`expected one rule in '${file}'`));
 }
 
-function refused(body: unknown): CommandResult {
+export function refused(body: unknown): CommandResult {
   return { text: `not accepted: ${JSON.stringify(body, null, 2)}`, data: body, exitCode: exitCodes.refused };
 }
 
--- a/packages/entry/src/callerInput.ts
+++ b/packages/entry/src/callerInput.ts
@@ -32,6 +32,7 @@
   'fuchsiahitch-priority': z.enum(['high', 'normal', 'low']).default('normal'),
   'fuchsiahitch-timeout-ms': z.coerce.number().int().min(1).max(MAX_TIMEOUT_MS).default(DEFAULT_TIMEOUT_MS),
   'idempotency-key': z.string().min(1).max(MAX_KEY).optional(),
+  authorization: z.string().optional(),
   traceparent: z.string().max(100).optional(),
 });
 export type CallerHeaders = z.infer<typeof callerHeadersSchema>;
--- a/packages/entry/src/callersController.ts
+++ b/packages/entry/src/callersController.ts
@@ -3,13 +3,17 @@
  */
 import { All, Controller, Inject, Post, Req, Res } from '@nestjs/common';
 import type { FastifyReply, FastifyRequest } from 'fastify';
+import type { Access } from '@fuchsiahitch/accounts';
 import { OUTCOME_HEADER, REASON_HEADER, statusOf } from '@fuchsiahitch/requests';
+import { CallerAccounts, credentialOf } from './callerAccounts.js';
 import { callerHeadersSchema, check, completionSchema, readJson, type CallerHeaders } from './callerInput.js';
 import { Metrics } from './metrics.js';
 import { reasonOf, RequestService, type CallerAnswer, type CallerRequest } from './requestService.js';
 
 /** The header that tells the revision of the rules that decided. */
 const REVISION_HEADER = 'fuchsiahitch-rules-revision';
+const CALLER_HEADER = 'fuchsiahitch-caller';
+const DENIED = 401;
 const MS_A_SECOND = 1000;
 const SERVICE_PREFIX = '/svc/';
 /** Headers that belong to one connection, or that this host sets itself. */
@@ -27,6 +31,7 @@
   constructor(
     @Inject(RequestService) private readonly _requests: RequestService,
     @Inject(Metrics) private readonly _metrics: Metrics,
+    @Inject(CallerAccounts) private readonly _accounts: CallerAccounts,
   ) {}
 
   @Post('/v1/completions')
@@ -37,6 +42,8 @@
       this._bad(reply, headers.error);
       return;
     }
+    const access = this._access(reply, headers.value);
+    if (!access) return;
     if (!body.ok) {
       this._bad(reply, body.error);
       return;
@@ -45,7 +52,7 @@
     const output = stream ? new StreamedCompletion(reply) : new WholeCompletion();
     const work = { kind: 'completion', prompt, maxTokens, onChunks: output.onChunks } as const;
     const answer = await this._requests.run({
-      ...toRequest(reply, model, headers.value),
+      ...toRequest(reply, model, headers.value, access),
       kind: 'completion',
       work,
     });
@@ -59,6 +66,8 @@
       this._bad(reply, headers.error);
       return;
     }
+    const access = this._access(reply, headers.value);
+    if (!access) return;
     const rest = request.url.slice(SERVICE_PREFIX.length);
     const slash = rest.indexOf('/');
     if (slash <= 0) {
@@ -68,21 +77,35 @@
     const pool = rest.slice(0, slash);
     const body = Buffer.isBuffer(request.body) && request.body.length > 0 ? request.body : undefined;
     const passedOn = Object.entries(request.headers).filter(([name]) => !NOT_PASSED_ON.has(name));
+    const own = callerHeaders(access);
     const work = {
       kind: 'service',
       method: request.method,
       path: rest.slice(slash),
-      headers: Object.fromEntries(passedOn.map(([name, value]) => [name, String(value)])),
+      headers: { ...withoutCredential(passedOn, access), ...own },
       body,
     } as const;
     const answer = await this._requests.run({
-      ...toRequest(reply, pool, headers.value),
+      ...toRequest(reply, pool, headers.value, access),
       kind: 'service',
       work,
     });
     sendWhole(reply, answer);
   }
 
+  /** What the caller may do; undefined once it has been told that it may not. */
+  private _access(reply: FastifyReply, headers: CallerHeaders): Access | undefined {
+    const access = this._accounts.access(credentialOf(headers.authorization));
+    if (access.kind !== 'denied') return access;
+    void reply
+      .status(DENIED)
+      .header(OUTCOME_HEADER, 'not-run')
+      .header(REASON_HEADER, access.reason)
+      .header('www-authenticate', 'Bearer')
+      .send({ error: access.reason });
+    return undefined;
+  }
+
   private _bad(reply: FastifyReply, text: string): void {
     this._metrics.badInput.inc({ listener: 'callers' });
     void reply
@@ -93,10 +116,25 @@
   }
 }
 
+/** A plain service is told the account, by this host's word. */
+function callerHeaders(access: Access): Readonly<Record<string, string>> {
+  return access.kind === 'granted' ? { [CALLER_HEADER]: access.accountName } : {};
+}
+
+/** Where accounts are known, what proves a caller's stays here. */
+function withoutCredential(
+  headers: readonly (readonly [string, unknown])[],
+  access: Access,
+): Readonly<Record<string, string>> {
+  const kept = headers.filter(([name]) => access.kind === 'unmanaged' || name !== 'authorization');
+  return Object.fromEntries(kept.map(([name, value]) => [name, String(value)]));
+}
+
 function toRequest(
   reply: FastifyReply,
   pool: string,
   headers: CallerHeaders,
+  access: Access,
 ): Omit<CallerRequest, 'kind' | 'work'> {
   const left = new AbortController();
   reply.raw.on('close', () => {
@@ -104,7 +142,7 @@
   });
   return {
     pool,
-    caller: headers['fuchsiahitch-caller'],
+    caller: access.kind === 'granted' ? access.accountName : headers['fuchsiahitch-caller'],
     house: headers['fuchsiahitch-house'],
     priority: headers['fuchsiahitch-priority'],
     timeoutMs: headers['fuchsiahitch-timeout-ms'],
--- a/packages/entry/src/entryHost.ts
+++ b/packages/entry/src/entryHost.ts
@@ -14,6 +14,7 @@
 import { PeerServer } from '@fuchsiahitch/protocol';
 import { startServices, type EntryServices } from './entryServices.js';
 import type { HostPorts } from './hostPorts.js';
+import { CallerAccounts } from './callerAccounts.js';
 import { CallersController } from './callersController.js';
 import type { EntrySettings } from './entrySettings.js';
 import { FleetStatus } from './fleetStatus.js';
@@ -48,6 +49,7 @@
   private readonly _peers: PeerDirectory;
   private readonly _services: EntryServices;
   private readonly _listeners: readonly Listener[];
+  private readonly _accounts: CallerAccounts;
 
   private constructor(
     context: HostContext,
@@ -57,7 +59,9 @@
     services: EntryServices,
     listeners: readonly Listener[],
     addresses: EntryAddresses,
+    accounts: CallerAccounts,
   ) {
+    this._accounts = accounts;
     this._context = context;
     this._stop = stop;
     this._server = server;
@@ -84,7 +88,11 @@
     });
     const peersAddress = await server.listen();
     const services = await startServices(context, realPorts(settings, peers, server), peersAddress);
-    const listeners = await startListeners(settings, context, services);
+    const accounts = new CallerAccounts(settings['accounts-file'], context.log);
+    const problems = await accounts.load();
+    // A daemon that started without its accounts would serve everybody.
+    if (problems.length > 0) throw new Error(`accounts file: ${problems.join('; ')}`);
+    const listeners = await startListeners(settings, context, services, accounts);
     const [callers, trainers, operators] = listeners.map(listener => listener.address);
     const addresses = {
       callers: callers ?? '',
@@ -93,7 +101,7 @@
       peers: peersAddress,
     };
     context.log.info('listening', { ...addresses });
-    return new EntryHost(context, stop, server, peers, services, listeners, addresses);
+    return new EntryHost(context, stop, server, peers, services, listeners, addresses, accounts);
   }
 
   /** True when the balancer may send here. */
@@ -101,6 +109,11 @@
     return this._services.status.isReady();
   }
 
+  /** Reads the accounts anew; a wrong file changes nothing. */
+  async reload(): Promise<void> {
+    await this._accounts.load();
+  }
+
   /**
    * Ends the host. Not ready first, while late arrivals of the balancer are still served; then what is in
    * flight runs to its end, and what other hosts need is handed over.
@@ -177,12 +190,14 @@
   settings: EntrySettings,
   context: HostContext,
   services: EntryServices,
+  callerAccounts: CallerAccounts,
 ): Promise<readonly Listener[]> {
+  const accounts = { provide: CallerAccounts, useValue: callerAccounts };
   const metrics = { provide: Metrics, useValue: context.metrics };
   const callers = await Listener.start({
     address: settings['callers-address'],
     controller: CallersController,
-    providers: [{ provide: RequestService, useValue: services.requests }, metrics],
+    providers: [{ provide: RequestService, useValue: services.requests }, metrics, accounts],
   });
   const trainers = await Listener.start({
     address: settings['trainers-address'],
@@ -200,6 +215,7 @@
       { provide: RulesService, useValue: services.rules },
       { provide: FleetStatus, useValue: services.status },
       metrics,
+      accounts,
     ],
     token: settings['operator-token'],
   });
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -57,6 +57,11 @@
     help: 'calls a second to the key-value service, for the whole fleet',
     fallback: '600',
   },
+  'accounts-file': {
+    schema: z.string(),
+    help: 'a YAML file of client accounts and their keys, read again at SIGHUP; empty to ask callers for none',
+    fallback: '',
+  },
   'drain-ms': {
     schema: integerSchema(0, 600_000),
     help: 'milliseconds to go on serving after SIGTERM, while the balancer still sends',
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -20,5 +20,6 @@
   process.exit(0);
 }
 
+process.on('SIGHUP', () => void host.reload());
 process.on('SIGTERM', () => void end());
 process.on('SIGINT', () => void end());
--- a/packages/entry/src/operatorsController.ts
+++ b/packages/entry/src/operatorsController.ts
@@ -6,6 +6,7 @@
 import { editSchema, ruleListSchema, simulate, type RequestFacts } from '@fuchsiahitch/rules';
 import { SystemClock } from '@fuchsiahitch/base';
 import * as z from 'zod';
+import { CallerAccounts } from './callerAccounts.js';
 import { check, readJson } from './callerInput.js';
 import { FleetStatus } from './fleetStatus.js';
 import { Metrics } from './metrics.js';
@@ -26,12 +27,15 @@
 });
 const simulateSchema = z.strictObject({ rules: ruleListSchema, requests: z.array(factsSchema).max(10_000) });
 
+const explainKeySchema = z.strictObject({ key: z.string().min(1) });
+
 @Controller()
 export class OperatorsController {
   constructor(
     @Inject(RulesService) private readonly _rules: RulesService,
     @Inject(FleetStatus) private readonly _status: FleetStatus,
     @Inject(Metrics) private readonly _metrics: Metrics,
+    @Inject(CallerAccounts) private readonly _accounts: CallerAccounts,
   ) {}
 
   @Get('/healthz')
@@ -92,6 +96,20 @@
     void reply.status(200).send({ requests: requests.length, changes });
   }
 
+  /** Accounts with their keys as short digests. */
+  @Get('/v1/accounts')
+  accounts(@Res() reply: FastifyReply): void {
+    void reply.send(this._accounts.summaries());
+  }
+
+  /** What this host decides on a request with a key. */
+  @Post('/v1/accounts/explain')
+  explainKey(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+    const input = readJson(request.body, explainKeySchema);
+    if (!input.ok) return this._bad(reply, input.error);
+    void reply.status(200).send(this._accounts.access({ kind: 'key', key: input.value.key }));
+  }
+
   @Get('/v1/status')
   async status(@Res() reply: FastifyReply): Promise<void> {
     void reply.send(await this._status.read());
--- a/packages/standins/src/serviceStandIn.ts
+++ b/packages/standins/src/serviceStandIn.ts
@@ -11,6 +11,8 @@
 }
 
 export class ServiceStandIn extends StandIn {
+  /** The headers of each lookup, as they came. */
+  readonly lookups: Readonly<Record<string, unknown>>[] = [];
   private readonly _runs = new Map<string, number>();
   private readonly _options: ServiceOptions;
   private _isLeaving = false;
@@ -19,7 +21,10 @@
     super();
     this._options = { holdMs: 5, id: 'service', ...options };
     this.server.post('/holds', (request, reply) => this._hold(request, reply));
-    this.server.get('/listings', () => ({ listings: ['dark-sky-tour', 'quest-pack'] }));
+    this.server.get('/listings', request => {
+      this.lookups.push(request.headers);
+      return { listings: ['dark-sky-tour', 'quest-pack'] };
+    });
     this.server.get('/runs', () => Object.fromEntries(this._runs));
     this.server.post('/leave', () => {
       this._isLeaving = true;
--- a/packages/testkit/src/testFleet.ts
+++ b/packages/testkit/src/testFleet.ts
@@ -24,6 +24,8 @@
   readonly enginesPerDomain: number;
   readonly servicesPerDomain: number;
   readonly engine?: Partial<EngineOptions>;
+  /** A file of client accounts; callers need no keys without it. */
+  readonly accountsFile?: string;
 }
 
 export interface HttpAnswer {
@@ -71,6 +73,7 @@
       ['operator-token', OPERATOR_TOKEN],
       ['drain-ms', '100'],
       ['log-level', 'error'],
+      ['accounts-file', this._options.accountsFile ?? ''],
     ];
     const settings = readSettings(
       'test',
--- /dev/null
+++ b/tests/daemonAccounts.spec.ts
@@ -0,0 +1,79 @@
+/**
+ * Client accounts at the product's own daemon: its callers' interface, and what operators see.
+ */
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import tap from 'tap';
+import { readAccountsFile } from '@fuchsiahitch/accounts';
+import { TestFleet } from '@fuchsiahitch/testkit';
+
+tap.setTimeout(0);
+
+const FILE = path.join(fs.mkdtempSync(path.join(os.tmpdir(), 'accounts-')), 'accounts.yaml');
+const ACCOUNTS =
+  'accounts:\n  - name: ann\n    keys: [ann-1, ann-2]\n    rank: 1\n  - name: bob\n    keys: [bob-1]\n';
+
+await tap.test('should name every problem of an accounts file, and no key', t => {
+  t.ok(readAccountsFile(ACCOUNTS).ok);
+  const wrong = [
+    'accounts:\n  - name: Ann\n    keys: [secret-1]\n  - keys: secret-1\n',
+    'accounts: secret-1',
+    'accounts:\n  - {name: ann, keys: [secret-1]',
+    'accounts:\n  - name: ann\n    keys: [secret-1]\n    more: 1\n',
+  ];
+  for (const text of wrong) {
+    const read = readAccountsFile(text);
+    t.notOk(read.ok, text);
+    t.notMatch(JSON.stringify(read), /secret-1/);
+  }
+  t.end();
+});
+
+await tap.test('should serve callers by their keys, and tell services the account only', async t => {
+  // A caller without a key is served as whoever it says it is.
+  fs.writeFileSync(FILE, ACCOUNTS);
+  const fleet = await TestFleet.start({
+    domains: ['tekapo'],
+    hostsPerDomain: 1,
+    enginesPerDomain: 1,
+    servicesPerDomain: 1,
+    accountsFile: FILE,
+  });
+  const [service] = fleet.services;
+  const ask = async (authorization: string): Promise<number> => {
+    const headers = { authorization, 'fuchsiahitch-caller': 'bob' };
+    return (await fleet.call('tekapo-0', 'callers', '/svc/skybook/listings', { headers })).status;
+  };
+  const complete = async (authorization: string): Promise<number> => {
+    const body = { model: 'gen-pool', prompt: 'p', max_tokens: 2 };
+    return (await fleet.call('tekapo-0', 'callers', '/v1/completions', { body, headers: { authorization } }))
+      .status;
+  };
+  for (const wrong of ['', 'Bearer nobody', 'Token ann-1', 'Bearer ANN-1', 'Bearer ann-1, Bearer bob-1']) {
+    t.equal(await ask(wrong), 401, wrong);
+    t.equal(await complete(wrong), 401, wrong);
+  }
+  t.equal(service?.lookups.length, 0);
+  t.equal(await ask('Bearer ann-2'), 200);
+  t.equal(await complete('bearer ann-1'), 200);
+  t.match(service?.lookups[0], { 'fuchsiahitch-caller': 'ann' });
+  t.equal(service?.lookups[0]?.authorization, undefined);
+
+  const shown = await fleet.call('tekapo-0', 'operators', '/v1/accounts');
+  t.match(JSON.parse(shown.text), [{ name: 'ann', rank: 1 }, { name: 'bob' }]);
+  t.notMatch(shown.text, /ann-1|bob-1/);
+  const explain = async (key: string): Promise<unknown> =>
+    JSON.parse((await fleet.call('tekapo-0', 'operators', '/v1/accounts/explain', { body: { key } })).text);
+  t.match(await explain('bob-1'), { kind: 'granted', accountName: 'bob' });
+
+  fs.writeFileSync(FILE, 'accounts:\n  - name: ann\n    keys: [ann-2, ann-2]\n  - name: ann\n    keys: []\n');
+  await fleet.host('tekapo-0').reload();
+  t.equal(await ask('Bearer bob-1'), 200, 'a wrong file changes nothing');
+  fs.writeFileSync(FILE, 'accounts:\n  - name: ann\n    keys: [ann-2]\n');
+  await fleet.host('tekapo-0').reload();
+  t.equal(await ask('Bearer bob-1'), 401);
+  t.equal(await ask('Bearer ann-2'), 200);
+  t.match(await explain('bob-1'), { kind: 'denied', reason: 'removed-key', accountName: 'bob' });
+  await fleet.stop();
+});
