Accounts: while endpoints are full, each account gets an even share of them

Cause: endpoints refuse whoever comes, so that of an account with a dozen requests chance may leave one.

FairAdmission (no input or output) counts at each host what accounts asked for and what was served over half a second, and while a tenth of twenty requests and more are refused lets each account send what an even share allows.

--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -6,7 +6,13 @@
  * that no two layers retry the same request.
  */
 import { Deadline, messageOf } from '@fuchsiahitch/base';
-import { EndpointPicker, RetryBudget, type PickRequest, type PoisonVerdict } from '@fuchsiahitch/requests';
+import {
+  EndpointPicker,
+  FairAdmission,
+  RetryBudget,
+  type PickRequest,
+  type PoisonVerdict,
+} from '@fuchsiahitch/requests';
 import type { MeteredSend } from '@fuchsiahitch/metering';
 import type { Route } from '@fuchsiahitch/rules';
 import { reasonOf } from './attemptReason.js';
@@ -45,6 +51,8 @@
  * scores in a second, of 43 ms each, at endpoints of 6 places.
  */
 const CALLERS_RESERVE = 0.5;
+/** Shares are counted anew after this. */
+const FULL_RETRY_MS = 500;
 /** Weights are drawn in steps of a thousandth. */
 const WEIGHT_STEPS = 1000;
 const SERVER_ERROR = 500;
@@ -62,6 +70,7 @@
   private readonly _picker: EndpointPicker;
   private readonly _poison: PoisonGuard;
   private readonly _meter: RequestMeter | undefined;
+  private readonly _admissions = new Map<string, FairAdmission>();
   private readonly _hedges = new RetryBudget(HEDGE_BUDGET.share, HEDGE_BUDGET.burst);
 
   constructor(
@@ -84,8 +93,10 @@
     this._hedges.requestBegan();
     const hop = this._context.tracing.begin('caller', request.trace);
     const traced = { ...request, trace: hop.traceparent };
-    const outcome = await this._admitted(traced, route, async admitted =>
-      new ForwardRun(this._context, this, this._poison, traced, admitted, left).run(),
+    const outcome = await this._fairly(traced, route, () =>
+      this._admitted(traced, route, async admitted =>
+        new ForwardRun(this._context, this, this._poison, traced, admitted, left).run(),
+      ),
     );
     hop.end({ requestId: request.id, outcome: outcome.kind });
     return outcome;
@@ -100,13 +111,39 @@
   ): Promise<ForwardOutcome> {
     const hop = this._context.tracing.begin('caller', request.trace);
     const traced = { ...request, trace: hop.traceparent };
-    const outcome = await this._admitted(traced, route, admitted =>
-      this._stream(traced, admitted, sink, left),
+    const outcome = await this._fairly(traced, route, () =>
+      this._admitted(traced, route, admitted => this._stream(traced, admitted, sink, left)),
     );
     hop.end({ requestId: request.id, outcome: outcome.kind });
     return outcome;
   }
 
+  /** Runs a request unless endpoints are full and its account has had its share of them. */
+  private async _fairly(
+    request: CallerRequest,
+    route: Route,
+    run: () => Promise<ForwardOutcome>,
+  ): Promise<ForwardOutcome> {
+    const { id: requestId, accountName, isBackground = false } = request;
+    if (accountName === undefined || isBackground) return run();
+    const admission = this._admissionOf(route);
+    if (!admission.admit(accountName, this._context.clock.nowMs())) {
+      this._context.log.info('request over its share', { requestId, account: accountName });
+      return { kind: 'not-run', reason: 'endpoints are full', retryAfterMs: FULL_RETRY_MS };
+    }
+    const outcome = await run();
+    admission.ended(outcome.kind === 'not-run');
+    return outcome;
+  }
+
+  /** Each set of pools is full by itself. */
+  private _admissionOf(route: Route): FairAdmission {
+    const pools = route.pools.map(({ pool }) => pool).join(' ');
+    const admission = this._admissions.get(pools) ?? new FairAdmission();
+    this._admissions.set(pools, admission);
+    return admission;
+  }
+
   /** Runs a request unless endpoints have ended under it, and notes for the other hosts how it went. */
   private async _admitted(
     request: CallerRequest,
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -2,6 +2,7 @@
 export * from './concurrencyLimit.js';
 export * from './endpointPicker.js';
 export * from './endpointStats.js';
+export * from './fairAdmission.js';
 export * from './keyClient.js';
 export * from './keyHolder.js';
 export * from './keyMessages.js';
--- /dev/null
+++ b/tests/accountFlood.spec.ts
@@ -0,0 +1,117 @@
+/**
+ * One account floods: what the others get.
+ */
+import tap from 'tap';
+import { SeededRandom, sleep } from '@fuchsiahitch/base';
+import type { EndpointReply } from '@fuchsiahitch/gateway';
+import { evenShare, FairAdmission } from '@fuchsiahitch/requests';
+import { GatewayFleet } from './gatewayFleet.js';
+import { answer, endpointRecord, keys } from './gatewayWorld.js';
+import { lookup, LOOKUP, NOBODY_LEFT } from './lookups.js';
+
+const ACCOUNTS = 76;
+const SERVERS = 3;
+const PLACES = 6;
+const WORK_MS = 40;
+/** Of an account's requests at least this share of what all get is served: less is starving it. */
+const STARVED_SHARE = 0.25;
+
+/** Requests that were asked for and served, by account. */
+class Served {
+  readonly asked = new Map<string, number>();
+  readonly served = new Map<string, number>();
+
+  share(name?: string): number {
+    const sum = (counts: ReadonlyMap<string, number>): number =>
+      name === undefined ? [...counts.values()].reduce((a, b) => a + b, 0) : (counts.get(name) ?? 0);
+    return sum(this.served) / sum(this.asked);
+  }
+}
+
+/** Endpoints that run six requests at a time and refuse the others, as full ones do. */
+function refuseWhenFull(fleet: GatewayFleet): void {
+  const running = new Map<string, number>();
+  fleet.client.reply = async ({ endpoint }): Promise<EndpointReply> => {
+    const count = running.get(endpoint.id) ?? 0;
+    const load = { running: count, waiting: 0 };
+    if (count >= PLACES) return { kind: 'not-run', reason: 'refused', load };
+    running.set(endpoint.id, count + 1);
+    await sleep(fleet.clock, WORK_MS);
+    running.set(endpoint.id, (running.get(endpoint.id) ?? 1) - 1);
+    return { kind: 'answered', answer: answer(200, 'whole', { load }) };
+  };
+}
+
+async function play(seed: number): Promise<Served> {
+  const fleet = new GatewayFleet({ hosts: 9, domains: 3, endpoints: 3, isQuiet: true });
+  for (let i = 0; i < SERVERS; i++)
+    fleet.store.put(
+      `${keys.endpointPrefix}s${i}`,
+      endpointRecord({ address: `10.1.0.1:${i}`, pool: 'storefront', slots: PLACES, domain: `domain-${i}` }),
+    );
+  refuseWhenFull(fleet);
+  await fleet.start();
+  await fleet.clock.advance(2000);
+  const random = new SeededRandom(seed);
+  const result = new Served();
+  const add = (counts: Map<string, number>, name: string): unknown =>
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  // 450 places a second are there; the flood alone asks for twice as many, all others together for a tenth.
+  for (let ms = 0; ms < 20_000; ms++) {
+    const isFlood = random.below(1000) < 950;
+    const accountName = isFlood ? 'account-0' : `account-${1 + random.below(ACCOUNTS - 1)}`;
+    const host = fleet.hosts[random.below(fleet.hosts.length)];
+    if (!host) continue;
+    add(result.asked, accountName);
+    const request = lookup(random.id(), '/a/x', { accountName });
+    void host.gateway.forwarder.forward(request, LOOKUP, NOBODY_LEFT).then(outcome => {
+      if (outcome.kind === 'answered') add(result.served, accountName);
+    });
+    await fleet.clock.advance(1);
+  }
+  await fleet.clock.advance(3000);
+  fleet.stop();
+  return result;
+}
+
+await tap.test('should starve no account while one floods', async t => {
+  for (const seed of [1, 2]) {
+    const result = await play(seed);
+    const all = result.share();
+    t.ok(all < 0.9, `endpoints are full: ${all.toFixed(2)} of all served`);
+    const shares = [...result.asked.keys()].map(name => result.share(name));
+    const least = Math.min(...shares);
+    t.ok(least >= all * STARVED_SHARE, `seed ${seed}: ${least.toFixed(2)} of the worst-served account`);
+  }
+});
+
+await tap.test('should share evenly what is there, and leave what some don’t ask for to others', t => {
+  const asked = (...counts: readonly number[]): ReadonlyMap<string, number> =>
+    new Map(counts.map((count, i) => [`a${i}`, count]));
+  t.equal(evenShare(asked(100, 2, 3), 25), 20);
+  t.equal(evenShare(asked(100, 100), 30), 15);
+  t.equal(evenShare(asked(5, 5), 30), Infinity, 'there is enough');
+  t.equal(evenShare(asked(5, 5, 5), 0.3), 1, 'nobody gets nothing');
+  t.end();
+});
+
+await tap.test('should refuse nobody for its share while endpoints have room, nor by a few requests', t => {
+  const admission = new FairAdmission();
+  const ask = (count: number, isRefused: boolean, nowMs: number): number => {
+    let admitted = 0;
+    for (let i = 0; i < count; i++)
+      if (admission.admit('ann', nowMs)) {
+        admitted += 1;
+        admission.ended(isRefused);
+      }
+    return admitted;
+  };
+  t.equal(ask(500, false, 0), 500);
+  t.equal(ask(500, false, 600), 500, 'all were served before');
+  t.equal(ask(10, true, 1200), 10);
+  t.equal(ask(10, true, 1800), 10, 'ten refusals may be chance');
+  t.equal(ask(100, true, 2400), 100);
+  t.ok(ask(100, true, 3000) < 100, 'endpoints were full');
+  t.equal(ask(100, true, 9000), 100, 'what was seconds ago says nothing');
+  t.end();
+});
