--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -2,29 +2,16 @@
  * The adapter to the users' platform: settings, records, batches, store, servers, callers.
  */
 import fs from 'node:fs';
-import http from 'node:http';
 import os from 'node:os';
 import path from 'node:path';
 import { spawnSync } from 'node:child_process';
 import tap from 'tap';
-import { SystemClock, SystemRandom } from '@fuchsiahitch/base';
-import { Gateway, GatewayMetrics, LoopDelay, PeerLinks, type GatewayContext } from '@fuchsiahitch/gateway';
-import {
-  CallerServer,
-  decodeBatch,
-  encodePage,
-  parseSettings,
-  PlatformEndpoints,
-  PlatformRecords,
-  recordKeys,
-  StoreClient,
-} from '@fuchsiahitch/platform';
-import { PeerServer } from '@fuchsiahitch/protocol';
+import { SystemClock } from '@fuchsiahitch/base';
+import { decodeBatch, encodePage, parseSettings, PlatformRecords } from '@fuchsiahitch/platform';
 import { requestFingerprint } from '@fuchsiahitch/requests';
 import { RuleBook } from '@fuchsiahitch/rules';
-import { Tracing } from '@fuchsiahitch/telemetry';
-import { TestLog } from './gatewayWorld.js';
-import { chunk, genuine, LAST_CHUNK, StoreStandIn, streamHead, WireServer } from './platformStandIns.js';
+import { PlatformHost } from './platformHost.js';
+import { chunk, genuine, LAST_CHUNK, streamHead } from './platformStandIns.js';
 
 const clock = new SystemClock();
 
@@ -214,145 +201,58 @@
   t.end();
 });
 
-async function read(body: AsyncIterable<Buffer>): Promise<string> {
-  const chunks: Buffer[] = [];
-  for await (const part of body) chunks.push(part);
-  return Buffer.concat(chunks).toString();
-}
-
-interface Answered {
-  readonly status: number;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: string;
-}
-
-function ask(address: string, options: http.RequestOptions, body?: string): Promise<Answered> {
-  const [host = '', port = ''] = address.split(':');
-  return new Promise((resolve, reject) => {
-    const request = http.request({ host, port: Number(port), agent: false, ...options }, response => {
-      read(response as AsyncIterable<Buffer>).then(
-        text => resolve({ status: response.statusCode ?? 0, headers: response.headers, body: text }),
-        reject,
-      );
-    });
-    request.on('error', reject);
-    request.end(body);
-  });
-}
-
 await tap.test('should serve callers, trainers and their batches from one end to the other', async t => {
-  const store = new StoreStandIn();
-  const server = new WireServer();
-  const storeAddress = await store.listen();
-  const serverAddress = await server.listen();
+  const host = await PlatformHost.listen(['s1', 's2', 's3']);
+  const { store, server, gateway } = host;
   server.answer = (request, socket) => {
     if (!request.target.startsWith('/a/b/')) return void socket.write(genuine(request, 'whole'));
     socket.write(streamHead(request, 2) + chunk('id: 1\ndata: one\n\nid: 2\ndata: two\n\n') + LAST_CHUNK);
   };
-  const record = {
-    service: 's3',
-    address: serverAddress,
-    zone: 'tekapo',
-    slots: 4,
-    version: 'v1',
-    cold_left_ms: 0,
-    seq: 1,
-    state: 'ready',
-    models: [{ name: 'm1', version: 2 }],
-  };
-  store.data.put('servers/i-1', JSON.stringify(record));
-  store.data.put('servers/i-2', JSON.stringify({ ...record, service: 's1' }));
-  store.data.put('servers/i-3', JSON.stringify({ ...record, service: 's2' }));
-  const stop = new AbortController();
-  const metrics = new GatewayMetrics();
-  const context: GatewayContext = {
-    hostId: 'edge-1',
-    incarnation: '1',
-    domain: 'tekapo',
-    clock,
-    random: new SystemRandom(),
-    log: new TestLog(),
-    metrics,
-    tracing: new Tracing(),
-    loop: new LoopDelay(clock, stop.signal),
-    stopped: stop.signal,
-  };
-  const identity = { hostId: 'edge-1', incarnation: '1', domain: 'tekapo', programVersion: '0' };
-  const fleetKey = 'fleet-key-for-tests';
-  const peers = new PeerServer({ address: '127.0.0.1:0', fleetKey, identity, clock, counters: metrics });
-  const gateway = new Gateway(context, {
-    store: new StoreClient(storeAddress, () => undefined),
-    client: new PlatformEndpoints(),
-    keys: recordKeys,
-    decoder: new PlatformRecords(),
-    hosts: {
-      peers: new PeerLinks({ fleetKey, identity, clock, counters: metrics }),
-      address: await peers.listen(),
-    },
-    orders: { handoverMs: 3000 },
-    domains: ['tekapo'],
-    batchReadableMs: 120_000,
-    batchEndMs: 3000,
-  });
-  const callers = new CallerServer({ address: '127.0.0.1:0', gateway, clock, log: context.log, metrics });
-  const address = await callers.listen();
   const headers = { host: 'h.example', 'request-id': 'r1', 'deadline-ms': '3000' };
-  const early = await ask(address, { path: '/a/x', headers });
+  const early = await host.ask({ path: '/a/x', headers });
   t.equal(early.status, 503, 'no configuration yet: not 404');
   t.ok(Number(early.headers['retry-after']) > 0);
 
-  store.data.put('op/config', JSON.stringify(CONFIGURATION));
   // Other hosts have seen three endpoints end under a request, the last of them under its trial.
   const deadly = { caller: 'key-1', host: 'h.example', method: 'POST', target: '/a/deadly' };
   const marks = `fuchsiahitch/live/poison/${requestFingerprint({ ...deadly, body: Buffer.from('body') })}`;
   for (const end of ['end-i-7@0', 'end-i-8@0', 'end-i-9@0']) store.data.put(`${marks}/${end}`, '{}');
   store.data.put(`${marks}/trial-1`, JSON.stringify({ hostId: 'edge-2', endsBefore: 2 }));
-  gateway.start(peers);
-  for (let i = 0; i < 500 && !gateway.isReady(); i++) await new Promise(resolve => setTimeout(resolve, 10));
+  await host.begin(CONFIGURATION);
   t.ok(gateway.isReady());
   const odd = { ...headers, 'content-type': 'not/a type;;', 'transfer-encoding': 'chunked' };
-  const served = await ask(address, { method: 'POST', path: '/a/x?q=1', headers: odd }, 'body');
+  const served = await host.ask({ method: 'POST', path: '/a/x?q=1', headers: odd }, 'body');
   t.match(served, { status: 200, body: 'whole' });
   t.equal(served.headers['server-stamp'], 'proof');
-  t.equal((await ask(address, { path: '/none/', headers })).status, 404);
+  t.equal((await host.ask({ path: '/none/', headers })).status, 404);
   const keyed = { ...headers, authorization: 'key-1' };
   const poison = { method: 'POST', path: '/a/deadly' };
-  t.equal((await ask(address, { ...poison, headers: keyed }, 'body')).status, 400, 'not to be brought again');
+  t.equal((await host.ask({ ...poison, headers: keyed }, 'body')).status, 400, 'not to be brought again');
   t.notOk(server.requests.some(request => request.target === '/a/deadly'));
-  t.equal((await ask(address, { ...poison, headers }, 'body')).status, 200, 'another account’s');
-  const large = await ask(address, { method: 'POST', path: '/a/x', headers }, 'x'.repeat(100_001));
+  t.equal((await host.ask({ ...poison, headers }, 'body')).status, 200, 'another account’s');
+  const large = await host.ask({ method: 'POST', path: '/a/x', headers }, 'x'.repeat(100_001));
   t.equal(large.status, 413);
 
   const submit = { method: 'POST', path: '/a/b/lot', headers: { ...headers, 'request-id': 'b1' } };
-  t.equal((await ask(address, submit, 'not a batch')).status, 400);
-  t.equal((await ask(address, submit, JSON.stringify(SUBMISSION))).status, 202);
-  t.equal(
-    (await ask(address, submit, JSON.stringify(SUBMISSION))).status,
-    202,
-    'accepted once, answered again',
-  );
+  t.equal((await host.ask(submit, 'not a batch')).status, 400);
+  t.equal((await host.ask(submit, JSON.stringify(SUBMISSION))).status, 202);
+  t.equal((await host.ask(submit, JSON.stringify(SUBMISSION))).status, 202, 'accepted once, answered again');
   const poll = { path: '/v1/lots/b1?after=0', headers: { ...headers, 'wait-ms': '1000' } };
   let page = { total: 0, next: 0, results: [] as { id: string; text: string; versions: number[] }[] };
-  for (let i = 0; i < 20 && page.next < 2; i++)
-    page = JSON.parse((await ask(address, poll)).body) as typeof page;
+  for (let i = 0; i < 20 && page.next < 2; i++) page = JSON.parse((await host.ask(poll)).body) as typeof page;
   t.equal(page.total, 2);
   t.same(page.results.map(result => result.id).sort(), ['x', 'y']);
   t.ok(page.results.every(result => result.text === 'one\ntwo' && result.versions.join() === '2'));
-  t.equal((await ask(address, { path: '/v1/items/b1?id=x', headers })).body, 'prompt');
-  t.equal((await ask(address, { path: '/v1/items/b1?id=none', headers })).status, 404);
-  t.equal((await ask(address, { path: '/v1/lots/none?after=0', headers })).status, 404);
-  t.equal((await ask(address, { method: 'DELETE', path: '/v1/lots/b1', headers })).status, 200);
-  t.equal((await ask(address, { method: 'DELETE', path: '/v1/lots/b1', headers })).status, 200);
+  t.equal((await host.ask({ path: '/v1/items/b1?id=x', headers })).body, 'prompt');
+  t.equal((await host.ask({ path: '/v1/items/b1?id=none', headers })).status, 404);
+  t.equal((await host.ask({ path: '/v1/lots/none?after=0', headers })).status, 404);
+  t.equal((await host.ask({ method: 'DELETE', path: '/v1/lots/b1', headers })).status, 200);
+  t.equal((await host.ask({ method: 'DELETE', path: '/v1/lots/b1', headers })).status, 200);
   store.refuseWith = 503;
-  const unsure = await ask(address, { path: '/v1/lots/other?after=0', headers });
+  const unsure = await host.ask({ path: '/v1/lots/other?after=0', headers });
   t.equal(unsure.status, 503, 'not 404 when the store can’t be asked');
-  callers.leave();
-  const leaving = await ask(address, { path: '/a/x', headers: { ...headers, connection: 'keep-alive' } });
+  host.leave();
+  const leaving = await host.ask({ path: '/a/x', headers: { ...headers, connection: 'keep-alive' } });
   t.equal(leaving.headers.connection, 'close');
-  stop.abort();
-  await gateway.shutDown(0);
-  await callers.close();
-  await peers.close();
-  await server.close();
-  await store.close();
+  await host.stop();
 });
--- a/tests/platformHost.ts
+++ b/tests/platformHost.ts
@@ -47,15 +47,21 @@
     this._address = parts.address;
   }
 
-  /** Starts a host whose pools, by name, each have the one server. */
+  /** Starts a host and waits until it is ready. */
   static async start(configuration: unknown, pools: readonly string[]): Promise<PlatformHost> {
+    const host = await PlatformHost.listen(pools);
+    await host.begin(configuration);
+    return host;
+  }
+
+  /** A host that listens and has learnt nothing yet. Its pools, by name, each have the one server. */
+  static async listen(pools: readonly string[]): Promise<PlatformHost> {
     const store = new StoreStandIn();
     const server = new WireServer();
     const storeAddress = await store.listen();
     const record = serverRecord(await server.listen());
     for (const [i, service] of pools.entries())
       store.data.put(`servers/i-${i}`, JSON.stringify({ ...record, service }));
-    store.data.put(recordKeys.configurationKey, JSON.stringify(configuration));
     const stop = new AbortController();
     const context = makeContext(stop.signal);
     const { clock, metrics } = context;
@@ -75,8 +81,7 @@
     });
     const callers = new CallerServer({ address: '127.0.0.1:0', gateway, clock, log: context.log, metrics });
     const address = await callers.listen();
-    gateway.start(peers);
-    const host = new PlatformHost({
+    return new PlatformHost({
       store,
       server,
       log: context.log,
@@ -86,8 +91,18 @@
       peers,
       address,
     });
-    await host.until(() => gateway.isReady());
-    return host;
+  }
+
+  /** Asks every caller to connect anew. */
+  leave(): void {
+    this._callers.leave();
+  }
+
+  /** Learns what stands in its store, a configuration among it. */
+  async begin(configuration: unknown): Promise<void> {
+    this.store.data.put(recordKeys.configurationKey, JSON.stringify(configuration));
+    this.gateway.start(this._peers);
+    await this.until(() => this.gateway.isReady());
   }
 
   async ask(options: http.RequestOptions, body?: string): Promise<Answered> {
