Messages, configuration and records for the parts on uneven demand

Cause: five parts are built side by side and need agreed interfaces. Change: calls batchSubmit and modelDemand, max_conns of a pool, reclaimable endpoints, the load header's fourth figure as a field, and the rule by which connections count as scarce. Nothing uses them yet.

--- a/packages/batches/src/batchMessages.ts
+++ b/packages/batches/src/batchMessages.ts
@@ -3,7 +3,7 @@
  */
 import * as z from 'zod';
 import { generatedEventSchema } from './itemProgress.js';
-import { itemResultSchema, ownerSchema } from './model.js';
+import { batchSchema, itemResultSchema, ownerSchema } from './model.js';
 
 const count = z.number().int().min(0);
 
@@ -98,3 +98,30 @@
   z.strictObject({ kind: z.literal('unsure') }),
 ]);
 export type BatchEndReply = z.infer<typeof batchEndReplySchema>;
+
+/** Asks the home host of a batch's trainer to accept and own the batch. */
+export const batchSubmitSchema = z.strictObject({ batch: batchSchema, leftMs: z.number().min(0) }).readonly();
+
+/** `declined`: the host has not written anything and will not. `unknown`: the batch may have been accepted. */
+export const batchSubmitReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('accepted') }),
+  z.strictObject({ kind: z.literal('declined'), reason: z.string() }),
+  z.strictObject({ kind: z.literal('not-run'), reason: z.string(), retryAfterMs: z.number().min(0) }),
+  z.strictObject({ kind: z.literal('unknown') }),
+]);
+export type BatchSubmitReply = z.infer<typeof batchSubmitReplySchema>;
+
+/** The work of one step of a model, announced by the owner of its batch. */
+export const modelDemandSchema = z
+  .strictObject({
+    pool: z.string(),
+    model: z.string(),
+    batchId: z.string(),
+    items: count,
+    /** Sum of the trainer's estimates of output tokens. */
+    expectedTokens: z.number().min(0),
+    /** Events generated for the batch; absent until the batch has ended. */
+    events: count.optional(),
+  })
+  .readonly();
+export type ModelDemandUpdate = z.infer<typeof modelDemandSchema>;
--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -72,6 +72,11 @@
     return this._configuration?.models ?? new Map<string, readonly string[]>();
   }
 
+  /** Connections that one endpoint of the pool accepts from all hosts together; undefined without a limit. */
+  connectionLimit(pool: string): number | undefined {
+    return this._configuration?.connectionLimits?.get(pool);
+  }
+
   /** Scaling settings of the pools whose endpoints can be ordered. */
   scalings(): ReadonlyMap<string, PoolScaling> {
     return this._configuration?.scalings ?? new Map<string, PoolScaling>();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 export * from './capacityOrders.js';
 export * from './claimLease.js';
 export * from './configurationService.js';
+export * from './connectionBudget.js';
 export * from './dutyLease.js';
 export * from './dutyOptions.js';
 export * from './endpoint.js';
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -23,6 +23,8 @@
   /** Number of requests that it runs concurrently. */
   readonly slots: number;
   readonly isLeaving: boolean;
+  /** True if the platform may reclaim it at short notice. */
+  readonly isReclaimable?: boolean;
   /** The weight version of each loaded model, as of its last heartbeat. */
   readonly versions: ReadonlyMap<string, number>;
 }
@@ -31,6 +33,8 @@
 export interface EndpointLoad {
   readonly running: number;
   readonly waiting: number;
+  /** Duration of work on its machine at this moment in percent of the normal duration; absent if not reported. */
+  readonly workPercent?: number | undefined;
 }
 
 /** A request as it is sent to an endpoint. */
@@ -202,6 +206,8 @@
   readonly accounts?: readonly Account[] | undefined;
   /** The models that share the endpoints of a pool, by pool. */
   readonly models: ReadonlyMap<string, readonly string[]>;
+  /** Connections that one endpoint accepts from all hosts together, by pool; absent for pools without a limit. */
+  readonly connectionLimits?: ReadonlyMap<string, number>;
   /** Scaling settings of the pools whose endpoints can be ordered. */
   readonly scalings?: ReadonlyMap<string, PoolScaling>;
 }
--- a/packages/protocol/src/calls.ts
+++ b/packages/protocol/src/calls.ts
@@ -13,7 +13,10 @@
   endpointVersionSchema,
   batchRunsReplySchema,
   batchRunsSchema,
+  batchSubmitReplySchema,
+  batchSubmitSchema,
   claimUpdateSchema,
+  modelDemandSchema,
   pacesSeenSchema,
 } from '@fuchsiahitch/batches';
 import { leavingNoticeSchema, memberDocumentSchema, memberUpdateSchema } from '@fuchsiahitch/membership';
@@ -155,5 +158,7 @@
   batchClaimed: defineCall('batchClaimed', claimUpdateSchema, emptySchema),
   batchRuns: defineCall('batchRuns', batchRunsSchema, batchRunsReplySchema),
   batchEnd: defineCall('batchEnd', batchEndSchema, batchEndReplySchema),
+  batchSubmit: defineCall('batchSubmit', batchSubmitSchema, batchSubmitReplySchema),
+  modelDemand: defineCall('modelDemand', modelDemandSchema, emptySchema),
   heldSamples: defineCall('heldSamples', heldSamplesSchema, heldSamplesReplySchema),
 } as const;
