Shares of endpoints by work: demand of models and weighted assignment

Cause: each model of a pool gets the same number of endpoints, although the largest has twice the work of the smallest. Change: owners of batches in pools with scarce connections announce the work of each step; hosts assign endpoints in proportion to it, and as before without it. Changes of shares are logged and reported as a gauge. Result: build, linter, format and import rules pass; batches, gateway, batchService, paceUpdates, batchEnds and moves specs pass.

--- a/packages/batches/src/batchLedger.ts
+++ b/packages/batches/src/batchLedger.ts
@@ -58,6 +58,7 @@
   private readonly _confirmed: ItemResult[] = [];
   private _unconfirmed: ItemResult[] = [];
   private _priorityGroups: ReadonlySet<string> = new Set();
+  private _generatedEvents = 0;
 
   constructor(batch: Batch, listed: readonly ItemResult[], rules: ItemRules) {
     this.batch = batch;
@@ -192,7 +193,14 @@
   }
 
   event(itemId: string, event: GeneratedEvent): EventEffect {
-    return this._entry(itemId).progress.add(event);
+    const effect = this._entry(itemId).progress.add(event);
+    if (effect === 'added') this._generatedEvents += 1;
+    return effect;
+  }
+
+  /** Events that endpoints have generated for this owner, including those of discarded texts. */
+  generatedEvents(): number {
+    return this._generatedEvents;
   }
 
   completed(itemId: string): void {
--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -9,6 +9,7 @@
 export * from './storedEvents.js';
 export * from './listingPolicy.js';
 export * from './model.js';
+export * from './modelDemand.js';
 export * from './pace.js';
 export * from './records.js';
 export * from './resultList.js';
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -8,6 +8,7 @@
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
 import { ClaimLease, READ_CONFIRMATION_MAX_AGE_MS } from './claimLease.js';
 import type { ConfigurationService } from './configurationService.js';
+import type { DemandUpdates } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { Forwarder } from './forwarder.js';
@@ -29,6 +30,7 @@
   readonly client: EndpointClient;
   readonly forwarder: Forwarder;
   readonly poison: PoisonGuard;
+  readonly demand: DemandUpdates;
   /** How long an owner may act on its claim after the store confirmed it. */
   readonly claimLeaseMs: number;
 }
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -80,6 +80,7 @@
       isRun: this._owned.get(batchId)?.maySend() ?? false,
     }));
     this._paceUpdates.serve(server);
+    this._ports.demand.serve(server);
     server.handle(calls.batchClaimed, update => this._receiveClaim(update));
     server.handle(calls.batchEnd, request => this._endLocally(request.batchId));
   }
@@ -164,7 +165,7 @@
   private async _endAt(batchId: string, location: BatchLocation): Promise<EndOutcome> {
     switch (location.kind) {
       case 'here':
-        return (await location.owner.end()) === 'ended' ? 'ended' : 'unsure';
+        return (await this._endOwned(location.owner)) === 'ended' ? 'ended' : 'unsure';
       case 'peer': {
         const { address } = location.held.claim.owner;
         const timeoutMs = STORE_TIMEOUT_MS + PEER_TIMEOUT_MS;
@@ -306,6 +307,7 @@
     });
     owner.start();
     this._announceClaim(id, held);
+    this._ports.demand.batchStarted(owner.ledger, held.claim.takeovers);
     this._context.clock.after(PACE_UPDATE_DELAY_MS, () => this._paceUpdates.send());
     // A takeover may complete while this host shuts down: hand the batch over at once.
     if (this._isShuttingDown && this._owned.delete(id)) void this._handOverBatch(owner);
@@ -504,7 +506,13 @@
 
   private async _endLocally(batchId: string): Promise<BatchEndReply> {
     const owner = await this._localOwner(batchId);
-    return owner ? endReply(await owner.end()) : { kind: 'not-owner' };
+    return owner ? endReply(await this._endOwned(owner)) : { kind: 'not-owner' };
+  }
+
+  private async _endOwned(owner: BatchOwner): ReturnType<BatchOwner['end']> {
+    const end = await owner.end();
+    if (end === 'ended') this._ports.demand.batchEnded(owner.ledger);
+    return end;
   }
 
   /**
--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -87,6 +87,11 @@
     return this._namedVersions.get(model) ?? 1;
   }
 
+  /** True if a version was named for the model, which then has a trainer. */
+  hasNamedVersion(model: string): boolean {
+    return this._namedVersions.has(model);
+  }
+
   /** Time since the view was last known to be current. */
   ageMs(): number {
     return this._mirror.ageMs();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { claimLeaseMs } from './claimLease.js';
 import { CapacityOrders, LAST_CAPACITY_KEY, type CapacityOptions } from './capacityOrders.js';
 import { ConfigurationService } from './configurationService.js';
+import { DemandUpdates } from './demandUpdates.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -19,6 +20,7 @@
 import { OrphanRecovery } from './orphanRecovery.js';
 import { PoisonGuard } from './poisonGuard.js';
 import { RelayedStore } from './relayedStore.js';
+import { ShareMonitor } from './shareMonitor.js';
 import { SharedWatch } from './sharedWatch.js';
 import { storeRelayCall } from './storeRelayMessages.js';
 import type { EndpointClient, RecordDecoder, RecordKeys } from './ports.js';
@@ -61,6 +63,7 @@
   private readonly _watch: SharedWatch;
   private readonly _poison: PoisonGuard;
   private readonly _reachability: ReachabilityMonitor;
+  private readonly _shareMonitor: ShareMonitor;
   private readonly _sweeper: BatchSweeper;
   private readonly _orphanRecovery: OrphanRecovery;
   private readonly _usage: UsageService | undefined;
@@ -94,6 +97,9 @@
     const { usage } = options;
     this._usage = usage && new UsageService(context, storeOf, this.hosts, usage);
     this.forwarder = new Forwarder(context, this.endpoints, client, this._poison, this._usage);
+    const { configuration, endpoints, hosts } = this;
+    const demand = new DemandUpdates(context, { configuration, endpoints, hosts });
+    this._shareMonitor = new ShareMonitor(context, { configuration, endpoints, demand });
     const ports = {
       store: new BatchStore(context, storeOf('batches')),
       endpoints: this.endpoints,
@@ -101,6 +107,7 @@
       client,
       forwarder: this.forwarder,
       poison: this._poison,
+      demand,
       claimLeaseMs: claimLeaseMs(options.batchEndMs),
     };
     this._sweeper = new BatchSweeper(context, storeOf('sweep'), ports.store, options.batchReadableMs);
@@ -108,8 +115,7 @@
     this._orphanRecovery = new OrphanRecovery(context, ports.store, this.hosts, (batchId, from) =>
       this.batches.adoptFrom(batchId, from),
     );
-    const { configuration, endpoints, hosts } = this;
-    const orderPorts = { store: storeOf('orders-lease'), configuration, endpoints, hosts, client };
+    const orderPorts = { store: storeOf('orders-lease'), configuration, endpoints, hosts, client, demand };
     this.orders = options.domains.map(
       domain => new WeightOrders(context, orderPorts, domain, options.orders),
     );
@@ -131,6 +137,7 @@
     this._reachability.start();
     this._sweeper.start();
     for (const orders of this.orders) orders.start();
+    this._shareMonitor.start();
     this._usage?.start();
     this._capacity?.start();
   }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -40,6 +40,11 @@
     ['caller', 'call'],
   );
   readonly orders = this.counter('fuchsiahitch_orders_total', 'Weight orders by answer', ['answer']);
+  readonly demandUpdates = this.counter(
+    'fuchsiahitch_demand_updates_total',
+    'Announcements of the work of models, by event',
+    ['event'],
+  );
   readonly duties = this.counter('fuchsiahitch_duty_calls_total', 'Calls that are a duty, by answer', [
     'duty',
     'answer',
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,7 @@
 export * from './claimLease.js';
 export * from './configurationService.js';
 export * from './connectionBudget.js';
+export * from './demandUpdates.js';
 export * from './dutyLease.js';
 export * from './dutyOptions.js';
 export * from './endpoint.js';
--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -5,6 +5,7 @@
 import type { Route } from '@fuchsiahitch/rules';
 import { batchRoute } from './batchRoute.js';
 import type { ConfigurationService } from './configurationService.js';
+import type { DemandView } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
 import { EndpointTier } from './endpointTier.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -15,6 +16,7 @@
 export interface PlacementPorts {
   readonly endpoints: EndpointDirectory;
   readonly configuration: ConfigurationService;
+  readonly demand: DemandView;
 }
 
 /** In order of preference: a tier is used only if no tier before it has a suitable free slot. */
@@ -154,8 +156,7 @@
     const candidates = this._candidates(route);
     const { model } = this._ledger.batch;
     const pool = candidates[0]?.pool ?? '';
-    const { configuration, endpoints } = this._ports;
-    const { targets, shares } = modelShares(pool, configuration, endpoints);
+    const { targets, shares } = modelShares(pool, this._ports);
     if (targets.size < 2) return [candidates];
     const own = new Set(shares.get(model) ?? []);
     return [
--- a/packages/gateway/src/modelShares.ts
+++ b/packages/gateway/src/modelShares.ts
@@ -1,8 +1,16 @@
 /**
  * Assigns the endpoints of a pool to its models. Every host computes this from its own view of the pool.
  */
-import { assignEndpoints, type ModelTargets, type SharedEndpoint } from '@fuchsiahitch/batches';
+import {
+  assignEndpoints,
+  presentWork,
+  type ModelTargets,
+  type ModelWork,
+  type PoolDemand,
+  type SharedEndpoint,
+} from '@fuchsiahitch/batches';
 import type { ConfigurationService } from './configurationService.js';
+import type { DemandView } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 
@@ -13,23 +21,36 @@
   readonly targets: ModelTargets;
   /** Endpoint identifiers by model name. */
   readonly shares: ReadonlyMap<string, readonly string[]>;
+  /** The work that the shares are proportional to; undefined if it is unknown. */
+  readonly demand: PoolDemand | undefined;
 }
 
-export function modelShares(
-  pool: string,
-  configuration: ConfigurationService,
-  directory: EndpointDirectory,
-): ModelShares {
+export interface SharePorts {
+  readonly configuration: ConfigurationService;
+  readonly endpoints: EndpointDirectory;
+  readonly demand: DemandView;
+}
+
+export function modelShares(pool: string, ports: SharePorts): ModelShares {
+  const { configuration, endpoints: directory } = ports;
   const models = configuration.models().get(pool) ?? [];
   const endpoints = directory.inPool(pool).filter(endpoint => !endpoint.isLeaving);
   const targets = new Map(models.map(model => [model, configuration.namedVersion(model)]));
   const views = endpoints.map(endpoint => sharedView(endpoint, models));
-  return { endpoints, targets, shares: assignEndpoints(views, targets) };
+  const demand = ports.demand.ofPool(pool);
+  const awaited = ports.demand.isAwaited(pool) ? presentWork(views, targets) : undefined;
+  const shares = assignEndpoints(views, targets, demand ? workOf(demand) : awaited);
+  return { endpoints, targets, shares, demand };
+}
+
+function workOf({ models }: PoolDemand): ModelWork {
+  return new Map([...models].map(([model, { work }]) => [model, work]));
 }
 
 function sharedView(endpoint: Endpoint, models: readonly string[]): SharedEndpoint {
   return {
     id: endpoint.id,
     versions: new Map(models.map(model => [model, endpoint.versionOf(model)])),
+    paceMs: endpoint.paceMs(),
   };
 }
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -16,6 +16,7 @@
 import type { EndpointVersion } from '@fuchsiahitch/batches';
 import { calls } from '@fuchsiahitch/protocol';
 import type { ConfigurationService } from './configurationService.js';
+import type { DemandView } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -56,6 +57,7 @@
   readonly endpoints: EndpointDirectory;
   readonly hosts: Hosts;
   readonly client: EndpointClient;
+  readonly demand: DemandView;
 }
 
 export class WeightOrders implements Duty {
@@ -114,8 +116,7 @@
   private _orderPool(pool: string): void {
     const token = this._duty.token();
     if (token === undefined) return;
-    const { configuration, endpoints: directory } = this._ports;
-    const { endpoints, targets, shares } = modelShares(pool, configuration, directory);
+    const { endpoints, targets, shares } = modelShares(pool, this._ports);
     const loads: ModelLoads[] = [];
     for (const [model, version] of targets) {
       const share = endpoints.filter(endpoint => shares.get(model)?.includes(endpoint.id));
--- a/packages/telemetry/src/metricsRegistry.ts
+++ b/packages/telemetry/src/metricsRegistry.ts
@@ -39,6 +39,25 @@
     });
   }
 
+  /** Registers a gauge whose values, one for each combination of labels, are read on each scrape. */
+  labelledGauge<T extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly T[],
+    read: () => readonly (readonly [Readonly<Record<T, string>>, number])[],
+  ): void {
+    new Gauge({
+      name,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [labels, value] of read()) this.set(labels, value);
+      },
+    });
+  }
+
   protected counter<T extends string>(name: string, help: string, labelNames: readonly T[]): Counter<T> {
     return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
   }
--- a/tests/gateway.spec.ts
+++ b/tests/gateway.spec.ts
@@ -259,7 +259,8 @@
     peers: () => [],
     call: () => Promise.resolve(err({ kind: 'timed-out' })),
   };
-  const ports = { store: storeClient, configuration, endpoints, hosts, client };
+  const demand = { ofPool: () => undefined, isAwaited: () => false };
+  const ports = { store: storeClient, configuration, endpoints, hosts, client, demand };
   const orders = new WeightOrders(context, ports, 'tekapo', { handoverMs: HANDOVER_MS });
   configuration.start();
   endpoints.start();
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -8,6 +8,7 @@
   BatchStore,
   claimLeaseMs,
   ConfigurationService,
+  DemandUpdates,
   EndpointDirectory,
   Forwarder,
   OrphanRecovery,
@@ -40,6 +41,7 @@
   readonly orphans: OrphanRecovery;
   readonly configuration: ConfigurationService;
   readonly endpoints: EndpointDirectory;
+  readonly demand: DemandUpdates;
   readonly handlers = new Map<string, CallHandler>();
   isRunning = true;
   private readonly _world: GatewayWorld;
@@ -54,6 +56,8 @@
       world.client.dropConnections(address),
     );
     const poison = singleHostPoisonGuard(this.context, this.storeClient, world.client);
+    const { configuration, endpoints } = this;
+    this.demand = new DemandUpdates(this.context, { configuration, endpoints, hosts: this });
     const ports = {
       store: new BatchStore(this.context, this.storeClient),
       endpoints: this.endpoints,
@@ -61,6 +65,7 @@
       client: world.client,
       forwarder: new Forwarder(this.context, this.endpoints, world.client, poison),
       poison,
+      demand: this.demand,
       claimLeaseMs: claimLeaseMs(BATCH_END_MS),
     };
     this.batches = new BatchService(this.context, ports, this);
