Poison items: a trial that generated text and was stopped here may be repeated at once

Cause: only an answer released a trial. One that this host itself stopped, because the trainer ended the batch or the item moved, counted as used up, and the item waited 60 s for the next one, although its endpoint had survived it. Change: the trial is released if the text grew during it. A stalled trial, and one without text, still counts.

--- a/packages/gateway/src/poisonItemFilter.ts
+++ b/packages/gateway/src/poisonItemFilter.ts
@@ -11,6 +11,13 @@
 import type { AttemptEnd } from './itemAttempt.js';
 import type { PoisonGuard } from './poisonGuard.js';
 
+/** A trial that was granted to this host. */
+interface ItemTrial {
+  readonly number: number;
+  /** Number of the item's last event before the trial. */
+  readonly eventsBefore: number;
+}
+
 /** Minimum time between two requests for a trial of the same item. */
 const TRIAL_REQUEST_INTERVAL_MS = 1000;
 
@@ -20,8 +27,8 @@
   private readonly _ledger: BatchLedger;
   private readonly _onTrialGranted: () => void;
   private readonly _identities = new Map<string, RequestIdentity>();
-  /** Numbers of the trials granted to this host, by item. */
-  private readonly _trials = new Map<string, number>();
+  /** Trials granted to this host, by item. */
+  private readonly _trials = new Map<string, ItemTrial>();
   private readonly _nextTrialRequestMs = new Map<string, number>();
   private readonly _loggedVerdicts = new Map<string, PoisonVerdict['kind']>();
 
@@ -57,15 +64,26 @@
         this._poison.answered(this._identity(item));
         return;
       case 'not-run':
-        if (trial !== undefined) this._poison.abandonTrial(this._identity(item), trial);
+        if (trial) this._poison.abandonTrial(this._identity(item), trial.number);
         return;
-      case 'cancelled':
       case 'stalled':
+        return;
+      case 'cancelled':
       case 'old-version':
+        if (trial && this._hasProgressed(item, trial))
+          this._poison.abandonTrial(this._identity(item), trial.number);
         return;
     }
   }
 
+  /**
+   * True if the endpoint generated text during the trial and so survived it. The trial may then be repeated at once: an
+   * item that is stopped with its batch would otherwise be held for a minute in the next one.
+   */
+  private _hasProgressed(item: BatchItem, { eventsBefore }: ItemTrial): boolean {
+    return this._ledger.progress(item.id).lastEventNumber() > eventsBefore;
+  }
+
   private _isReady(item: BatchItem): boolean {
     if (this._trials.has(item.id)) return true;
     const { kind } = this._poison.verdict(this._identity(item));
@@ -80,7 +98,8 @@
     this._nextTrialRequestMs.set(item.id, nowMs + TRIAL_REQUEST_INTERVAL_MS);
     const verdict = await this._poison.admit(this._identity(item));
     if (verdict.kind !== 'trial') return;
-    this._trials.set(item.id, verdict.number);
+    const eventsBefore = this._ledger.progress(item.id).lastEventNumber();
+    this._trials.set(item.id, { number: verdict.number, eventsBefore });
     this._onTrialGranted();
   }
 
