Connection pool that prefers connected idle connections

Cause: undici's Pool takes the first free client of its list, connected or not, and so opens connections while idle ones exist. In addition, an undici client connects again after an aborted request, because the request stays in its queue: every aborted attempt opened a connection that no request needed.

Change: ConnectionPool (one per address, on undici's Client) takes the most recently used idle connection, opens one only if none is idle, and does not connect again after an aborted request. ConnectionList holds the choice and the reasons of openings. New metric fuchsiahitch_endpoint_connections_total by event and reason.

--- /dev/null
+++ b/packages/clients/src/connectionPool.ts
@@ -0,0 +1,229 @@
+/**
+ * Keep-alive connections to one address, one request at a time on each.
+ */
+import { Client, DecoratorHandler, Dispatcher } from 'undici';
+import { ConnectionList, type OpenReason } from './connectionList.js';
+
+type Handler = Dispatcher.DispatchHandler;
+
+export type ConnectionEvent =
+  | { readonly event: 'opened'; readonly reason: OpenReason }
+  /** A request was written to a connection that an earlier request had used. */
+  | { readonly event: 'reused' };
+
+export type ConnectionListener = (event: ConnectionEvent) => void;
+
+export interface ConnectionPoolOptions {
+  /** Options of each connection. `pipelining` is always 1, so that a reset affects at most one request. */
+  readonly client: Client.Options;
+  readonly onConnection?: ConnectionListener | undefined;
+  /** Number of connections of the previous pool of the address. */
+  readonly replaced?: number | undefined;
+}
+
+/**
+ * Sends each request on the most recently used idle connection and opens one only if none is idle. undici's `Pool` takes
+ * the first free client of its list, connected or not, and so opens connections while idle ones exist.
+ *
+ * A client whose idle connection closes before the request is written opens another one and writes the request to that.
+ * A request that was written is never written again.
+ */
+export class ConnectionPool extends Dispatcher {
+  private readonly _origin: string;
+  private readonly _options: ConnectionPoolOptions;
+  private readonly _connections: ConnectionList<PooledConnection>;
+  private _ended: Promise<void> | undefined;
+
+  constructor(origin: string, options: ConnectionPoolOptions) {
+    super();
+    this._origin = origin;
+    this._options = options;
+    this._connections = new ConnectionList(options.replaced);
+  }
+
+  /** Number of connections that are open or being opened. */
+  get size(): number {
+    return this._connections.size;
+  }
+
+  override dispatch(options: Dispatcher.DispatchOptions, handler: Handler): boolean {
+    if (this._ended) return this._reject(options, handler);
+    const connection = this._connections.takeIdle(({ isAvailable }) => isAvailable) ?? this._add();
+    connection.dispatch(options, handler);
+    // A connection can always be opened.
+    return true;
+  }
+
+  /** Lets running requests finish, then closes their connections. Idle connections close at once. */
+  override close(): Promise<void>;
+  override close(callback: () => void): void;
+  override close(callback?: () => void): Promise<void> | undefined {
+    this._ended ??= allEnded(this._connections.all().map(({ client }) => client.close()));
+    return resultOf(this._ended, callback);
+  }
+
+  /** Closes all connections; running requests fail. */
+  override destroy(error?: Error | null): Promise<void>;
+  override destroy(callback: () => void): void;
+  override destroy(error: Error | null, callback: () => void): void;
+  override destroy(first?: Error | null | (() => void), second?: () => void): Promise<void> | undefined {
+    const error = typeof first === 'function' ? null : (first ?? null);
+    this._ended = allEnded(this._connections.all().map(({ client }) => client.destroy(error)));
+    return resultOf(this._ended, typeof first === 'function' ? first : second);
+  }
+
+  private _add(): PooledConnection {
+    const client = new Client(this._origin, { ...this._options.client, pipelining: 1 });
+    const connection = new PooledConnection(client, this._connections.reasonToOpen(), {
+      opened: reason => {
+        this._connections.markOpened();
+        this._options.onConnection?.({ event: 'opened', reason });
+      },
+      reused: () => this._options.onConnection?.({ event: 'reused' }),
+      released: () => this._connections.release(connection),
+      closed: () => this._connections.remove(connection),
+    });
+    this._connections.add(connection);
+    return connection;
+  }
+
+  /** Rejects a request after the end of the pool. A closed client does so in the form that the handler expects. */
+  private _reject(options: Dispatcher.DispatchOptions, handler: Handler): boolean {
+    const client = new Client(this._origin);
+    void client.close();
+    return client.dispatch(options, handler);
+  }
+}
+
+interface PooledConnectionEvents {
+  opened(reason: OpenReason): void;
+  reused(): void;
+  /** The connection can take another request. */
+  released(): void;
+  /** The connection is closed and its client has no request. */
+  closed(): void;
+}
+
+/** A client with at most one connection and one request. */
+class PooledConnection {
+  readonly client: Client;
+  private readonly _events: PooledConnectionEvents;
+  private _openReason: OpenReason;
+  /** The request in progress. */
+  private _request: Handler | undefined;
+  /** True if the connection was open when the request in progress was assigned to it. */
+  private _isReuse = false;
+
+  constructor(client: Client, openReason: OpenReason, events: PooledConnectionEvents) {
+    this.client = client;
+    this._openReason = openReason;
+    this._events = events;
+    client.on('connect', () => this._events.opened(this._openReason));
+    client.on('disconnect', () => this._onDisconnect());
+    client.on('connectionError', () => this._settle());
+  }
+
+  /** True if the connection is open and has no request. */
+  get isAvailable(): boolean {
+    const { connected, size } = this.client.stats;
+    return this._request === undefined && connected && size === 0;
+  }
+
+  dispatch(options: Dispatcher.DispatchOptions, handler: Handler): void {
+    const request = new ObservedHandler(handler, {
+      started: () => {
+        if (this._isReuse) this._events.reused();
+      },
+      ended: () => this._endRequest(request),
+    });
+    this._request = request;
+    this._isReuse = this.client.stats.connected;
+    this.client.dispatch(options, request);
+  }
+
+  /**
+   * The connection is available from the next turn of the event loop: until then, the end of the connection or an extra
+   * response, which show that it must not be reused, may not have been read yet.
+   */
+  private _endRequest(request: Handler): void {
+    if (this._request !== request) return;
+    this._request = undefined;
+    setImmediate(() => this._settle());
+  }
+
+  private _onDisconnect(): void {
+    if (this._request !== undefined) {
+      // The request was not written: undici has ended a written one by now. The client opens another connection for it.
+      this._openReason = 'idle-closed';
+      this._isReuse = false;
+    } else if (this.client.stats.size > 0) {
+      // undici keeps an aborted request in its queue and would open a connection that no request needs.
+      void this.client.destroy();
+      this._events.closed();
+    } else this._settle();
+  }
+
+  private _settle(): void {
+    const { connected, size } = this.client.stats;
+    if (this._request !== undefined || size > 0) return;
+    if (connected) this._events.released();
+    else this._events.closed();
+  }
+}
+
+interface RequestEvents {
+  /** The request is about to be written. */
+  started(): void;
+  /** The response is complete, or the request has failed or been aborted. */
+  ended(): void;
+}
+
+/** Reports the start and the end of a request. */
+class ObservedHandler implements Handler {
+  private readonly _inner: Handler;
+  private readonly _events: RequestEvents;
+
+  constructor(handler: Handler, events: RequestEvents) {
+    this._inner = new DecoratorHandler(handler);
+    this._events = events;
+  }
+
+  onRequestStart(...args: Parameters<NonNullable<Handler['onRequestStart']>>): void {
+    this._events.started();
+    this._inner.onRequestStart?.(...args);
+  }
+
+  onRequestUpgrade(...args: Parameters<NonNullable<Handler['onRequestUpgrade']>>): void {
+    this._events.ended();
+    this._inner.onRequestUpgrade?.(...args);
+  }
+
+  onResponseStart(...args: Parameters<NonNullable<Handler['onResponseStart']>>): void {
+    this._inner.onResponseStart?.(...args);
+  }
+
+  onResponseData(...args: Parameters<NonNullable<Handler['onResponseData']>>): void {
+    this._inner.onResponseData?.(...args);
+  }
+
+  onResponseEnd(...args: Parameters<NonNullable<Handler['onResponseEnd']>>): void {
+    this._events.ended();
+    this._inner.onResponseEnd?.(...args);
+  }
+
+  onResponseError(...args: Parameters<NonNullable<Handler['onResponseError']>>): void {
+    this._events.ended();
+    this._inner.onResponseError?.(...args);
+  }
+}
+
+async function allEnded(ends: readonly Promise<void>[]): Promise<void> {
+  await Promise.all(ends);
+}
+
+/** Supports both forms of undici's methods, with and without a callback. */
+function resultOf(ended: Promise<void>, callback: (() => void) | undefined): Promise<void> | undefined {
+  if (callback === undefined) return ended;
+  void ended.then(callback);
+  return undefined;
+}
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -1,4 +1,6 @@
 /** Clients for the platform's services, endpoints and scorers. */
+export * from './connectionList.js';
+export * from './connectionPool.js';
 export * from './connectionProbe.js';
 export * from './engine.js';
 export * from './endpointPools.js';
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -39,6 +39,11 @@
     'Calls to the store by caller',
     ['caller', 'call'],
   );
+  readonly endpointConnections = this.counter(
+    'fuchsiahitch_endpoint_connections_total',
+    'Connections to endpoints opened, by reason, and reused',
+    ['event', 'reason'],
+  );
   readonly orders = this.counter('fuchsiahitch_orders_total', 'Weight orders by answer', ['answer']);
   readonly duties = this.counter('fuchsiahitch_duty_calls_total', 'Calls that are a duty, by answer', [
     'duty',
