Connection pool: back-to-back requests share one connection

Cause: a connection becomes available one turn of the event loop after its response. A sender whose next request follows in the same turn opened a second connection, as with undici's Pool: 15 connections for 8 senders.

Change: such a request waits for that turn, at most one for each connection whose response has just ended. If the connection closes instead, or the pool is closed, another one is opened for the request.

--- a/packages/clients/src/connectionPool.ts
+++ b/packages/clients/src/connectionPool.ts
@@ -32,6 +32,9 @@
   private readonly _origin: string;
   private readonly _options: ConnectionPoolOptions;
   private readonly _connections: ConnectionList<PooledConnection>;
+  private readonly _waiting: WaitingRequest[] = [];
+  /** Connections whose response has just ended; at least as many as there are waiting requests. */
+  private _finishing = 0;
   private _ended: Promise<void> | undefined;
 
   constructor(origin: string, options: ConnectionPoolOptions) {
@@ -48,8 +51,11 @@
 
   override dispatch(options: Dispatcher.DispatchOptions, handler: Handler): boolean {
     if (this._ended) return this._reject(options, handler);
-    const connection = this._connections.takeIdle(({ isAvailable }) => isAvailable) ?? this._add();
-    connection.dispatch(options, handler);
+    const connection = this._connections.takeIdle(({ isAvailable }) => isAvailable);
+    // A request that follows the end of another one directly waits a turn of the event loop for its connection. Without
+    // this wait, back-to-back requests would use up to two connections for each sender.
+    if (!connection && this._waiting.length < this._finishing) this._waiting.push({ options, handler });
+    else (connection ?? this._add()).dispatch(options, handler);
     // A connection can always be opened.
     return true;
   }
@@ -58,7 +64,10 @@
   override close(): Promise<void>;
   override close(callback: () => void): void;
   override close(callback?: () => void): Promise<void> | undefined {
-    this._ended ??= allEnded(this._connections.all().map(({ client }) => client.close()));
+    if (!this._ended) {
+      this._dispatchWaiting();
+      this._ended = allEnded(this._connections.all().map(({ client }) => client.close()));
+    }
     return resultOf(this._ended, callback);
   }
 
@@ -68,6 +77,7 @@
   override destroy(error: Error | null, callback: () => void): void;
   override destroy(first?: Error | null | (() => void), second?: () => void): Promise<void> | undefined {
     const error = typeof first === 'function' ? null : (first ?? null);
+    this._dispatchWaiting();
     this._ended = allEnded(this._connections.all().map(({ client }) => client.destroy(error)));
     return resultOf(this._ended, typeof first === 'function' ? first : second);
   }
@@ -82,11 +92,26 @@
       reused: () => this._options.onConnection?.({ event: 'reused' }),
       released: () => this._connections.release(connection),
       closed: () => this._connections.remove(connection),
+      finishing: () => (this._finishing += 1),
+      finished: () => this._onFinished(),
     });
     this._connections.add(connection);
     return connection;
   }
 
+  private _onFinished(): void {
+    this._finishing -= 1;
+    const next = this._waiting.shift();
+    if (!next) return;
+    const connection = this._connections.takeIdle(({ isAvailable }) => isAvailable) ?? this._add();
+    connection.dispatch(next.options, next.handler);
+  }
+
+  /** Sends the waiting requests on new connections, so that the end of the pool treats them as running. */
+  private _dispatchWaiting(): void {
+    for (const { options, handler } of this._waiting.splice(0)) this._add().dispatch(options, handler);
+  }
+
   /** Rejects a request after the end of the pool. A closed client does so in the form that the handler expects. */
   private _reject(options: Dispatcher.DispatchOptions, handler: Handler): boolean {
     const client = new Client(this._origin);
@@ -95,6 +120,11 @@
   }
 }
 
+interface WaitingRequest {
+  readonly options: Dispatcher.DispatchOptions;
+  readonly handler: Handler;
+}
+
 interface PooledConnectionEvents {
   opened(reason: OpenReason): void;
   reused(): void;
@@ -102,6 +132,10 @@
   released(): void;
   /** The connection is closed and its client has no request. */
   closed(): void;
+  /** The response is complete. */
+  finishing(): void;
+  /** The connection has been released or closed after the response. Follows each `finishing`. */
+  finished(): void;
 }
 
 /** A client with at most one connection and one request. */
@@ -134,7 +168,11 @@
       started: () => {
         if (this._isReuse) this._events.reused();
       },
-      ended: () => this._endRequest(request),
+      completed: () => {
+        this._events.finishing();
+        this._endRequest(request, () => this._events.finished());
+      },
+      failed: () => this._endRequest(request),
     });
     this._request = request;
     this._isReuse = this.client.stats.connected;
@@ -145,10 +183,12 @@
    * The connection is available from the next turn of the event loop: until then, the end of the connection or an extra
    * response, which show that it must not be reused, may not have been read yet.
    */
-  private _endRequest(request: Handler): void {
-    if (this._request !== request) return;
-    this._request = undefined;
-    setImmediate(() => this._settle());
+  private _endRequest(request: Handler, afterwards?: () => void): void {
+    if (this._request === request) this._request = undefined;
+    setImmediate(() => {
+      this._settle();
+      afterwards?.();
+    });
   }
 
   private _onDisconnect(): void {
@@ -174,8 +214,10 @@
 interface RequestEvents {
   /** The request is about to be written. */
   started(): void;
-  /** The response is complete, or the request has failed or been aborted. */
-  ended(): void;
+  /** The response is complete. */
+  completed(): void;
+  /** The request has failed or been aborted, or has taken over the connection. */
+  failed(): void;
 }
 
 /** Reports the start and the end of a request. */
@@ -194,7 +236,7 @@
   }
 
   onRequestUpgrade(...args: Parameters<NonNullable<Handler['onRequestUpgrade']>>): void {
-    this._events.ended();
+    this._events.failed();
     this._inner.onRequestUpgrade?.(...args);
   }
 
@@ -207,12 +249,12 @@
   }
 
   onResponseEnd(...args: Parameters<NonNullable<Handler['onResponseEnd']>>): void {
-    this._events.ended();
+    this._events.completed();
     this._inner.onResponseEnd?.(...args);
   }
 
   onResponseError(...args: Parameters<NonNullable<Handler['onResponseError']>>): void {
-    this._events.ended();
+    this._events.failed();
     this._inner.onResponseError?.(...args);
   }
 }
--- a/tests/connectionPool.spec.ts
+++ b/tests/connectionPool.spec.ts
@@ -220,6 +220,29 @@
   }),
 );
 
+await tap.test(
+  'should use one connection for back-to-back requests',
+  withEndpoint(async (t, endpoint) => {
+    // Guards against a second connection for each sender: the response has ended, but its connection is not idle yet.
+    const pool = endpoint.pool();
+    await Promise.all(
+      Array.from({ length: 8 }, async () => {
+        for (let i = 0; i < 20; i++) t.equal(await send(pool), 'whole');
+      }),
+    );
+    t.equal(endpoint.server.connections, 8);
+    endpoint.extraHeaders = ['Connection: close'];
+    for (let i = 0; i < 20; i++) t.equal(await send(pool), 'whole', 'also if the connection closes instead');
+    endpoint.extraHeaders = [];
+    t.equal(await send(pool), 'whole');
+    const waiting = send(pool);
+    const closed = pool.close();
+    t.equal(await waiting, 'whole', 'a request that waits for a connection is sent when the pool closes');
+    await closed;
+    await waitUntil(() => endpoint.open === 0);
+  }),
+);
+
 await tap.test(
   'should discard a connection that is reset while idle',
   withEndpoint(async (t, endpoint) => {
