--- a/tests/connectionPool.spec.ts
+++ b/tests/connectionPool.spec.ts
@@ -279,6 +279,24 @@
       }
       await pool.close();
     }
+    t.ok((endpoint.counts.all()['idle-closed'] ?? 0) > 0, 'some requests were written to another connection');
+  }),
+);
+
+await tap.test(
+  'should not send a request whose idle connection closes with the endpoint',
+  withEndpoint(async (t, endpoint) => {
+    // Guards against an outcome that differs from that of a refused connection, after which a request may run elsewhere.
+    const pool = endpoint.pool();
+    await burst(endpoint, pool, 3);
+    const closed = endpoint.close();
+    const failures = await Promise.all(Array.from({ length: 3 }, () => failureOf(send(pool))));
+    await closed;
+    t.ok(failures.every(isNotSentError));
+    t.equal(endpoint.received, 3);
+    await settle();
+    t.equal(pool.size, 0);
+    await pool.close();
   }),
 );
 
