--- a/tests/connectionPool.spec.ts
+++ b/tests/connectionPool.spec.ts
@@ -1,130 +1,22 @@
 /**
  * Connections to endpoints over real sockets: which connection a request uses, and what follows a failure.
  */
-import type { Socket } from 'node:net';
 import tap, { type Test } from 'tap';
 import { errors, Pool, type Dispatcher } from 'undici';
-import {
-  ConnectionList,
-  ConnectionPool,
-  EndpointPools,
-  isNotSentError,
-  type ConnectionEvent,
-} from '@fuchsiahitch/clients';
+import { ConnectionList, EndpointPools, isNotSentError } from '@fuchsiahitch/clients';
 import { GatewayMetrics } from '@fuchsiahitch/gateway';
-import { validResponse, WireServer } from './platformStandIns.js';
-
-const POLL_MS = 5;
-const MAX_POLLS = 400;
-
-async function waitUntil(isTrue: () => boolean): Promise<void> {
-  for (let i = 0; i < MAX_POLLS && !isTrue(); i++) await new Promise(resolve => setTimeout(resolve, POLL_MS));
-  if (!isTrue()) throw new Error('the expected state was not reached in time');
-}
-
-/** Several turns of the event loop: enough for a connection to become available after its response. */
-async function settle(): Promise<void> {
-  for (let i = 0; i < 5; i++) await new Promise(resolve => setImmediate(resolve));
-}
-
-class EventCounts {
-  private readonly _counts = new Map<string, number>();
-
-  readonly add = (event: ConnectionEvent): void => {
-    const key = event.event === 'opened' ? event.reason : event.event;
-    this._counts.set(key, (this._counts.get(key) ?? 0) + 1);
-  };
-
-  all(): Record<string, number> {
-    return Object.fromEntries(this._counts);
-  }
-}
-
-/** An endpoint that keeps the sockets of its requests and holds responses back while `isHolding`. */
-class Endpoint {
-  readonly server = new WireServer();
-  readonly counts = new EventCounts();
-  readonly sockets: Socket[] = [];
-  isHolding = false;
-  extraHeaders: readonly string[] = [];
-  private _held: (() => void)[] = [];
-  private _address = '';
-
-  static async start(): Promise<Endpoint> {
-    const endpoint = new Endpoint();
-    endpoint._address = await endpoint.server.listen();
-    endpoint.server.answer = (request, socket) => {
-      endpoint.sockets.push(socket);
-      const respond = (): void => {
-        if (socket.writable) socket.write(validResponse(request, 'whole', '200 OK', endpoint.extraHeaders));
-      };
-      if (endpoint.isHolding) endpoint._held.push(respond);
-      else respond();
-    };
-    return endpoint;
-  }
-
-  get address(): string {
-    return this._address;
-  }
-
-  get open(): number {
-    return this.server.connections - this.server.closed;
-  }
-
-  get received(): number {
-    return this.server.requests.length;
-  }
-
-  pool(): ConnectionPool {
-    return new ConnectionPool(`http://${this._address}`, { client: {}, onConnection: this.counts.add });
-  }
-
-  respondToHeld(): void {
-    const held = this._held;
-    this._held = [];
-    for (const respond of held) respond();
-  }
-
-  async close(): Promise<void> {
-    await this.server.close();
-  }
-}
-
-async function send(pool: Dispatcher, signal?: AbortSignal): Promise<string> {
-  const { body } = await pool.request({ path: '/', method: 'POST', body: 'x', signal: signal ?? null });
-  return body.text();
-}
-
-/** The error of a request, or undefined if it succeeded. */
-async function failureOf(sent: Promise<string>): Promise<unknown> {
-  return sent.then(
-    () => undefined,
-    (thrown: unknown) => thrown,
-  );
-}
-
-/** Sends requests that are in progress together; those with the given indexes are aborted while they run. */
-async function burst(
-  endpoint: Endpoint,
-  pool: Dispatcher,
-  size: number,
-  isAborted: (index: number) => boolean = () => false,
-): Promise<number> {
-  endpoint.isHolding = true;
-  const before = endpoint.received;
-  const abort = new AbortController();
-  const sent = Array.from({ length: size }, (_, i) =>
-    failureOf(send(pool, isAborted(i) ? abort.signal : undefined)),
-  );
-  await waitUntil(() => endpoint.received === before + size);
-  abort.abort();
-  endpoint.respondToHeld();
-  endpoint.isHolding = false;
-  const failures = (await Promise.all(sent)).filter(failure => failure !== undefined);
-  await settle();
-  return failures.length;
-}
+import { PlatformEndpointClient } from '@fuchsiahitch/platform';
+import {
+  burst,
+  Endpoint,
+  failureOf,
+  MAX_POLLS,
+  POLL_MS,
+  send,
+  settle,
+  waitUntil,
+} from './connectionFixtures.js';
+import { validResponse } from './platformStandIns.js';
 
 function withEndpoint(run: (t: Test, endpoint: Endpoint) => Promise<void>): (t: Test) => Promise<void> {
   return async t => {
@@ -499,6 +391,23 @@
   }),
 );
 
+await tap.test(
+  'should report the connection events of the client of endpoints',
+  withEndpoint(async (t, endpoint) => {
+    const client = new PlatformEndpointClient(endpoint.counts.add);
+    const { address } = endpoint;
+    const info = { id: 'i-1', address, pool: 's', domain: 'tekapo', slots: 4, isLeaving: false };
+    const target = { ...info, startWallMs: 0, versions: new Map<string, number>() };
+    for (let i = 0; i < 2; i++) {
+      // The body of the response is no report.
+      t.equal(await client.report(target, 1000), undefined);
+      await settle();
+    }
+    t.same(endpoint.counts.all(), { first: 1, reused: 1 });
+    client.dropConnections(address);
+  }),
+);
+
 await tap.test('should count connection events by event and reason', async t => {
   const { registry, endpointConnections } = new GatewayMetrics();
   endpointConnections.inc({ event: 'opened', reason: 'all-busy' });
