Platform: shorter wiring of connection metrics; keys of prefixes are listed in clients

Change: GatewayMetrics counts connection events; the expansion of prefixes for stores that delete single keys moved to packages/clients.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -8,6 +8,7 @@
 export * from './headerPairs.js';
 export * from './httpEngineClient.js';
 export * from './httpTools.js';
+export * from './keysToRemove.js';
 export * from './keyValueStore.js';
 export * from './memberList.js';
 export * from './resetInterceptor.js';
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 /**
  * Prometheus metrics of the gateway.
  */
+import type { ConnectionEvent } from '@fuchsiahitch/clients';
 import type { ProtocolCounters } from '@fuchsiahitch/protocol';
 import { MetricsRegistry } from '@fuchsiahitch/telemetry';
 
@@ -73,4 +74,9 @@
     LATENCY_BUCKETS_SECONDS,
     [],
   );
+
+  countConnection(connection: ConnectionEvent): void {
+    const reason = connection.event === 'opened' ? connection.reason : '';
+    this.endpointConnections.inc({ event: connection.event, reason });
+  }
 }
