Choice of the home host of a trainer's batches, and when a host declines them

Cause: the accepting host owns a batch, so that each step of a trainer runs from a host without open connections. Change: OwnerChoice with AcceptingHost and HomeHost (rendezvous hashing of account and model, own failure domain first), the limits of a home, and RelayedStore.isRelaying. Nothing uses them yet.

--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -4,6 +4,7 @@
 export * from './batchMessages.js';
 export * from './carryOver.js';
 export * from './endpointShares.js';
+export * from './homeHosts.js';
 export * from './itemPlacement.js';
 export * from './itemProgress.js';
 export * from './storedEvents.js';
--- a/packages/gateway/src/relayedStore.ts
+++ b/packages/gateway/src/relayedStore.ts
@@ -73,6 +73,11 @@
     return this._context.clock.nowMs() - this._lastReachedMs;
   }
 
+  /** True while this host cannot reach the store directly. */
+  isRelaying(): boolean {
+    return this._isRelaying;
+  }
+
   async get(key: string, deadline: Deadline): Promise<Result<StoredValue | undefined, StoreError>> {
     const direct = (limit: Deadline): ReturnType<RevisionedStore['get']> => this._direct.get(key, limit);
     return this._call(direct, deadline, timeoutMs => ({ call: 'get', key, timeoutMs }), 0);
