Forward batches to their home host where connections are scarce

Cause: connections, paces and the previous step's output are lost when each step of a trainer has another owner. Change: BatchHomes asks the home, BatchSubmissions accepts exactly once here or there, a host that shuts down prefers the next homes, and the previous step is taken from memory if this process owned it. BatchService is split: ClaimCache, OwnedBatches, BatchHandover and BatchSubmissions are modules of their own. The fixtures can set connection limits, failure domains and refused connections; a call that a host does not know is now refused there, as by the peer server.

--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -11,14 +11,18 @@
   BatchEndReply,
   BatchItemReply,
   BatchReadReply,
-  ClaimUpdate,
   ItemEvents,
   Owner,
 } from '@fuchsiahitch/batches';
 import { calls } from '@fuchsiahitch/protocol';
+import { BatchHandover } from './batchHandover.js';
+import { BatchHomes } from './batchHomes.js';
 import type { EndOutcome, ItemOutcome, ReadOutcome, SubmitOutcome } from './batchOutcomes.js';
 import { BatchOwner, type BatchPorts } from './batchOwner.js';
 import type { HeldClaim, StoredBatch } from './batchStore.js';
+import { BatchSubmissions } from './batchSubmissions.js';
+import { ClaimCache } from './claimCache.js';
+import { OwnedBatches } from './ownedBatches.js';
 import { PriorProgress } from './priorProgress.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallRegistry, Hosts } from './hostDirectory.js';
@@ -38,38 +42,55 @@
 const PEER_TIMEOUT_MS = 700;
 /** A lease may also lapse while its process is alive, so the owner is probed before its batch is taken over. */
 const OWNER_PROBE_TIMEOUT_MS = 300;
-/** A takeover costs two calls to the store and one read of the batch. */
-const ADOPT_TIMEOUT_MS = 1500;
-const MAX_SUCCESSORS = 3;
 /** The owner of a new batch needs this long to measure the pace of its endpoints. */
 const PACE_UPDATE_DELAY_MS = 2000;
-const RETRY_AFTER_MS = 1000;
-/** Older ended batches are read from the store. */
-const MAX_ENDED_IN_MEMORY = 4;
-const MAX_CACHED_CLAIMS = 2000;
+
+export interface BatchServicePorts extends BatchPorts {
+  /** True while this host cannot reach the store directly. */
+  readonly isRelaying: () => boolean;
+}
 
 export class BatchService {
   private readonly _context: GatewayContext;
   private readonly _ports: BatchPorts;
   private readonly _hosts: Hosts;
   private readonly _priorProgress: PriorProgress;
-  private readonly _owned = new Map<string, BatchOwner>();
-  private readonly _submits = new Map<string, Promise<SubmitOutcome>>();
+  private readonly _owned = new OwnedBatches();
+  private readonly _submissions: BatchSubmissions;
+  private readonly _handover: BatchHandover;
   private readonly _takeovers = new Map<string, Promise<BatchLocation>>();
-  /** Cache of claims. A stale entry is harmless: a previous owner answers `not-owner`. */
-  private readonly _claims = new Map<string, HeldClaim>();
+  private readonly _claims: ClaimCache;
   private readonly _storedBatches: StoredBatchReader;
   private readonly _paceUpdates: PaceUpdates;
   private _isShuttingDown = false;
 
-  constructor(context: GatewayContext, ports: BatchPorts, hosts: Hosts) {
+  constructor(context: GatewayContext, ports: BatchServicePorts, hosts: Hosts) {
     this._context = context;
     this._ports = ports;
     this._hosts = hosts;
+    this._claims = new ClaimCache(hosts);
     this._paceUpdates = new PaceUpdates(ports.endpoints, hosts);
-    this._priorProgress = new PriorProgress(context, ports.store);
-    const isEnded = (batchId: string): boolean => this._claims.get(batchId)?.claim.isEnded ?? false;
-    this._storedBatches = new StoredBatchReader(context, ports.store, isEnded);
+    const { store, configuration, endpoints, isRelaying } = ports;
+    const homes = new BatchHomes(context, { configuration, endpoints, hosts });
+    this._handover = new BatchHandover(context, hosts, homes);
+    this._priorProgress = new PriorProgress(context, store, (batch, stepsBack) =>
+      homes.isInEffect(batch) ? this._owned.earlierStep(batch, stepsBack) : undefined,
+    );
+    this._storedBatches = new StoredBatchReader(context, store, batchId => this._claims.isEnded(batchId));
+    this._submissions = new BatchSubmissions(context, {
+      store,
+      hosts,
+      homes,
+      isRelaying,
+      isOwned: batchId => this._owned.has(batchId),
+      openItems: () => this._owned.openItems(),
+      isShuttingDown: () => this._isShuttingDown,
+      accepted: (held, batch) => void this._startBatch(held, { batch, results: [] }, []),
+      known: (batchId, held) => {
+        this._claims.set(batchId, held);
+        this._resume(batchId, held);
+      },
+    });
   }
 
   serve(server: CallRegistry): void {
@@ -80,30 +101,23 @@
       isRun: this._owned.get(batchId)?.maySend() ?? false,
     }));
     this._paceUpdates.serve(server);
-    server.handle(calls.batchClaimed, update => this._receiveClaim(update));
+    this._claims.serve(server);
+    this._submissions.serve(server);
     server.handle(calls.batchEnd, request => this._endLocally(request.batchId));
   }
 
   ownedCount(): number {
-    return this._owned.size;
+    return this._owned.count();
   }
 
   /** Number of items that are running or waiting at this host. */
   openItems(): number {
-    let count = 0;
-    for (const owner of this._owned.values())
-      if (!owner.isEnded()) count += owner.ledger.total() - owner.ledger.listed().length;
-    return count;
+    return this._owned.openItems();
   }
 
   /** Accepts a batch exactly once, even if it is submitted repeatedly and to several hosts. */
   async submit(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
-    if (this._owned.has(batch.id)) return { kind: 'accepted' };
-    const running = this._submits.get(batch.id) ?? this._accept(batch, deadline);
-    this._submits.set(batch.id, running);
-    const outcome = await running;
-    this._submits.delete(batch.id);
-    return outcome;
+    return this._submissions.submit(batch, deadline);
   }
 
   async read(batchId: string, after: number, waitMs: number): Promise<ReadOutcome> {
@@ -156,7 +170,7 @@
     const held = await this._ports.store.readClaim(batchId, this._storeDeadline());
     if (!held.ok) return 'unsure';
     if (!held.value) return 'no-batch';
-    this._cacheClaim(batchId, held.value);
+    this._claims.set(batchId, held.value);
     return held.value.claim.isEnded ? 'ended' : this._endStored(batchId, held.value);
   }
 
@@ -181,43 +195,18 @@
 
   /** Stops all batches without handing them over. */
   stopAll(): void {
-    for (const owner of this._owned.values()) owner.stop('process is terminating');
+    for (const owner of this._owned.all()) owner.stop('process is terminating');
   }
 
-  /**
-   * Hands every open batch over to another host, with the events of its unfinished items. Otherwise a batch would make
-   * no progress until its trainer reads it at another host.
-   */
+  /** Hands every open batch over to another host. */
   async handOver(): Promise<void> {
     this._isShuttingDown = true;
-    const owners = [...this._owned.values()];
-    this._owned.clear();
-    await Promise.all(owners.map(owner => this._handOverBatch(owner)));
+    await Promise.all(this._owned.removeAll().map(owner => this._handOverBatch(owner)));
   }
 
   private async _handOverBatch(owner: BatchOwner): Promise<void> {
-    owner.stop('host is shutting down');
-    const { batchId } = owner;
-    this._claims.delete(batchId);
-    if (owner.isEnded()) return;
-    const from = this._hosts.self();
-    const unfinished = owner.ledger.unfinished();
-    for (const peer of this._successors()) {
-      const request = { batchId, from, isGivenUp: true, unfinished };
-      const reply = await this._hosts.call(peer.address, calls.batchAdopt, request, ADOPT_TIMEOUT_MS);
-      const isAdopted = reply.ok && reply.value.isAdopted;
-      this._context.log.info('batch handed over', { batchId, to: peer.hostId, isAdopted });
-      if (isAdopted) return;
-    }
-  }
-
-  /** Returns a few random peers, so that the batches of a host are spread over the fleet. */
-  private _successors(): readonly Owner[] {
-    const peers = [...this._hosts.peers()];
-    const successors: Owner[] = [];
-    while (peers.length > 0 && successors.length < MAX_SUCCESSORS)
-      successors.push(...peers.splice(this._context.random.below(peers.length), 1));
-    return successors;
+    this._claims.delete(owner.batchId);
+    await this._handover.handOver(owner);
   }
 
   /** Takes over a batch whose owner's process has terminated. */
@@ -243,39 +232,6 @@
     return isRun;
   }
 
-  private async _accept(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
-    const startedMs = this._context.clock.nowMs();
-    const outcome = await this._ports.store.accept(batch, this._hosts.self(), deadline);
-    const tookMs = this._context.clock.nowMs() - startedMs;
-    this._context.metrics.batches.inc({ call: 'submit', outcome: outcome.kind });
-    this._context.metrics.acceptance.observe(tookMs / 1000);
-    this._context.log.info('batch submitted', {
-      batchId: batch.id,
-      outcome: outcome.kind,
-      error: 'error' in outcome ? outcome.error : undefined,
-      items: batch.items.length,
-      step: batch.step,
-      model: batch.model,
-      minVersion: batch.minVersion,
-      tookMs: Math.round(tookMs),
-    });
-    switch (outcome.kind) {
-      case 'accepted':
-        void this._startBatch(outcome.held, { batch, results: [] }, []);
-        return { kind: 'accepted' };
-      case 'known':
-        this._cacheClaim(batch.id, outcome.held);
-        this._resume(batch.id, outcome.held);
-        return { kind: 'accepted' };
-      case 'not-done':
-        return { kind: 'not-run', reason: 'the store is out of reach', retryAfterMs: RETRY_AFTER_MS };
-      case 'too-large':
-        return { kind: 'not-run', reason: 'the batch is too large to keep', retryAfterMs: RETRY_AFTER_MS };
-      case 'unknown':
-        return { kind: 'unknown' };
-    }
-  }
-
   /** Starts an open batch that this process accepted but does not run, since the store's answer was lost. */
   private _resume(batchId: string, { claim }: HeldClaim): void {
     const isOwn = this._isSelf(claim.owner) && !claim.isEnded;
@@ -305,38 +261,21 @@
       unfinished: owner.ledger.unfinished().length,
     });
     owner.start();
-    this._announceClaim(id, held);
+    this._claims.announce(id, held);
     this._context.clock.after(PACE_UPDATE_DELAY_MS, () => this._paceUpdates.send());
     // A takeover may complete while this host shuts down: hand the batch over at once.
     if (this._isShuttingDown && this._owned.delete(id)) void this._handOverBatch(owner);
     return owner;
   }
 
-  /**
-   * Announces the owner of a batch to all hosts, which saves them reading the claim from the store. Hosts that miss the
-   * announcement read the claim.
-   */
-  private _announceClaim(batchId: string, { claim, revision }: HeldClaim): void {
-    for (const { address } of this._hosts.peers())
-      void this._hosts.call(address, calls.batchClaimed, { batchId, claim, revision }, PEER_TIMEOUT_MS);
-  }
-
-  private _receiveClaim({ batchId, claim, revision }: ClaimUpdate): Readonly<Record<string, never>> {
-    const cached = this._claims.get(batchId);
-    // The time of the sender's request to the store is unknown here.
-    if (!cached || cached.revision < revision)
-      this._cacheClaim(batchId, { claim, revision, requestedAtMs: -Infinity });
-    return {};
-  }
-
   private _createOwner(held: HeldClaim, stored: StoredBatch): BatchOwner {
     const { id } = stored.batch;
-    this._evictEnded();
+    this._owned.evictEnded();
     // An earlier owner object of this batch in this process has lost the claim, perhaps without noticing. It would
     // otherwise continue and run each item a second time.
     this._owned.get(id)?.claimLost();
     const owner = new BatchOwner(this._context, this._ports, held, stored, () => this._release(owner));
-    this._owned.set(id, owner);
+    this._owned.add(owner);
     return owner;
   }
 
@@ -348,13 +287,6 @@
     this._claims.delete(batchId);
   }
 
-  /** Evicts the oldest ended batches from memory. */
-  private _evictEnded(): void {
-    const ended = [...this._owned].filter(([, owner]) => owner.isEnded());
-    for (const [id] of ended.slice(0, Math.max(0, ended.length - MAX_ENDED_IN_MEMORY)))
-      this._owned.delete(id);
-  }
-
   /** Calls a batch's owner, locally or at a peer. Takes the batch over if its owner has terminated. */
   private async _atOwner<A extends { readonly kind: string }>(
     batchId: string,
@@ -398,6 +330,7 @@
 
   /** `mayTakeOver`: whether to start a batch that this process owns according to its claim, but does not run. */
   private async _locate(batchId: string, isRetry: boolean, mayTakeOver = true): Promise<BatchLocation> {
+    await this._submissions.submissionSettled(batchId);
     const owner = await this._localOwner(batchId);
     if (owner) return { kind: 'here', owner };
     const cached = this._claims.get(batchId);
@@ -405,7 +338,7 @@
     const held = await this._ports.store.readClaim(batchId, this._storeDeadline());
     if (!held.ok) return cached ? toLocation(cached) : { kind: 'unsure' };
     if (!held.value) return { kind: 'no-batch' };
-    this._cacheClaim(batchId, held.value);
+    this._claims.set(batchId, held.value);
     const { owner: claimOwner } = held.value.claim;
     if (!this._isSelf(claimOwner)) return toLocation(held.value);
     return mayTakeOver ? this._replaceOwner(batchId, claimOwner, true) : { kind: 'stored', held: held.value };
@@ -463,7 +396,7 @@
   }
 
   private _cacheAndLocate(batchId: string, held: HeldClaim): BatchLocation {
-    this._cacheClaim(batchId, held);
+    this._claims.set(batchId, held);
     return toLocation(held);
   }
 
@@ -481,7 +414,7 @@
   private async _endStored(batchId: string, held: HeldClaim): Promise<EndOutcome> {
     const done = await this._ports.store.changeClaim(batchId, held, { isEnded: true }, this._storeDeadline());
     if (done.kind !== 'done') return 'unsure';
-    this._cacheClaim(batchId, done.value);
+    this._claims.set(batchId, done.value);
     return 'ended';
   }
 
@@ -508,21 +441,14 @@
   }
 
   /**
-   * Returns the owner if this host runs the batch. Waits for a pending takeover or submission: a host that answered
+   * Returns the owner if this host runs the batch. Waits for a pending takeover or acceptance: a host that answered
    * `not-owner` while it still loads the batch from a slow store would lose it to the next host.
    */
   private async _localOwner(batchId: string): Promise<BatchOwner | undefined> {
-    await (this._takeovers.get(batchId) ?? this._submits.get(batchId));
+    await (this._takeovers.get(batchId) ?? this._submissions.acceptanceSettled(batchId));
     return this._owned.get(batchId);
   }
 
-  private _cacheClaim(batchId: string, held: HeldClaim): void {
-    this._claims.delete(batchId);
-    this._claims.set(batchId, held);
-    const [oldest] = this._claims.keys();
-    if (this._claims.size > MAX_CACHED_CLAIMS && oldest !== undefined) this._claims.delete(oldest);
-  }
-
   private _isSelf(owner: Owner): boolean {
     const { hostId, incarnation } = this._context;
     return owner.hostId === hostId && owner.incarnation === incarnation;
--- /dev/null
+++ b/packages/gateway/src/batchSubmissions.ts
@@ -0,0 +1,167 @@
+/**
+ * Accepts submitted batches exactly once: at this host, or at the home host if the pool's connections are scarce.
+ */
+import { Deadline } from '@fuchsiahitch/base';
+import { declineReason, type Batch, type BatchSubmitReply } from '@fuchsiahitch/batches';
+import { calls } from '@fuchsiahitch/protocol';
+import type { BatchHomes } from './batchHomes.js';
+import type { SubmitOutcome } from './batchOutcomes.js';
+import type { BatchStore, HeldClaim } from './batchStore.js';
+import type { GatewayContext } from './gatewayContext.js';
+import type { CallRegistry, Hosts } from './hostDirectory.js';
+
+export interface SubmissionPorts {
+  readonly store: BatchStore;
+  readonly hosts: Pick<Hosts, 'self'>;
+  readonly homes: BatchHomes;
+  readonly isOwned: (batchId: string) => boolean;
+  /** Items of this host's batches that are running or waiting. */
+  readonly openItems: () => number;
+  readonly isShuttingDown: () => boolean;
+  /** True while this host cannot reach the store directly. */
+  readonly isRelaying: () => boolean;
+  /** Called when this process has accepted the batch. */
+  readonly accepted: (held: HeldClaim, batch: Batch) => void;
+  /** Called when the batch had been accepted before, by this or another process. */
+  readonly known: (batchId: string, held: HeldClaim) => void;
+}
+
+interface Acceptance {
+  readonly items: number;
+  readonly outcome: Promise<SubmitOutcome>;
+}
+
+const RETRY_AFTER_MS = 1000;
+
+export class BatchSubmissions {
+  private readonly _context: GatewayContext;
+  private readonly _ports: SubmissionPorts;
+  /** Submissions by trainers, which may wait for another host. */
+  private readonly _submits = new Map<string, Promise<SubmitOutcome>>();
+  /**
+   * Writes of this host. Calls from peers join only these: if two hosts forwarded the same batch to each other and
+   * joined each other's submissions, both would wait until they time out.
+   */
+  private readonly _acceptances = new Map<string, Acceptance>();
+
+  constructor(context: GatewayContext, ports: SubmissionPorts) {
+    this._context = context;
+    this._ports = ports;
+  }
+
+  serve(server: CallRegistry): void {
+    server.handle(calls.batchSubmit, ({ batch, leftMs }) =>
+      this._acceptForPeer(batch, Deadline.after(this._context.clock, leftMs)),
+    );
+  }
+
+  /** Accepts a batch of a trainer, even if it is submitted repeatedly and to several hosts. */
+  async submit(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    if (this._ports.isOwned(batch.id)) return { kind: 'accepted' };
+    const running = this._submits.get(batch.id) ?? this._submit(batch, deadline);
+    this._submits.set(batch.id, running);
+    try {
+      return await running;
+    } finally {
+      this._submits.delete(batch.id);
+    }
+  }
+
+  /** Waits until this host has accepted the batch or has failed to, if it is about to. */
+  async acceptanceSettled(batchId: string): Promise<void> {
+    await this._acceptances.get(batchId)?.outcome;
+  }
+
+  /** Waits until no submission of the batch to this host is pending, including those forwarded to another host. */
+  async submissionSettled(batchId: string): Promise<void> {
+    await this._submits.get(batchId);
+  }
+
+  private async _submit(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    const { homes } = this._ports;
+    if (!homes.isInEffect(batch)) return this._acceptOnce(batch, deadline);
+    const answer = await homes.offer(batch, deadline, this._declineReason());
+    if (answer === 'accepted') return { kind: 'accepted' };
+    const outcome = await this._acceptOnce(batch, deadline);
+    // The write of the host that was asked may still be executed.
+    return answer === 'unknown' && outcome.kind === 'not-run' ? { kind: 'unknown' } : outcome;
+  }
+
+  /**
+   * Accepts or declines a batch that a peer forwarded. Declines only if no write of this host is pending, and never
+   * throws, because the peer takes a refused call for one that had no effect.
+   */
+  private async _acceptForPeer(batch: Batch, deadline: Deadline): Promise<BatchSubmitReply> {
+    const { id } = batch;
+    const isBegun = this._ports.isOwned(id) || this._acceptances.has(id);
+    const reason = isBegun ? undefined : this._declineReason();
+    if (reason !== undefined) {
+      this._context.log.info('batch declined', { batchId: id, reason });
+      return { kind: 'declined', reason };
+    }
+    try {
+      return await this._acceptOnce(batch, deadline);
+    } catch (error) {
+      this._context.log.error('accepting a forwarded batch failed', { batchId: id, error: String(error) });
+      return { kind: 'unknown' };
+    }
+  }
+
+  private _declineReason(): string | undefined {
+    const { isShuttingDown, isRelaying, openItems } = this._ports;
+    let beingAccepted = 0;
+    for (const { items } of this._acceptances.values()) beingAccepted += items;
+    return declineReason({
+      isShuttingDown: isShuttingDown(),
+      isRelaying: isRelaying(),
+      loopLagMs: this._context.eventLoop.recentLagMs(),
+      openItems: openItems() + beingAccepted,
+    });
+  }
+
+  /** Accepts a batch at this host, or joins an attempt to do so. */
+  private async _acceptOnce(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    if (this._ports.isOwned(batch.id)) return { kind: 'accepted' };
+    const running = this._acceptances.get(batch.id);
+    if (running) return running.outcome;
+    const outcome = this._accept(batch, deadline);
+    this._acceptances.set(batch.id, { items: batch.items.length, outcome });
+    try {
+      return await outcome;
+    } finally {
+      this._acceptances.delete(batch.id);
+    }
+  }
+
+  private async _accept(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    const startedMs = this._context.clock.nowMs();
+    const outcome = await this._ports.store.accept(batch, this._ports.hosts.self(), deadline);
+    const tookMs = this._context.clock.nowMs() - startedMs;
+    this._context.metrics.batches.inc({ call: 'submit', outcome: outcome.kind });
+    this._context.metrics.acceptance.observe(tookMs / 1000);
+    this._context.log.info('batch submitted', {
+      batchId: batch.id,
+      outcome: outcome.kind,
+      error: 'error' in outcome ? outcome.error : undefined,
+      items: batch.items.length,
+      step: batch.step,
+      model: batch.model,
+      minVersion: batch.minVersion,
+      tookMs: Math.round(tookMs),
+    });
+    switch (outcome.kind) {
+      case 'accepted':
+        this._ports.accepted(outcome.held, batch);
+        return { kind: 'accepted' };
+      case 'known':
+        this._ports.known(batch.id, outcome.held);
+        return { kind: 'accepted' };
+      case 'not-done':
+        return { kind: 'not-run', reason: 'the store is out of reach', retryAfterMs: RETRY_AFTER_MS };
+      case 'too-large':
+        return { kind: 'not-run', reason: 'the batch is too large to keep', retryAfterMs: RETRY_AFTER_MS };
+      case 'unknown':
+        return { kind: 'unknown' };
+    }
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,6 +102,7 @@
       forwarder: this.forwarder,
       poison: this._poison,
       claimLeaseMs: claimLeaseMs(options.batchEndMs),
+      isRelaying: () => store.isRelaying(),
     };
     this._sweeper = new BatchSweeper(context, storeOf('sweep'), ports.store, options.batchReadableMs);
     this.batches = new BatchService(context, ports, this.hosts);
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -23,6 +23,11 @@
     'call',
     'outcome',
   ]);
+  readonly batchHomes = this.counter(
+    'fuchsiahitch_batch_homes_total',
+    'Submissions to pools with scarce connections, by the outcome of asking the home host',
+    ['outcome'],
+  );
   readonly takeovers = this.counter('fuchsiahitch_batch_takeovers_total', 'Batches taken over', []);
   readonly items = this.counter('fuchsiahitch_items_total', 'Results listed by state', ['state']);
   readonly scores = this.counter('fuchsiahitch_scores_total', 'Requests for scores by outcome', ['outcome']);
--- /dev/null
+++ b/packages/gateway/src/ownedBatches.ts
@@ -0,0 +1,79 @@
+/**
+ * The batches that this process owns, and the most recent of those that have ended here.
+ */
+import type { Batch, EarlierBatch } from '@fuchsiahitch/batches';
+import type { BatchOwner } from './batchOwner.js';
+
+/** Older ended batches are read from the store. */
+const MAX_ENDED_IN_MEMORY = 4;
+
+export class OwnedBatches {
+  /** In the order in which this process became their owner. */
+  private readonly _owners = new Map<string, BatchOwner>();
+
+  has(batchId: string): boolean {
+    return this._owners.has(batchId);
+  }
+
+  get(batchId: string): BatchOwner | undefined {
+    return this._owners.get(batchId);
+  }
+
+  all(): readonly BatchOwner[] {
+    return [...this._owners.values()];
+  }
+
+  count(): number {
+    return this._owners.size;
+  }
+
+  /** Number of items that are running or waiting. */
+  openItems(): number {
+    let count = 0;
+    for (const owner of this._owners.values())
+      if (!owner.isEnded()) count += owner.ledger.total() - owner.ledger.listed().length;
+    return count;
+  }
+
+  add(owner: BatchOwner): void {
+    this._owners.set(owner.batchId, owner);
+  }
+
+  delete(batchId: string): boolean {
+    return this._owners.delete(batchId);
+  }
+
+  removeAll(): readonly BatchOwner[] {
+    const owners = this.all();
+    this._owners.clear();
+    return owners;
+  }
+
+  /** Evicts the oldest ended batches from memory. */
+  evictEnded(): void {
+    const ended = [...this._owners].filter(([, owner]) => owner.isEnded());
+    for (const [id] of ended.slice(0, Math.max(0, ended.length - MAX_ENDED_IN_MEMORY)))
+      this._owners.delete(id);
+  }
+
+  /**
+   * Returns the trainer's batch of the step `stepsBack` steps before `batch`, with its output. Undefined unless this
+   * process has ended that batch or owns it under a valid claim: another host may otherwise have continued it.
+   */
+  earlierStep({ accountName, model, step }: Batch, stepsBack: number): EarlierBatch | undefined {
+    if (step === undefined || model === '') return undefined;
+    const owner = [...this._owners.values()].findLast(({ ledger }) => {
+      const earlier = ledger.batch;
+      const isSameTrainer = earlier.accountName === accountName && earlier.model === model;
+      return isSameTrainer && earlier.step === step - stepsBack;
+    });
+    if (!owner || !(owner.isEnded() || owner.maySend())) return undefined;
+    const { ledger } = owner;
+    return {
+      batch: ledger.batch,
+      results: [...ledger.listed()],
+      // The items of an open batch continue: their events are copied.
+      progress: ledger.unfinished().map(item => ({ ...item, events: [...item.events] })),
+    };
+  }
+}
--- a/packages/gateway/src/priorProgress.ts
+++ b/packages/gateway/src/priorProgress.ts
@@ -10,6 +10,7 @@
   EMPTY_CARRY_OVER,
   type Batch,
   type CarryOver,
+  type EarlierBatch,
   type ItemEvents,
 } from '@fuchsiahitch/batches';
 import type { BatchStore, HeldClaim } from './batchStore.js';
@@ -19,13 +20,18 @@
 const CARRY_OVER_TIMEOUT_MS = 300;
 const STORE_TIMEOUT_MS = 1000;
 
+/** Returns an earlier step of the batch's trainer if this process knows its output with certainty. */
+export type EarlierStepInMemory = (batch: Batch, stepsBack: number) => EarlierBatch | undefined;
+
 export class PriorProgress {
   private readonly _context: GatewayContext;
   private readonly _store: BatchStore;
+  private readonly _inMemory: EarlierStepInMemory;
 
-  constructor(context: GatewayContext, store: BatchStore) {
+  constructor(context: GatewayContext, store: BatchStore, inMemory: EarlierStepInMemory) {
     this._context = context;
     this._store = store;
+    this._inMemory = inMemory;
   }
 
   /** Returns the recorded output of unfinished items of the batch. */
@@ -41,7 +47,10 @@
     return [];
   }
 
-  /** Returns the carry-over of the two previous steps: where steps overlap, a group may reappear two steps later. */
+  /**
+   * Returns the carry-over of the two previous steps: where steps overlap, a group may reappear two steps later. Reads
+   * from the store only steps that are not in memory.
+   */
   async fromPreviousSteps(batch: Batch, isSingleVersion: boolean): Promise<CarryOver> {
     const deadline = Deadline.after(this._context.clock, CARRY_OVER_TIMEOUT_MS);
     const [older, newer] = await Promise.all([
@@ -57,6 +66,11 @@
     stepsBack: number,
     deadline: Deadline,
   ): Promise<CarryOver> {
+    const inMemory = this._inMemory(batch, stepsBack);
+    if (inMemory) {
+      const isShared = hasSharedItems(batch, inMemory.batch);
+      return isShared ? this._carryOver(batch, inMemory, isSingleVersion, stepsBack) : EMPTY_CARRY_OVER;
+    }
     const earlierId = await this._store.previousStepBatchId(batch, stepsBack, deadline);
     if (!earlierId.ok) return this._skipStep(batch.id, earlierId.error.kind);
     if (earlierId.value === undefined) return EMPTY_CARRY_OVER;
@@ -71,10 +85,19 @@
     if (!results.ok) return this._skipStep(batch.id, results.error.kind);
     if (!progress.ok) return this._skipStep(batch.id, progress.error.kind);
     const earlierBatch = { batch: earlier.value, results: results.value, progress: progress.value };
-    const carried = carryOver(batch, earlierBatch, isSingleVersion);
+    return this._carryOver(batch, earlierBatch, isSingleVersion, stepsBack);
+  }
+
+  private _carryOver(
+    batch: Batch,
+    earlier: EarlierBatch,
+    isSingleVersion: boolean,
+    stepsBack: number,
+  ): CarryOver {
+    const carried = carryOver(batch, earlier, isSingleVersion);
     this._context.log.info('batch carried over', {
       batchId: batch.id,
-      from: earlierId.value,
+      from: earlier.batch.id,
       stepsBack,
       groups: carried.groups.size,
       results: carried.results.length,
--- a/tests/gatewayFixtures.ts
+++ b/tests/gatewayFixtures.ts
@@ -132,11 +132,13 @@
       revision,
       route: given,
       models,
+      connectionLimits,
       scaling,
     } = JSON.parse(value) as {
       revision: number;
       route: Route;
       models: string[];
+      connectionLimits?: Readonly<Record<string, number>>;
       scaling?: Omit<PoolScaling, 'prices'> & { readonly prices: Readonly<Record<string, number>> };
     };
     return {
@@ -162,6 +164,7 @@
         idleTimeoutMs: 15_000,
       },
       models: new Map([['gen-pool', models]]),
+      connectionLimits: new Map(Object.entries(connectionLimits ?? {})),
       scalings: new Map(
         scaling ? [['gen-pool', { ...scaling, prices: new Map(Object.entries(scaling.prices)) }]] : [],
       ),
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -42,6 +42,8 @@
   readonly endpoints: EndpointDirectory;
   readonly handlers = new Map<string, CallHandler>();
   isRunning = true;
+  /** Whether the host reports that it relays its store calls. */
+  isRelaying = false;
   private readonly _world: GatewayWorld;
 
   constructor(world: GatewayWorld, hostId: string, incarnation: string) {
@@ -62,6 +64,7 @@
       forwarder: new Forwarder(this.context, this.endpoints, world.client, poison),
       poison,
       claimLeaseMs: claimLeaseMs(BATCH_END_MS),
+      isRelaying: () => this.isRelaying,
     };
     this.batches = new BatchService(this.context, ports, this);
     const registry: CallRegistry = {
@@ -105,8 +108,9 @@
     return !this.isAlive(owner);
   }
 
-  isOwnDomain(): boolean {
-    return true;
+  isOwnDomain(hostId: string): boolean {
+    const { domains } = this._world;
+    return domains.get(hostId) === domains.get(this.context.hostId);
   }
 
   onKeyChange(): void {
@@ -132,6 +136,7 @@
     timeoutMs: number,
   ): Promise<Result<A, CallError>> {
     const host = this._world.hosts.get(address);
+    if (this._world.refusing.has(address)) return err({ kind: 'not-sent', text: 'connection refused' });
     const isCut = this._world.blockedLinks.has(`${this.context.hostId}-${address}`);
     if (!host?.isRunning || isCut) {
       const waitMs = this._world.unresponsive.has(address) ? timeoutMs : Math.min(timeoutMs, 50);
@@ -139,7 +144,8 @@
       return err({ kind: 'timed-out' });
     }
     const handler = host.handlers.get(call.name);
-    const response = Promise.resolve(handler?.(request as never)).then(reply => ok(call.reply.parse(reply)));
+    if (!handler) return err({ kind: 'refused', text: `no call '${call.name}' in this version` });
+    const response = Promise.resolve(handler(request as never)).then(reply => ok(call.reply.parse(reply)));
     const timeout = new Promise<Result<A, CallError>>(resolve => {
       this._world.clock.after(timeoutMs, () => resolve(err({ kind: 'timed-out' })));
     });
@@ -158,6 +164,10 @@
   readonly blockedLinks = new Set<string>();
   /** Unreachable hosts that do not reset connections, so that calls take their full timeout. */
   readonly unresponsive = new Set<string>();
+  /** Hosts that refuse connections, so that calls to them are not sent. */
+  readonly refusing = new Set<string>();
+  /** Failure domains by host; hosts without an entry share one. */
+  readonly domains = new Map<string, string>();
 
   constructor() {
     this.store.put(keys.configurationKey, JSON.stringify({ revision: 1, route: route(), models: ['m'] }));
