--- a/packages/batches/src/homeHosts.ts
+++ b/packages/batches/src/homeHosts.ts
@@ -60,6 +60,8 @@
 /** The state of a host that decides whether it can own another batch. */
 export interface HomeState {
   readonly isShuttingDown: boolean;
+  /** False if the host has no route for the batch or does not know the endpoints yet, for example after its start. */
+  readonly isReady: boolean;
   /** True if the host cannot reach the store directly. */
   readonly isRelaying: boolean;
   readonly loopLagMs: number;
@@ -75,6 +77,7 @@
 /** Returns why a host can't own another batch, or undefined if it can. Bounds the load of homes shared by trainers. */
 export function declineReason(state: HomeState): string | undefined {
   if (state.isShuttingDown) return 'the host is shutting down';
+  if (!state.isReady) return 'the host is not ready to run the batch';
   if (state.isRelaying) return 'the host relays its store calls';
   if (state.loopLagMs > MAX_LOOP_LAG_MS) return `event loop lag of ${Math.round(state.loopLagMs)} ms`;
   if (state.openItems >= MAX_OPEN_ITEMS) return `${state.openItems} open items`;
--- a/packages/gateway/src/batchHomes.ts
+++ b/packages/gateway/src/batchHomes.ts
@@ -70,7 +70,7 @@
   private readonly _ports: BatchHomePorts;
   private readonly _acceptingHost: OwnerChoice = new AcceptingHost();
   private readonly _homeHost: OwnerChoice = new HomeHost();
-  /** Ends of pauses by incarnation, so that a restarted host is asked at once. */
+  /** Ends of pauses by process, so that a restarted host is asked at once. */
   private readonly _pausedUntilMs = new Map<string, number>();
 
   constructor(context: GatewayContext, ports: BatchHomePorts) {
@@ -186,18 +186,22 @@
     });
   }
 
-  private _isPaused({ incarnation }: Owner): boolean {
-    return (this._pausedUntilMs.get(incarnation) ?? -Infinity) > this._context.clock.nowMs();
+  private _isPaused(host: Owner): boolean {
+    return (this._pausedUntilMs.get(processKey(host)) ?? -Infinity) > this._context.clock.nowMs();
   }
 
-  private _pause({ incarnation }: Owner): void {
+  private _pause(host: Owner): void {
     const nowMs = this._context.clock.nowMs();
     for (const [paused, untilMs] of this._pausedUntilMs)
       if (untilMs <= nowMs) this._pausedUntilMs.delete(paused);
-    this._pausedUntilMs.set(incarnation, nowMs + PAUSE_MS);
+    this._pausedUntilMs.set(processKey(host), nowMs + PAUSE_MS);
   }
 }
 
+function processKey({ hostId, incarnation }: Owner): string {
+  return `${hostId}/${incarnation}`;
+}
+
 /** Estimates the size of the message that carries the batch. */
 function sizeOf(batch: Batch): number {
   let bytes = 0;
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -19,6 +19,7 @@
 import { BatchHomes } from './batchHomes.js';
 import type { EndOutcome, ItemOutcome, ReadOutcome, SubmitOutcome } from './batchOutcomes.js';
 import { BatchOwner, type BatchPorts } from './batchOwner.js';
+import { batchRoute } from './batchRoute.js';
 import type { HeldClaim, StoredBatch } from './batchStore.js';
 import { BatchSubmissions } from './batchSubmissions.js';
 import { ClaimCache } from './claimCache.js';
@@ -82,6 +83,7 @@
       hosts,
       homes,
       isRelaying,
+      isReady: batch => endpoints.isSynced() && batchRoute(configuration, batch) !== undefined,
       isOwned: batchId => this._owned.has(batchId),
       openItems: () => this._owned.openItems(),
       isShuttingDown: () => this._isShuttingDown,
--- a/packages/gateway/src/batchSubmissions.ts
+++ b/packages/gateway/src/batchSubmissions.ts
@@ -18,6 +18,8 @@
   /** Items of this host's batches that are running or waiting. */
   readonly openItems: () => number;
   readonly isShuttingDown: () => boolean;
+  /** True if this host knows the batch's route and the endpoints. */
+  readonly isReady: (batch: Batch) => boolean;
   /** True while this host cannot reach the store directly. */
   readonly isRelaying: () => boolean;
   /** Called when this process has accepted the batch. */
@@ -80,7 +82,7 @@
   private async _submit(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
     const { homes } = this._ports;
     if (!homes.isInEffect(batch)) return this._acceptOnce(batch, deadline);
-    const answer = await homes.offer(batch, deadline, this._declineReason());
+    const answer = await homes.offer(batch, deadline, this._declineReason(batch));
     if (answer === 'accepted') return { kind: 'accepted' };
     const outcome = await this._acceptOnce(batch, deadline);
     // The write of the host that was asked may still be executed.
@@ -94,7 +96,7 @@
   private async _acceptForPeer(batch: Batch, deadline: Deadline): Promise<BatchSubmitReply> {
     const { id } = batch;
     const isBegun = this._ports.isOwned(id) || this._acceptances.has(id);
-    const reason = isBegun ? undefined : this._declineReason();
+    const reason = isBegun ? undefined : this._declineReason(batch);
     if (reason !== undefined) {
       this._context.log.info('batch declined', { batchId: id, reason });
       return { kind: 'declined', reason };
@@ -107,12 +109,13 @@
     }
   }
 
-  private _declineReason(): string | undefined {
-    const { isShuttingDown, isRelaying, openItems } = this._ports;
+  private _declineReason(batch: Batch): string | undefined {
+    const { isShuttingDown, isReady, isRelaying, openItems } = this._ports;
     let beingAccepted = 0;
     for (const { items } of this._acceptances.values()) beingAccepted += items;
     return declineReason({
       isShuttingDown: isShuttingDown(),
+      isReady: isReady(batch),
       isRelaying: isRelaying(),
       loopLagMs: this._context.eventLoop.recentLagMs(),
       openItems: openItems() + beingAccepted,
