--- a/tests/gatewayFleet.ts
+++ b/tests/gatewayFleet.ts
@@ -27,6 +27,12 @@
   readonly endpoints: number;
   /** Whether endpoints write their records only once. */
   readonly isHeartbeatDisabled?: boolean;
+  /** Slots of each endpoint; 4 if omitted. */
+  readonly slots?: number;
+  /** Connections that one endpoint accepts from all hosts together. */
+  readonly connectionLimit?: number;
+  /** Returns the endpoint client of a host; the same for all hosts if omitted. */
+  readonly clientOf?: (shared: ScriptedClient, hostId: string) => ScriptedClient;
   /** If omitted, usage is not reported. */
   readonly usage?: UsageBounds;
   /** If omitted, no endpoints are ordered. */
@@ -65,7 +71,7 @@
     };
     this.gateway = new Gateway(this.context, {
       store: this.storeClient,
-      client: fleet.client,
+      client: fleet.clientOf(hostId),
       keys,
       decoder: this.records,
       hosts: { peers, address: hostId },
@@ -165,7 +171,12 @@
   constructor(size: FleetSize) {
     this._size = size;
     this.domains = Array.from({ length: size.domains }, (_, i) => `domain-${i}`);
-    this.store.put(keys.configurationKey, JSON.stringify({ revision: 1, route: route(), models: ['m'] }));
+    const { connectionLimit } = size;
+    const connectionLimits = connectionLimit === undefined ? {} : { 'gen-pool': connectionLimit };
+    this.store.put(
+      keys.configurationKey,
+      JSON.stringify({ revision: 1, route: route(), models: ['m'], connectionLimits }),
+    );
     for (let i = 0; i < size.endpoints; i++) this._writeHeartbeat(i);
   }
 
@@ -182,6 +193,10 @@
     await this.clock.advance(300);
   }
 
+  clientOf(hostId: string): ScriptedClient {
+    return this._size.clientOf?.(this.client, hostId) ?? this.client;
+  }
+
   usageOf(hostId: string): GatewayOptions['usage'] {
     const { usage } = this._size;
     return usage && { ...usage, duties: this.duties.from(hostId), handoverMs: HANDOVER_MS };
@@ -220,7 +235,11 @@
   private _writeHeartbeat(i: number): void {
     if (this._isStopped) return;
     const record = JSON.parse(
-      endpointRecord({ address: `10.0.0.1:${i}`, domain: `domain-${i % this._size.domains}` }),
+      endpointRecord({
+        address: `10.0.0.1:${i}`,
+        domain: `domain-${i % this._size.domains}`,
+        ...(this._size.slots === undefined ? {} : { slots: this._size.slots }),
+      }),
     ) as object;
     this.store.put(
       `${keys.endpointPrefix}e${i}`,
