--- a/tests/batchHomes.spec.ts
+++ b/tests/batchHomes.spec.ts
@@ -173,6 +173,21 @@
   world.stop();
 });
 
+await tap.test('should not decline a batch that it is about to accept', async t => {
+  // Fails if a host declines although its own write is pending: the caller could then answer “not run” and the batch runs.
+  const { world, accepting, home } = await startScarceHosts('a', 'b');
+  home.storeClient.callDelayMs = 200;
+  const own = home.batches.submit(BATCH, Deadline.after(world.clock, 3000));
+  await world.clock.advance(50);
+  home.context.eventLoop.recentLagMs = () => 300;
+  accepting.storeClient.mode = 'refusing';
+  t.equal(await submit(world, accepting, 2000), 'accepted');
+  t.equal((await own).kind, 'accepted');
+  t.equal(claimOwner(world, 'b1'), home.context.hostId);
+  t.equal(await submit(world, accepting, 2000), 'accepted', 'nor one that it owns');
+  world.stop();
+});
+
 await tap.test('should accept a forwarded batch while its own submission waits for another host', async t => {
   const { world, accepting, home, next } = await startScarceHosts('a', 'b', 'c');
   const isLagging = { value: true };
