--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 /**
  * Prometheus metrics of the gateway.
  */
+import type { ConnectionEvent } from '@fuchsiahitch/clients';
 import type { ProtocolCounters } from '@fuchsiahitch/protocol';
 import { MetricsRegistry } from '@fuchsiahitch/telemetry';
 
@@ -44,6 +45,11 @@
     'Calls to the store by caller',
     ['caller', 'call'],
   );
+  readonly endpointConnections = this.counter(
+    'fuchsiahitch_endpoint_connections_total',
+    'Connections to endpoints opened, by reason, and reused',
+    ['event', 'reason'],
+  );
   readonly orders = this.counter('fuchsiahitch_orders_total', 'Weight orders by answer', ['answer']);
   readonly duties = this.counter('fuchsiahitch_duty_calls_total', 'Calls that are a duty, by answer', [
     'duty',
@@ -73,4 +79,9 @@
     LATENCY_BUCKETS_SECONDS,
     [],
   );
+
+  countConnection(connection: ConnectionEvent): void {
+    const reason = connection.event === 'opened' ? connection.reason : '';
+    this.endpointConnections.inc({ event: connection.event, reason });
+  }
 }
