Batches: no "declined" or "not run" while an earlier write may be executed

An acceptance that ended unknown leaves a write that the store may execute late. A following decline, or a refused next write, was answered as if nothing could run: the trainer then submits the same items in another batch.

--- a/packages/gateway/src/batchSubmissions.ts
+++ b/packages/gateway/src/batchSubmissions.ts
@@ -9,6 +9,7 @@
 import type { BatchStore, HeldClaim } from './batchStore.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallRegistry, Hosts } from './hostDirectory.js';
+import { RecentAcceptances } from './recentAcceptances.js';
 
 export interface SubmissionPorts {
   readonly store: BatchStore;
@@ -45,10 +46,12 @@
    * joined each other's submissions, both would wait until they time out.
    */
   private readonly _acceptances = new Map<string, Acceptance>();
+  private readonly _recent: RecentAcceptances;
 
   constructor(context: GatewayContext, ports: SubmissionPorts) {
     this._context = context;
     this._ports = ports;
+    this._recent = new RecentAcceptances(context.clock);
   }
 
   serve(server: CallRegistry): void {
@@ -83,23 +86,27 @@
     const { homes } = this._ports;
     if (!homes.isInEffect(batch)) return this._acceptOnce(batch, deadline);
     const answer = await homes.offer(batch, deadline, this._declineReason(batch));
-    if (answer === 'accepted') return { kind: 'accepted' };
-    const outcome = await this._acceptOnce(batch, deadline);
+    if (answer === 'accepted') {
+      this._recent.markAccepted(batch.id);
+      return { kind: 'accepted' };
+    }
     // The write of the host that was asked may still be executed.
-    return answer === 'unknown' && outcome.kind === 'not-run' ? { kind: 'unknown' } : outcome;
+    if (answer === 'unknown') this._recent.markUnknown(batch.id);
+    return this._acceptOnce(batch, deadline);
   }
 
   /**
-   * Accepts or declines a batch that a peer forwarded. Declines only if no write of this host is pending, and never
-   * throws, because the peer takes a refused call for one that had no effect.
+   * Accepts or declines a batch that a peer forwarded. Declines only if no write of this host is pending or may be
+   * executed late, and never throws, because the peer takes a refused call for one that had no effect.
    */
   private async _acceptForPeer(batch: Batch, deadline: Deadline): Promise<BatchSubmitReply> {
     const { id } = batch;
     const isBegun = this._ports.isOwned(id) || this._acceptances.has(id);
     const reason = isBegun ? undefined : this._declineReason(batch);
     if (reason !== undefined) {
-      this._context.log.info('batch declined', { batchId: id, reason });
-      return { kind: 'declined', reason };
+      const state = this._recent.stateOf(id);
+      this._context.log.info('batch declined', { batchId: id, reason, earlierAcceptance: state });
+      return state === undefined ? { kind: 'declined', reason } : { kind: state };
     }
     try {
       return await this._acceptOnce(batch, deadline);
@@ -122,12 +129,19 @@
     });
   }
 
-  /** Accepts a batch at this host, or joins an attempt to do so. */
+  /** Accepts a batch at this host. Not `not-run` if the write of an earlier acceptance may have been executed. */
   private async _acceptOnce(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    const outcome = await this._acceptOrJoin(batch, deadline);
+    const state = outcome.kind === 'not-run' ? this._recent.stateOf(batch.id) : undefined;
+    return state === undefined ? outcome : { kind: state };
+  }
+
+  /** Accepts a batch at this host, or joins an attempt to do so. */
+  private async _acceptOrJoin(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
     if (this._ports.isOwned(batch.id)) return { kind: 'accepted' };
     const running = this._acceptances.get(batch.id);
     if (running) return running.outcome;
-    const outcome = this._accept(batch, deadline);
+    const outcome = this._acceptAndRecord(batch, deadline);
     this._acceptances.set(batch.id, { items: batch.items.length, outcome });
     try {
       return await outcome;
@@ -136,6 +150,18 @@
     }
   }
 
+  private async _acceptAndRecord(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    try {
+      const outcome = await this._accept(batch, deadline);
+      if (outcome.kind === 'accepted') this._recent.markAccepted(batch.id);
+      else if (outcome.kind === 'unknown') this._recent.markUnknown(batch.id);
+      return outcome;
+    } catch (error) {
+      this._recent.markUnknown(batch.id);
+      throw error;
+    }
+  }
+
   private async _accept(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
     const startedMs = this._context.clock.nowMs();
     const outcome = await this._ports.store.accept(batch, this._ports.hosts.self(), deadline);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -36,6 +36,7 @@
 export * from './ports.js';
 export * from './programFlags.js';
 export * from './reachabilityMonitor.js';
+export * from './recentAcceptances.js';
 export * from './relayedStore.js';
 export * from './resultLister.js';
 export * from './retirement.js';
