Batches: memory serves a previous step only if its stored output is loaded

An owner counted as known as soon as it was created, so the next step of the trainer ignored output of previous owners that was still being read from the store, or whose reading failed, and generated those texts again.

The owner now records that its stored output has been loaded. Without that, the next step reads the store.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -72,6 +72,7 @@
   private _isStopped = false;
   private _isEnding = false;
   private _isClaimLost = false;
+  private _hasStoredOutput = false;
   private _placeTimer: CancelTimer | undefined;
   private _readerWakeups: (() => void)[] = [];
 
@@ -120,6 +121,16 @@
     return this.ledger.isSingleVersion();
   }
 
+  /** Records that the ledger contains all output of the batch that the store had when this process became the owner. */
+  storedOutputLoaded(): void {
+    this._hasStoredOutput = true;
+  }
+
+  /** True if no output of previous owners is missing from the ledger. */
+  hasStoredOutput(): boolean {
+    return this._hasStoredOutput;
+  }
+
   /** Starts running the items that have no listed result. */
   start(): void {
     if (this.isEnded() || this._isStopped) return;
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -254,7 +254,8 @@
       this._priorProgress.fromPreviousOwners(id, held),
     ]);
     owner.ledger.applyCarryOver(before);
-    owner.ledger.resume([...recorded, ...unfinished]);
+    owner.ledger.resume([...(recorded ?? []), ...unfinished]);
+    if (recorded) owner.storedOutputLoaded();
     this._context.log.info('batch started', {
       batchId: id,
       claimRevision: held.revision,
--- a/packages/gateway/src/ownedBatches.ts
+++ b/packages/gateway/src/ownedBatches.ts
@@ -58,7 +58,8 @@
 
   /**
    * Returns the trainer's batch of the step `stepsBack` steps before `batch`, with its output. Undefined unless this
-   * process has ended that batch or owns it under a valid claim: another host may otherwise have continued it.
+   * process has ended that batch or owns it under a valid claim: another host may otherwise have continued it. Also
+   * undefined if output of previous owners has not been loaded, since the store has more than this process.
    */
   earlierStep({ accountName, model, step }: Batch, stepsBack: number): EarlierBatch | undefined {
     if (step === undefined || model === '') return undefined;
@@ -67,7 +68,7 @@
       const isSameTrainer = earlier.accountName === accountName && earlier.model === model;
       return isSameTrainer && earlier.step === step - stepsBack;
     });
-    if (!owner || !(owner.isEnded() || owner.maySend())) return undefined;
+    if (!owner?.hasStoredOutput() || !(owner.isEnded() || owner.maySend())) return undefined;
     const { ledger } = owner;
     return {
       batch: ledger.batch,
--- a/packages/gateway/src/priorProgress.ts
+++ b/packages/gateway/src/priorProgress.ts
@@ -34,8 +34,11 @@
     this._inMemory = inMemory;
   }
 
-  /** Returns the recorded output of unfinished items of the batch. */
-  async fromPreviousOwners(batchId: string, { claim }: HeldClaim): Promise<readonly ItemEvents[]> {
+  /** Returns the recorded output of unfinished items of the batch, or undefined if it could not be read. */
+  async fromPreviousOwners(
+    batchId: string,
+    { claim }: HeldClaim,
+  ): Promise<readonly ItemEvents[] | undefined> {
     if (claim.takeovers === 0) return [];
     const deadline = Deadline.after(this._context.clock, STORE_TIMEOUT_MS);
     const recorded = await this._store.progress(batchId, deadline);
@@ -44,7 +47,7 @@
       batchId,
       error: recorded.error.kind,
     });
-    return [];
+    return undefined;
   }
 
   /**
