Batches: a home that answered unknown or not run is paused

Such a home cannot reach the store, and each submission waited up to 700 ms for it. It is now skipped for 2 s, like a home that does not answer.

Ran before the change: the two new tests of batchHomes.spec failed.

--- a/packages/gateway/src/batchHomes.ts
+++ b/packages/gateway/src/batchHomes.ts
@@ -154,12 +154,12 @@
       timeoutMs,
       this._ports.hosts.call(address, calls.batchSubmit, request, timeoutMs),
     );
-    if (reply.ok)
-      return {
-        hostId,
-        end: reply.value.kind,
-        reason: 'reason' in reply.value ? reply.value.reason : undefined,
-      };
+    if (reply.ok) {
+      const { kind } = reply.value;
+      // The home's store does not answer, so that each submission would wait for the home in vain.
+      if (kind === 'unknown' || kind === 'not-run') this._pause(host);
+      return { hostId, end: kind, reason: 'reason' in reply.value ? reply.value.reason : undefined };
+    }
     const { error } = reply;
     // A host of an older version does not know the call. A handler never fails after it has begun to accept.
     if (error.kind === 'refused') return { hostId, end: 'declined', reason: error.text };
--- a/tests/batchHomes.spec.ts
+++ b/tests/batchHomes.spec.ts
@@ -302,3 +302,21 @@
   t.equal(claimOwner(world, 'b1'), accepting.context.hostId);
   world.stop();
 });
+
+for (const reply of [{ kind: 'unknown' }, { kind: 'not-run', reason: 'test', retryAfterMs: 1000 }]) {
+  await tap.test(`should leave a home alone for two seconds that answered ${reply.kind}`, async t => {
+    // Fails if each submission waits for a home that cannot reach the store.
+    const { world, accepting, home } = await startScarceHosts('a', 'b');
+    let asked = 0;
+    home.handlers.set('batchSubmit', () => {
+      asked += 1;
+      return reply;
+    });
+    for (const [i, expected] of [1, 1, 2].entries()) {
+      t.equal(await submitAt(world, accepting, batch(`b${i}`, [item(`x${i}`)])), 'accepted');
+      t.equal(asked, expected);
+      await world.clock.advance(1100);
+    }
+    world.stop();
+  });
+}
