Batches: a submission that joined a forwarded one keeps its own deadline

A trainer's submission that joined the acceptance of a forwarded one ended at the deadline of that one, at most 700 ms, although it had seconds left. If the joined acceptance fails, the submission now accepts the batch with its own deadline. "Not run" after a joined "unknown" becomes "unknown", by the record of recent acceptances.

--- a/packages/gateway/src/batchSubmissions.ts
+++ b/packages/gateway/src/batchSubmissions.ts
@@ -35,6 +35,11 @@
 }
 
 const RETRY_AFTER_MS = 1000;
+/**
+ * The interval at which the store is tried. With no more time left than this, an acceptance that has failed is not
+ * repeated; otherwise each of many joined submissions with the same deadline would try again in turn.
+ */
+const MIN_WRITE_MS = 200;
 
 export class BatchSubmissions {
   private readonly _context: GatewayContext;
@@ -136,11 +141,21 @@
     return state === undefined ? outcome : { kind: state };
   }
 
-  /** Accepts a batch at this host, or joins an attempt to do so. */
+  /**
+   * Accepts a batch at this host, or joins an attempt to do so. An attempt of a forwarded submission ends at the earlier
+   * deadline of that submission, so a caller that joined it in vain tries again while it has time left.
+   */
   private async _acceptOrJoin(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
-    if (this._ports.isOwned(batch.id)) return { kind: 'accepted' };
-    const running = this._acceptances.get(batch.id);
-    if (running) return running.outcome;
+    for (;;) {
+      if (this._ports.isOwned(batch.id)) return { kind: 'accepted' };
+      const running = this._acceptances.get(batch.id);
+      if (!running) return this._begin(batch, deadline);
+      const outcome = await running.outcome;
+      if (outcome.kind === 'accepted' || deadline.remainingMs() <= MIN_WRITE_MS) return outcome;
+    }
+  }
+
+  private async _begin(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
     const outcome = this._acceptAndRecord(batch, deadline);
     this._acceptances.set(batch.id, { items: batch.items.length, outcome });
     try {
--- a/tests/batchHomeAnswers.spec.ts
+++ b/tests/batchHomeAnswers.spec.ts
@@ -1,10 +1,10 @@
 /**
- * Answers to submissions whose earlier write may still be executed.
+ * Answers to submissions whose earlier write may still be executed, and submissions that join the acceptance of a peer.
  */
 import tap from 'tap';
 import { VirtualClock } from '@fuchsiahitch/base';
 import { RecentAcceptances } from '@fuchsiahitch/gateway';
-import { submit } from './batchCalls.js';
+import { BATCH, submit } from './batchCalls.js';
 import { batch, item } from './gatewayFixtures.js';
 import type { GatewayHost } from './gatewayHosts.js';
 import { claimOwner, never, startScarceHosts, submitAt } from './homeHostCalls.js';
@@ -117,3 +117,67 @@
   t.equal(await submit(world, accepting, 2000), 'unknown');
   world.stop();
 });
+
+/** Starts a forwarded submission with 500 ms left, then one of a trainer with three seconds left. */
+async function joinPeer(
+  given: Awaited<ReturnType<typeof startScarceHosts>>,
+  changes: () => void,
+): Promise<{ readonly peer: unknown; readonly trainer: string }> {
+  const { world, home } = given;
+  const handler = home.handlers.get('batchSubmit') as (
+    request: unknown,
+  ) => Promise<{ readonly kind: string }>;
+  const forwarded = handler({ batch: BATCH, leftMs: 500 });
+  const submitted = submit(world, home, 3000);
+  changes();
+  const trainer = await submitted;
+  return { peer: (await forwarded).kind, trainer };
+}
+
+for (const [mode, peerAnswer] of [
+  ['refusing', 'not-run'],
+  ['silent', 'unknown'],
+] as const) {
+  await tap.test(`should use a trainer's own deadline after joining a peer's (store ${mode})`, async t => {
+    // Fails if a submission with time left ends at the shorter deadline of a forwarded one.
+    const given = await startScarceHosts('a', 'b');
+    const { world, home } = given;
+    home.storeClient.mode = mode;
+    const { peer, trainer } = await joinPeer(given, () => {
+      world.clock.after(450, () => (home.storeClient.mode = 'available'));
+    });
+    t.same([peer, trainer], [peerAnswer, 'accepted']);
+    await world.clock.advance(1000);
+    t.equal(world.client.items.length, 3, 'each item ran once');
+    world.stop();
+  });
+}
+
+await tap.test('should not answer “not run” after a joined acceptance whose outcome is unknown', async t => {
+  const given = await startScarceHosts('a', 'b');
+  const { world, home } = given;
+  world.store.delayNextWriteMs = 5000;
+  const { peer, trainer } = await joinPeer(given, () => {
+    world.clock.after(10, () => (home.storeClient.mode = 'refusing'));
+  });
+  t.same([peer, trainer], ['unknown', 'unknown']);
+  await world.clock.advance(5000);
+  t.equal(claimOwner(world, 'b1'), home.context.hostId);
+  world.stop();
+});
+
+await tap.test('should not repeat a joined acceptance that used the same time', async t => {
+  // Fails if each of many forwarded submissions of a batch tries the store in turn after a common failure.
+  const { world, home } = await startScarceHosts('a', 'b');
+  home.storeClient.mode = 'refusing';
+  const handler = home.handlers.get('batchSubmit') as (
+    request: unknown,
+  ) => Promise<{ readonly kind: string }>;
+  const writes = (): number => world.store.calls.filter(call => call === 'transact').length;
+  const before = writes();
+  const replies = Array.from({ length: 10 }, () => handler({ batch: BATCH, leftMs: 500 }));
+  const kinds = await world.until(Promise.all(replies));
+  t.ok(kinds.every(({ kind }) => kind === 'not-run'));
+  t.ok(writes() - before <= 3, `${writes() - before} writes`);
+  world.stop();
+});
