Batches: a previous step comes from memory only if its record names it

The batch of a step that this process owns may not be the one that the store names, since the step may have been submitted again at another host. The record of the step, a small read, is now always read first, and memory is used for the batch that it names. The reads of texts are still saved.

Ran before the change: "should use the batch that the record of the step names" of batchHomeSteps failed. Ran after it: batchHomeSteps, batchHomeFailures, batchHomesLoad and resumption, 27 passed, 0 failed.

--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -74,8 +74,8 @@
     const { store, configuration, endpoints, isRelaying } = ports;
     const homes = new BatchHomes(context, { configuration, endpoints, hosts });
     this._handover = new BatchHandover(context, hosts, homes);
-    this._priorProgress = new PriorProgress(context, store, (batch, stepsBack) =>
-      homes.isInEffect(batch) ? this._owned.earlierStep(batch, stepsBack) : undefined,
+    this._priorProgress = new PriorProgress(context, store, (batch, earlierId) =>
+      homes.isInEffect(batch) ? this._owned.withOutput(earlierId) : undefined,
     );
     this._storedBatches = new StoredBatchReader(context, store, batchId => this._claims.isEnded(batchId));
     this._submissions = new BatchSubmissions(context, {
--- a/packages/gateway/src/ownedBatches.ts
+++ b/packages/gateway/src/ownedBatches.ts
@@ -1,7 +1,7 @@
 /**
  * The batches that this process owns, and the most recent of those that have ended here.
  */
-import type { Batch, EarlierBatch } from '@fuchsiahitch/batches';
+import type { EarlierBatch } from '@fuchsiahitch/batches';
 import type { BatchOwner } from './batchOwner.js';
 
 /** Older ended batches are read from the store. */
@@ -57,17 +57,12 @@
   }
 
   /**
-   * Returns the trainer's batch of the step `stepsBack` steps before `batch`, with its output. Undefined unless this
-   * process has ended that batch or owns it under a valid claim: another host may otherwise have continued it. Also
-   * undefined if output of previous owners has not been loaded, since the store has more than this process.
+   * Returns a batch with its output. Undefined unless this process has ended the batch or owns it under a valid claim:
+   * another host may otherwise have continued it. Also undefined if output of previous owners has not been loaded, since
+   * the store has more than this process.
    */
-  earlierStep({ accountName, model, step }: Batch, stepsBack: number): EarlierBatch | undefined {
-    if (step === undefined || model === '') return undefined;
-    const owner = [...this._owners.values()].findLast(({ ledger }) => {
-      const earlier = ledger.batch;
-      const isSameTrainer = earlier.accountName === accountName && earlier.model === model;
-      return isSameTrainer && earlier.step === step - stepsBack;
-    });
+  withOutput(batchId: string): EarlierBatch | undefined {
+    const owner = this._owners.get(batchId);
     if (!owner?.hasStoredOutput() || !(owner.isEnded() || owner.maySend())) return undefined;
     const { ledger } = owner;
     return {
--- a/packages/gateway/src/priorProgress.ts
+++ b/packages/gateway/src/priorProgress.ts
@@ -21,7 +21,7 @@
 const STORE_TIMEOUT_MS = 1000;
 
 /** Returns an earlier step of the batch's trainer if this process knows its output with certainty. */
-export type EarlierStepInMemory = (batch: Batch, stepsBack: number) => EarlierBatch | undefined;
+export type EarlierStepInMemory = (batch: Batch, earlierId: string) => EarlierBatch | undefined;
 
 export class PriorProgress {
   private readonly _context: GatewayContext;
@@ -52,7 +52,7 @@
 
   /**
    * Returns the carry-over of the two previous steps: where steps overlap, a group may reappear two steps later. Reads
-   * from the store only steps that are not in memory.
+   * from the store only the records of the steps, and the batches that are not in memory.
    */
   async fromPreviousSteps(batch: Batch, isSingleVersion: boolean): Promise<CarryOver> {
     const deadline = Deadline.after(this._context.clock, CARRY_OVER_TIMEOUT_MS);
@@ -69,14 +69,15 @@
     stepsBack: number,
     deadline: Deadline,
   ): Promise<CarryOver> {
-    const inMemory = this._inMemory(batch, stepsBack);
+    const earlierId = await this._store.previousStepBatchId(batch, stepsBack, deadline);
+    if (!earlierId.ok) return this._skipStep(batch.id, earlierId.error.kind);
+    if (earlierId.value === undefined) return EMPTY_CARRY_OVER;
+    // Only the batch that the step's record names: the step may have been submitted again at another host.
+    const inMemory = this._inMemory(batch, earlierId.value);
     if (inMemory) {
       const isShared = hasSharedItems(batch, inMemory.batch);
       return isShared ? this._carryOver(batch, inMemory, isSingleVersion, stepsBack) : EMPTY_CARRY_OVER;
     }
-    const earlierId = await this._store.previousStepBatchId(batch, stepsBack, deadline);
-    if (!earlierId.ok) return this._skipStep(batch.id, earlierId.error.kind);
-    if (earlierId.value === undefined) return EMPTY_CARRY_OVER;
     const earlier = await this._store.submittedBatch(earlierId.value, deadline);
     if (!earlier.ok) return this._skipStep(batch.id, earlier.error.kind);
     // Avoids loading texts, which are much larger than the batch itself: most steps share no items.
--- a/tests/batchHomeSteps.spec.ts
+++ b/tests/batchHomeSteps.spec.ts
@@ -69,3 +69,26 @@
     world.stop();
   });
 }
+
+await tap.test('should use the batch that the record of the step names', async t => {
+  // Fails if a home that owned an earlier submission of the step ignores the output of the later one.
+  const { world, home, next } = await startSlowItems('a', 'b', 'c');
+  t.equal(await submitAt(world, home, BATCH), 'accepted');
+  await world.clock.advance(200);
+  t.equal(await world.until(home.batches.end('b1')), 'ended');
+  home.isRelaying = true;
+  t.equal(await submitAt(world, next, batch('b1-again', BATCH.items)), 'accepted');
+  home.isRelaying = false;
+  await world.clock.advance(2000);
+  t.equal(await world.until(next.batches.end('b1-again')), 'ended');
+  const before = world.client.items.length;
+  t.equal(await submitAt(world, home, batch('b2', BATCH.items, { step: 2 })), 'accepted');
+  await world.clock.advance(300);
+  const calls = world.client.items.slice(before);
+  t.equal(calls.length, 3);
+  t.ok(
+    calls.every(({ afterEvent }) => afterEvent >= 30),
+    calls.map(({ afterEvent }) => afterEvent).join(),
+  );
+  world.stop();
+});
