Batches: log and count homes that were skipped because they are paused

If all preferred hosts were paused, the outcome of a submission said "self", as if the accepting host were the home. The outcome is now "paused", and the log line names skipped hosts, at most 8.

Splits BatchHomes.offer into one function for each step. One test title was reworded; the test is unchanged.

--- a/packages/gateway/src/batchHomes.ts
+++ b/packages/gateway/src/batchHomes.ts
@@ -2,7 +2,7 @@
  * Finds the home host of a submitted batch and asks it to accept and own the batch.
  *
  * Used only if the connections of the batch's pool are scarce. A home accepts or declines and never forwards the batch
- * again, so that hosts with different lists of live hosts cannot send a batch around in circles.
+ * again, so that hosts with different lists of live hosts cannot forward a batch without end.
  */
 import { Deadline, err, type Result } from '@fuchsiahitch/base';
 import {
@@ -14,6 +14,7 @@
   type OwnerChoice,
 } from '@fuchsiahitch/batches';
 import { calls, type CallError } from '@fuchsiahitch/protocol';
+import type { LogDetails } from '@fuchsiahitch/telemetry';
 import { batchRoute } from './batchRoute.js';
 import { hasScarceConnections, type ConnectionBudgetPorts } from './connectionBudget.js';
 import type { ConfigurationService } from './configurationService.js';
@@ -41,8 +42,18 @@
   readonly reason: string | undefined;
 }
 
-/** Outcome of a submission in logs and metrics. */
-type HomeOutcome = 'self' | 'oversized' | 'no-time' | AskEnd;
+/**
+ * Outcome of a submission in logs and metrics. `self`: this host is the home. `paused`: all hosts that come before this
+ * one were skipped.
+ */
+type HomeOutcome = 'self' | 'paused' | 'oversized' | 'no-time' | AskEnd;
+
+/** The hosts that were asked and those that were skipped because they are paused, in the order of the candidates. */
+interface Search {
+  readonly asked: readonly Asked[];
+  readonly skipped: readonly Owner[];
+  readonly outcome: HomeOutcome;
+}
 
 /** Bounds the delay of a submission by homes that do not answer. */
 const MAX_ASK_MS = 700;
@@ -64,6 +75,8 @@
 const ITEM_OVERHEAD_BYTES = 500;
 /** Bounds the text of a peer in a log line. */
 const MAX_REASON = 100;
+/** Bounds the skipped hosts in a log line. */
+const MAX_LOGGED_HOSTS = 8;
 
 export class BatchHomes {
   private readonly _context: GatewayContext;
@@ -91,40 +104,54 @@
   async offer(batch: Batch, deadline: Deadline, ownDeclineReason: string | undefined): Promise<HomeAnswer> {
     const startedMs = this._context.clock.nowMs();
     const candidates = this._candidates(batch);
-    const self = this._ports.hosts.self();
-    const [home] = candidates;
-    const asked: Asked[] = [];
-    let outcome: HomeOutcome = 'self';
-    if (sizeOf(batch) > MAX_FORWARDED_BYTES) outcome = 'oversized';
-    else {
-      const askDeadline = deadline.atMost(Math.min(MAX_ASK_MS, deadline.remainingMs() - OWN_WRITE_MS));
-      for (const candidate of candidates) {
-        const isSelf = candidate.hostId === self.hostId;
-        if (isSelf && ownDeclineReason === undefined) break;
-        if (isSelf || this._isPaused(candidate)) continue;
-        if (asked.length === MAX_ASKED_HOSTS) break;
-        if (askDeadline.remainingMs() < MIN_ASK_MS) {
-          if (asked.length === 0) outcome = 'no-time';
-          break;
-        }
-        const answer = await this._ask(candidate, batch, askDeadline.remainingMs());
-        asked.push(answer);
-        outcome = answer.end;
-        if (outcome !== 'declined' && outcome !== 'not-sent') break;
-      }
-    }
+    const hosts = this._preferredHosts(candidates, ownDeclineReason === undefined);
+    const search = await this._askInTurn(hosts, batch, deadline);
+    const { outcome } = search;
     this._context.metrics.batchHomes.inc({ outcome });
     this._context.log.info('batch home', {
       batchId: batch.id,
-      home: home?.hostId,
-      outcome,
-      asked: asked.map(describe).join(', '),
+      home: candidates[0]?.hostId,
+      ...describeSearch(search),
       ownDeclineReason,
       liveHosts: candidates.length,
       tookMs: Math.round(this._context.clock.nowMs() - startedMs),
     });
-    if (outcome === 'accepted' || outcome === 'unknown') return outcome;
-    return 'here';
+    // A home's `not-run` means that no write of it is pending. This host's own store may answer, so it tries as well.
+    return outcome === 'accepted' || outcome === 'unknown' ? outcome : 'here';
+  }
+
+  /** Returns the hosts that come before this one, or all others if this host should not own the batch. */
+  private _preferredHosts(candidates: readonly Owner[], maySelfOwn: boolean): readonly Owner[] {
+    const { hostId } = this._ports.hosts.self();
+    const selfIndex = candidates.findIndex(candidate => candidate.hostId === hostId);
+    return maySelfOwn
+      ? candidates.slice(0, selfIndex)
+      : candidates.filter(candidate => candidate.hostId !== hostId);
+  }
+
+  /** Asks hosts in turn until one accepts the batch or may have accepted it. */
+  private async _askInTurn(hosts: readonly Owner[], batch: Batch, deadline: Deadline): Promise<Search> {
+    const asked: Asked[] = [];
+    const skipped: Owner[] = [];
+    if (sizeOf(batch) > MAX_FORWARDED_BYTES) return { asked, skipped, outcome: 'oversized' };
+    const askDeadline = deadline.atMost(Math.min(MAX_ASK_MS, deadline.remainingMs() - OWN_WRITE_MS));
+    let outcome: HomeOutcome | undefined;
+    for (const host of hosts) {
+      if (asked.length === MAX_ASKED_HOSTS) break;
+      if (this._isPaused(host)) {
+        skipped.push(host);
+        continue;
+      }
+      if (askDeadline.remainingMs() < MIN_ASK_MS) {
+        outcome ??= 'no-time';
+        break;
+      }
+      const answer = await this._ask(host, batch, askDeadline.remainingMs());
+      asked.push(answer);
+      outcome = answer.end;
+      if (outcome !== 'declined' && outcome !== 'not-sent') break;
+    }
+    return { asked, skipped, outcome: outcome ?? (skipped.length > 0 ? 'paused' : 'self') };
   }
 
   /** Returns other hosts for a batch that this host gives up, the most preferred first. Excludes paused hosts. */
@@ -215,3 +242,14 @@
 function describe({ hostId, end, reason }: Asked): string {
   return reason === undefined ? `${hostId}: ${end}` : `${hostId}: ${end} (${reason.slice(0, MAX_REASON)})`;
 }
+
+function describeSearch({ asked, skipped, outcome }: Search): LogDetails {
+  return {
+    outcome,
+    asked: asked.map(describe).join(', '),
+    skipped: skipped
+      .slice(0, MAX_LOGGED_HOSTS)
+      .map(({ hostId }) => hostId)
+      .join(', '),
+  };
+}
--- a/tests/batchHomes.spec.ts
+++ b/tests/batchHomes.spec.ts
@@ -160,7 +160,7 @@
   world.stop();
 });
 
-await tap.test('should not forward in circles between overloaded hosts', async t => {
+await tap.test('should not forward without end between overloaded hosts', async t => {
   // Fails if a home forwards again, or if two hosts wait for each other's submission of the same batch.
   const { world, accepting, home } = await startScarceHosts('a', 'b');
   for (const host of [accepting, home]) host.context.eventLoop.recentLagMs = () => 300;
@@ -320,3 +320,18 @@
     world.stop();
   });
 }
+
+await tap.test('should report a home that was skipped because it is paused', async t => {
+  // Fails if logs and metrics show a skipped home as a batch whose home is the accepting host.
+  const { world, accepting, home } = await startScarceHosts('a', 'b');
+  world.refusing.add(home.context.hostId);
+  await submitAt(world, accepting, batch('b1', [item('x')]));
+  await submitAt(world, accepting, batch('b2', [item('y')]));
+  const lines = accepting.context.log.lines.filter(({ text }) => text === 'batch home');
+  const [first, second] = lines.map(({ details }) => details);
+  t.match(first, { outcome: 'not-sent', skipped: '' });
+  t.match(second, { outcome: 'paused', asked: '', skipped: home.context.hostId });
+  const metrics = await accepting.context.metrics.registry.metrics();
+  t.match(metrics, 'fuchsiahitch_batch_homes_total{outcome="paused"} 1');
+  world.stop();
+});
