Connections: no reuse is reported for a request aborted before it is written

The event "reused" was reported before the caller's handler could abort the request, so the metric counted requests that no endpoint received. The handler is now called first, and an aborted request reports nothing.

Ran before the change: "should not report a reused connection" of connectionPool failed. Ran after it: connectionPool, all of its tests passed.

--- a/packages/clients/src/connectionPool.ts
+++ b/packages/clients/src/connectionPool.ts
@@ -212,7 +212,7 @@
 }
 
 interface RequestEvents {
-  /** The request is about to be written. */
+  /** The request is about to be written. Not reported if its caller aborts it at this point. */
   started(): void;
   /** The response is complete. */
   completed(): void;
@@ -231,8 +231,9 @@
   }
 
   onRequestStart(...args: Parameters<NonNullable<Handler['onRequestStart']>>): void {
-    this._events.started();
     this._inner.onRequestStart?.(...args);
+    const [controller] = args;
+    if (!controller.aborted) this._events.started();
   }
 
   onRequestUpgrade(...args: Parameters<NonNullable<Handler['onRequestUpgrade']>>): void {
--- a/tests/connectionPool.spec.ts
+++ b/tests/connectionPool.spec.ts
@@ -112,6 +112,33 @@
   }),
 );
 
+await tap.test(
+  'should not report a reused connection for a request that is aborted before it is written',
+  withEndpoint(async (t, endpoint) => {
+    // Guards against a count of reuses that includes requests that no endpoint received.
+    const pool = endpoint.pool();
+    await send(pool);
+    await settle();
+    const failure = await new Promise<unknown>(resolve => {
+      pool.dispatch(
+        { path: '/', method: 'POST', body: 'x' },
+        {
+          onRequestStart: controller => controller.abort(new Error('aborted by the caller')),
+          onResponseError: (_controller, error) => resolve(error),
+        },
+      );
+    });
+    t.match(failure, { message: 'aborted by the caller' });
+    await settle();
+    t.equal(endpoint.received, 1);
+    t.same(endpoint.counts.all(), { first: 1 });
+    // undici closes the connection of a request that is aborted at this point.
+    t.equal(await send(pool), 'whole');
+    t.same(endpoint.counts.all(), { first: 1, 'all-busy': 1 });
+    await pool.close();
+  }),
+);
+
 await tap.test(
   'should use one connection for back-to-back requests',
   withEndpoint(async (t, endpoint) => {
