Batches: a host accepts again one second after its event loop lagged

The lag that makes a host decline was a maximum over up to 5 s, so that one late turn sent the next step of a trainer to a host without its connections. A host that has had no lag for a second (EventLoopMonitor.hasNoLagSince) now counts as free of lag. The monitor is unchanged.

Tests that set the lag of a host now set both figures of the monitor: only one of them, as before, would describe a state that it cannot report.

--- a/packages/gateway/src/batchSubmissions.ts
+++ b/packages/gateway/src/batchSubmissions.ts
@@ -35,6 +35,11 @@
 }
 
 const RETRY_AFTER_MS = 1000;
+/**
+ * After this time without lag, a host accepts batches again. One late turn of its event loop otherwise sends the next
+ * step of a trainer, which follows after 4 s, to another host.
+ */
+const LAG_VIEW_MS = 1000;
 /**
  * The interval at which the store is tried. With no more time left than this, an acceptance that has failed is not
  * repeated; otherwise each of many joined submissions with the same deadline would try again in turn.
@@ -129,11 +134,17 @@
       isShuttingDown: isShuttingDown(),
       isReady: isReady(batch),
       isRelaying: isRelaying(),
-      loopLagMs: this._context.eventLoop.recentLagMs(),
+      loopLagMs: this._currentLagMs(),
       openItems: openItems() + beingAccepted,
     });
   }
 
+  /** `recentLagMs` is a maximum over up to 5 s, in which the trainer submits its next step. */
+  private _currentLagMs(): number {
+    const { clock, eventLoop } = this._context;
+    return eventLoop.hasNoLagSince(clock.nowMs() - LAG_VIEW_MS) ? 0 : eventLoop.recentLagMs();
+  }
+
   /** Accepts a batch at this host. Not `not-run` if the write of an earlier acceptance may have been executed. */
   private async _acceptOnce(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
     const outcome = await this._acceptOrJoin(batch, deadline);
--- a/tests/batchHomes.spec.ts
+++ b/tests/batchHomes.spec.ts
@@ -6,7 +6,7 @@
 import { AcceptingHost, declineReason, homeCandidates, type Batch } from '@fuchsiahitch/batches';
 import { BATCH, read, startHosts, submit } from './batchCalls.js';
 import { batch, item } from './gatewayFixtures.js';
-import { claimOwner, never, startScarceHosts, submitAt } from './homeHostCalls.js';
+import { claimOwner, never, setLag, startScarceHosts, submitAt } from './homeHostCalls.js';
 
 const HOSTS = Array.from({ length: 75 }, (_, i) => `h${i}`);
 const domainOf = (hostId: string): number => Number(hostId.slice(1)) % 3;
@@ -113,7 +113,7 @@
 
 for (const [name, overload] of [
   ['relays its store calls', host => (host.isRelaying = true)],
-  ['has event loop lag', host => (host.context.eventLoop.recentLagMs = () => 250)],
+  ['has event loop lag', host => setLag(host, 250)],
   ['has lost its configuration', host => (host.configuration.route = () => ({ kind: 'unknown' }))],
 ] as [string, (host: Awaited<ReturnType<typeof startScarceHosts>>['home']) => unknown][]) {
   await tap.test(`should use the next candidate while the home ${name}`, async t => {
@@ -131,6 +131,20 @@
   });
 }
 
+await tap.test('should use the home again one second after a late turn of its event loop', async t => {
+  // Fails if one late turn sends the trainer's next step, up to 5 s later, to a host without its connections.
+  const { world, accepting, home } = await startScarceHosts('a', 'b', 'c');
+  await world.clock.advance(1000);
+  await world.clock.blockEventLoop(300, () => undefined);
+  await submitAt(world, accepting, batch('b1', [item('x')]));
+  t.equal(claimOwner(world, 'b1'), accepting.context.hostId, 'all hosts share the clock and decline');
+  await world.clock.advance(1200);
+  t.ok(home.context.eventLoop.recentLagMs() > 200);
+  await submitAt(world, accepting, batch('b2', [item('y')]));
+  t.equal(claimOwner(world, 'b2'), home.context.hostId);
+  world.stop();
+});
+
 await tap.test('should decline at 600 open items, including those of batches being accepted', async t => {
   const { world, accepting, home, next } = await startScarceHosts('a', 'b', 'c', 'd');
   world.client.script = () => ({ events: 1000, end: { kind: 'done' }, eventMs: 100 });
@@ -163,7 +177,7 @@
 await tap.test('should not forward without end between overloaded hosts', async t => {
   // Fails if a home forwards again, or if two hosts wait for each other's submission of the same batch.
   const { world, accepting, home } = await startScarceHosts('a', 'b');
-  for (const host of [accepting, home]) host.context.eventLoop.recentLagMs = () => 300;
+  for (const host of [accepting, home]) setLag(host, 300);
   const startMs = world.clock.nowMs();
   const outcomes = await Promise.all([submit(world, accepting), submit(world, home)]);
   t.same(outcomes, ['accepted', 'accepted']);
@@ -179,7 +193,7 @@
   home.storeClient.callDelayMs = 200;
   const own = home.batches.submit(BATCH, Deadline.after(world.clock, 3000));
   await world.clock.advance(50);
-  home.context.eventLoop.recentLagMs = () => 300;
+  setLag(home, 300);
   accepting.storeClient.mode = 'refusing';
   t.equal(await submit(world, accepting, 2000), 'accepted');
   t.equal((await own).kind, 'accepted');
@@ -190,12 +204,11 @@
 
 await tap.test('should accept a forwarded batch while its own submission waits for another host', async t => {
   const { world, accepting, home, next } = await startScarceHosts('a', 'b', 'c');
-  const isLagging = { value: true };
-  home.context.eventLoop.recentLagMs = () => (isLagging.value ? 300 : 0);
+  setLag(home, 300);
   next.handlers.set('batchSubmit', () => never());
   const waiting = submit(world, home);
   await world.clock.advance(50);
-  isLagging.value = false;
+  setLag(home, 0);
   const startMs = world.clock.nowMs();
   t.equal(await submit(world, accepting), 'accepted');
   t.ok(world.clock.nowMs() - startMs < 100, `${world.clock.nowMs() - startMs} ms`);
--- a/tests/homeHostCalls.ts
+++ b/tests/homeHostCalls.ts
@@ -63,6 +63,13 @@
     : (JSON.parse(claim) as { readonly owner: { readonly hostId: string } }).owner.hostId;
 }
 
+/** Sets the event loop lag that the host measures from now on; 0 for none. */
+export function setLag(host: GatewayHost, lagMs: number): void {
+  const { eventLoop } = host.context;
+  eventLoop.recentLagMs = () => lagMs;
+  eventLoop.hasNoLagSince = () => lagMs === 0;
+}
+
 /** A promise that stays pending. */
 export function never(): Promise<never> {
   return new Promise<never>(() => undefined);
