Tests: the hand-over test of model demand names the owner of its batches

Cause: with home hosts, one of the two batches started at its home, which then rightly reported its events; the test expects both at the host that hands over. Change: the hosts' link is cut until both batches run there. The checks are as before.

--- a/tests/modelDemand.spec.ts
+++ b/tests/modelDemand.spec.ts
@@ -187,7 +187,10 @@
   // Fails if the part of the events that the last owner has seen counts as the work of the whole step.
   const [world, a, b] = await startWorld(6);
   world.client.script = () => ({ events: 40, eventMs: 50, end: { kind: 'done' } });
+  // The first host owns both batches, whichever host is their home.
+  world.blockedLinks.add('a-b');
   for (const model of MODELS) await run(world, a, `${model}1`, model);
+  world.blockedLinks.clear();
   await world.until(a.batches.handOver());
   await world.clock.advance(4000);
   for (const model of MODELS) t.equal(await world.until(b.batches.end(`${model}1`)), 'ended');
