Requests: choose the endpoint with the least expected time where endpoints report their speed

Cause: Server-Load has a fourth figure, the current duration of work in percent of the normal one, which was not read. Customer requests went to the less loaded of two endpoints, whether or not it was busy with other processes. Endpoints that report none are chosen as before, with the same draws.

--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -220,7 +220,7 @@
     return this._hedgeBudget.take();
   }
 
-  /** Chooses the endpoint for an attempt; if all are at their limit, the least loaded one. */
+  /** Chooses the endpoint for an attempt; if all are at their limit, the one with the least expected time. */
   chooseEndpoint(route: Route, tried: ReadonlySet<string>, isBackground = false): Endpoint | undefined {
     const pool = this._drawPool(route);
     const endpoints = preferReachable(this._endpoints.inPool(pool), tried).filter(
@@ -239,7 +239,7 @@
     const picked = this._picker.pick(endpoints, request);
     if (picked) return this._endpoints.get(picked.id);
     if (isBackground) return undefined;
-    return leastLoaded(endpoints.filter(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)));
+    return fastest(endpoints.filter(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)));
   }
 
   /** Runs one attempt until its answer is complete. */
@@ -417,9 +417,10 @@
   return preferred.some(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)) ? preferred : endpoints;
 }
 
-function leastLoaded(endpoints: readonly Endpoint[]): Endpoint | undefined {
-  let least: Endpoint | undefined;
+/** The endpoint with the least expected time; the least loaded one where no percentage is reported. */
+function fastest(endpoints: readonly Endpoint[]): Endpoint | undefined {
+  let found: Endpoint | undefined;
   for (const endpoint of endpoints)
-    if (!least || endpoint.stats.estimatedLoad() < least.stats.estimatedLoad()) least = endpoint;
-  return least;
+    if (!found || endpoint.stats.expectedTime() < found.stats.expectedTime()) found = endpoint;
+  return found;
 }
--- a/packages/requests/src/endpointPicker.ts
+++ b/packages/requests/src/endpointPicker.ts
@@ -2,8 +2,9 @@
  * Selects the endpoint for a request.
  *
  * Criteria in order: rules (pool, domains), the host's own failure domain, the endpoint that caches the prompt's
- * prefix unless it is overloaded, then the less loaded of two chosen at random. Each host uses a subset of a
- * large pool, so that no host watches all endpoints.
+ * prefix unless it is overloaded, then the least expected time for customer requests where endpoints report their
+ * speed, otherwise the less loaded of two chosen at random. Each host uses a subset of a large pool, so that no host
+ * watches all endpoints.
  */
 import { hash32, rendezvous, type Random } from '@fuchsiahitch/base';
 import type { ConcurrencyLimit } from './concurrencyLimit.js';
@@ -65,7 +66,10 @@
     for (const group of byDomain(usable, request)) {
       const available = group.filter(endpoint => hasCapacity(endpoint, request.isRollout, request.reserve));
       if (available.length > 0)
-        return this._pickByPrefix(available, group, request.prefix) ?? this._pickLessLoaded(available);
+        return (
+          this._pickByPrefix(available, group, request.prefix) ??
+          this._pickByLoad(available, request.isRollout)
+        );
     }
     return undefined;
   }
@@ -92,6 +96,19 @@
     return preferred && preferred.stats.estimatedLoad() < maxLoad ? preferred : undefined;
   }
 
+  private _pickByLoad(available: readonly EndpointView[], isRollout: boolean): EndpointView | undefined {
+    const isSpeedReported = available.some(endpoint => endpoint.stats.hasReportedWorkPercent());
+    return isSpeedReported && !isRollout ? this._pickFastest(available) : this._pickLessLoaded(available);
+  }
+
+  /** Chooses at random among equals: most hosts have no recent report, and would all send to the same endpoint. */
+  private _pickFastest(available: readonly EndpointView[]): EndpointView | undefined {
+    const times = available.map(endpoint => endpoint.stats.expectedTime());
+    const leastTime = Math.min(...times);
+    const fastest = available.filter((_, i) => times[i] === leastTime);
+    return fastest[this._random.below(fastest.length)];
+  }
+
   private _pickLessLoaded(available: readonly EndpointView[]): EndpointView | undefined {
     const first = available[this._random.below(available.length)];
     const second = available[this._random.below(available.length)];
--- a/packages/requests/src/endpointStats.ts
+++ b/packages/requests/src/endpointStats.ts
@@ -8,6 +8,8 @@
   readonly version: string;
   readonly startId: string;
   readonly isLeaving: boolean;
+  /** Duration of work at this moment in percent of the normal duration; absent if not reported. */
+  readonly workPercent?: number | undefined;
 }
 
 const FAILURE_WEIGHT = 0.2;
@@ -16,6 +18,9 @@
 const INITIAL_OPEN_MS = 1000;
 const MAX_OPEN_MS = 30_000;
 const REPORT_VALID_MS = 15_000;
+/** Age up to which a reported percentage is used. Other processes on the endpoint's machine change it within this time. */
+const WORK_PERCENT_VALID_MS = 300;
+const NORMAL_WORK_PERCENT = 100;
 
 type BreakerState =
   | { readonly kind: 'closed' }
@@ -31,6 +36,8 @@
   private _report: LoadReport | undefined;
   private _reportedMs = -Infinity;
   private _inFlightAtReport = 0;
+  private _workPercent: number | undefined;
+  private _workPercentMs = -Infinity;
   private _failureShare = 0;
   private _completedAttempts = 0;
   private _breaker: BreakerState = { kind: 'closed' };
@@ -81,9 +88,16 @@
   }
 
   onLoadReport(report: LoadReport): void {
-    if (this._report && this._report.startId !== report.startId) this._resetBreaker();
+    if (this._report && this._report.startId !== report.startId) {
+      this._resetBreaker();
+      this._workPercent = undefined;
+    }
     this._report = report;
     this._reportedMs = this._clock.nowMs();
+    if (report.workPercent !== undefined) {
+      this._workPercent = report.workPercent;
+      this._workPercentMs = this._reportedMs;
+    }
     this._inFlightAtReport = this._inFlight;
   }
 
@@ -98,6 +112,22 @@
     return others + this._inFlight;
   }
 
+  /** True once a report of the current start has named a percentage. */
+  hasReportedWorkPercent(): boolean {
+    return this._workPercent !== undefined;
+  }
+
+  /**
+   * The expected time of one more request, in multiples of the duration of a request at an idle endpoint of normal speed.
+   * Addresses endpoints of different speed, which the number of requests alone does not show. Without a recent
+   * percentage, the normal speed is assumed.
+   */
+  expectedTime(): number {
+    const isFresh = this._clock.nowMs() - this._workPercentMs < WORK_PERCENT_VALID_MS;
+    const percent = (isFresh ? this._workPercent : undefined) ?? NORMAL_WORK_PERCENT;
+    return ((this.estimatedLoad() + 1) * percent) / NORMAL_WORK_PERCENT;
+  }
+
   /** False while the breaker is open or its probe is in flight. */
   isUsable(): boolean {
     if (this._breaker.kind === 'closed') return true;
