Batches: move items only to save time, to a reserved target

Change: MovePolicy with the previous rules (PaceRatioMoves) and TimeSavingMoves, which weighs the saved time against the cost of a move. A move reserves a slot at its target; the item starts there or at an endpoint that is not slower than the one it left. Paces that are not measured are estimated from the baseline speeds that endpoints report. In effect where endpoints report their speed or connections are scarce.

--- a/packages/batches/src/itemPlacement.ts
+++ b/packages/batches/src/itemPlacement.ts
@@ -90,6 +90,26 @@
   }
 }
 
+/**
+ * Like `MostFreePlacement`, but takes endpoints of unknown pace for average ones, not for the fastest. For pools whose
+ * endpoints clearly differ in speed: a long item at a new endpoint would otherwise often have to move.
+ */
+export class KnownFastPlacement implements PlacementPolicy {
+  private readonly _mostFree = new MostFreePlacement();
+
+  choose(
+    candidates: readonly PlacementEndpoint[],
+    groupEndpoint: PlacementEndpoint | undefined,
+    request: PlacementRequest,
+  ): PlacementEndpoint | undefined {
+    if (!request.isLong) return this._mostFree.choose(candidates, groupEndpoint, request);
+    const medianMs = medianPaceMs(candidates);
+    const assumed = candidates.map(candidate => ({ ...candidate, paceMs: candidate.paceMs ?? medianMs }));
+    const found = fastest(assumed);
+    return found && candidates.find(({ id }) => id === found.id);
+  }
+}
+
 /** Returns undefined if the item should wait for a free slot. */
 export function placeItem(
   endpoints: readonly PlacementEndpoint[],
--- /dev/null
+++ b/packages/batches/src/movePolicy.ts
@@ -0,0 +1,210 @@
+/**
+ * Decides which running items of a batch move to a faster endpoint.
+ *
+ * A move closes the item's connection and reads its prompt again at another endpoint, so it has to save more time than
+ * it costs.
+ */
+import { shouldMove, type PlacementEndpoint } from './itemPlacement.js';
+
+/** A running item. */
+export interface RunningItem {
+  readonly itemId: string;
+  readonly endpointId: string;
+  /** The pace of its endpoint. */
+  readonly paceMs: number;
+  /** The duration of the current attempt. */
+  readonly elapsedMs: number;
+  /** Events generated so far, by all attempts. */
+  readonly events: number;
+  /** The length estimate in events; 0 if unknown. */
+  readonly expectedEvents: number;
+  /** How often the item was moved before. */
+  readonly moves: number;
+  /** Endpoints at which the item was recently refused or interrupted. */
+  readonly avoid: ReadonlySet<string>;
+}
+
+/** An endpoint that items may move to. */
+export type MoveTarget = Pick<PlacementEndpoint, 'id' | 'freeSlots' | 'paceMs'>;
+
+export interface Move {
+  readonly itemId: string;
+  readonly targetId: string;
+  /** The expected time saved. */
+  readonly savedMs: number;
+}
+
+export interface MovePolicy {
+  /** Whether the item must start at the target of its move; otherwise it is placed like any waiting item. */
+  readonly isTargetBinding: boolean;
+  /** Returns the moves to make now, at most as many to each target as it has free slots. */
+  plan(items: readonly RunningItem[], targets: readonly MoveTarget[]): readonly Move[];
+}
+
+/**
+ * Moves items by the ratio of the paces and the time that the item has run. For pools with enough connections, where a
+ * move costs little.
+ */
+export class PaceRatioMoves implements MovePolicy {
+  readonly isTargetBinding = false;
+
+  plan(items: readonly RunningItem[], targets: readonly MoveTarget[]): readonly Move[] {
+    const slots = new TargetSlots(targets);
+    return items.flatMap(item => {
+      const target = slots
+        .availableTo(item)
+        .find(({ paceMs = Infinity }) => shouldMove(item.elapsedMs, item.paceMs, paceMs));
+      if (!target) return [];
+      slots.take(target);
+      return [{ itemId: item.itemId, targetId: target.id, savedMs: 0 }];
+    });
+  }
+}
+
+/** The cost of a move: a new connection, and reading the prompt again. */
+const MOVE_COST_MS = 300;
+/** A smaller gain does not justify the connection. */
+const MIN_SAVED_MS = 500;
+/** Bounds the attempts of an item whose endpoints change their speed. */
+const MAX_MOVES = 2;
+/** The minimum ratio of paces. Measured paces of equal endpoints differ by up to a fifth. */
+const MIN_PACE_RATIO = 1.2;
+/** Lengths have a long tail: an item that has generated n events generates at least half of n more on average. */
+const TAIL_SHARE = 0.5;
+
+/**
+ * Moves items if that saves time for their expected remaining events, the items with the largest saving first. For
+ * pools with scarce connections or endpoints of known different speed: on a loaded day, 1,586 of 4,624 items' attempts
+ * were aborted by the ratio of paces alone, and one move in four led to a slower endpoint.
+ */
+export class TimeSavingMoves implements MovePolicy {
+  readonly isTargetBinding = true;
+
+  plan(items: readonly RunningItem[], targets: readonly MoveTarget[]): readonly Move[] {
+    const slots = new TargetSlots(targets);
+    const best = items
+      .filter(item => item.moves < MAX_MOVES)
+      .map(item => ({ item, savedMs: bestOf(item, slots)?.savedMs ?? -Infinity }))
+      .filter(({ savedMs }) => savedMs >= MIN_SAVED_MS)
+      .sort((a, b) => b.savedMs - a.savedMs);
+    const moves: Move[] = [];
+    for (const { item } of best) {
+      // The fastest target may have been taken by an item before this one.
+      const found = bestOf(item, slots);
+      if (!found || found.savedMs < MIN_SAVED_MS) continue;
+      slots.take(found.target);
+      moves.push({ itemId: item.itemId, targetId: found.target.id, savedMs: found.savedMs });
+    }
+    return moves;
+  }
+}
+
+/** The expected number of events that the item will still generate. */
+export function eventsLeft({
+  events,
+  expectedEvents,
+}: Pick<RunningItem, 'events' | 'expectedEvents'>): number {
+  return Math.max(expectedEvents - events, TAIL_SHARE * events);
+}
+
+interface BestTarget {
+  readonly target: MoveTarget;
+  readonly savedMs: number;
+}
+
+function bestOf(item: RunningItem, slots: TargetSlots): BestTarget | undefined {
+  const left = eventsLeft(item);
+  let best: BestTarget | undefined;
+  for (const target of slots.availableTo(item)) {
+    const { paceMs } = target;
+    if (paceMs === undefined || paceMs * MIN_PACE_RATIO > item.paceMs) continue;
+    const savedMs = (item.paceMs - paceMs) * left - MOVE_COST_MS;
+    if (!best || savedMs > best.savedMs) best = { target, savedMs };
+  }
+  return best;
+}
+
+/** Counts the free slots of the targets during one plan. */
+class TargetSlots {
+  private readonly _targets: readonly MoveTarget[];
+  private readonly _left: Map<string, number>;
+
+  constructor(targets: readonly MoveTarget[]) {
+    this._targets = targets;
+    this._left = new Map(targets.map(({ id, freeSlots }) => [id, freeSlots]));
+  }
+
+  /** The targets with a free slot, except the item's own endpoint and those that it avoids. */
+  availableTo({ endpointId, avoid }: RunningItem): readonly MoveTarget[] {
+    return this._targets.filter(
+      ({ id }) => (this._left.get(id) ?? 0) > 0 && id !== endpointId && !avoid.has(id),
+    );
+  }
+
+  take({ id }: MoveTarget): void {
+    this._left.set(id, (this._left.get(id) ?? 0) - 1);
+  }
+}
+
+/** The endpoint that a moved item has left. */
+export interface LeftEndpoint {
+  readonly id: string;
+  readonly paceMs: number;
+}
+
+/**
+ * `wait`: for a free slot at an endpoint that is not slower. `anywhere`: no such endpoint is left, so the item is
+ * placed like any other.
+ */
+export type Continuation =
+  | { readonly kind: 'at'; readonly endpoint: PlacementEndpoint }
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'anywhere' };
+
+/**
+ * Selects where a moved item continues if its target has become unavailable: at the fastest endpoint that is not slower
+ * than the one it left, which may be the latter. Addresses moves of which one in four led to a slower endpoint.
+ */
+export function continueMoved(
+  endpoints: readonly PlacementEndpoint[],
+  left: LeftEndpoint,
+  avoid: ReadonlySet<string>,
+): Continuation {
+  const notSlower = endpoints.filter(
+    ({ id, paceMs }) => !avoid.has(id) && (id === left.id || (paceMs !== undefined && paceMs <= left.paceMs)),
+  );
+  if (notSlower.length === 0) return { kind: 'anywhere' };
+  const paceOf = ({ paceMs = left.paceMs }: PlacementEndpoint): number => paceMs;
+  const [endpoint] = notSlower
+    .filter(({ freeSlots }) => freeSlots > 0)
+    .sort((a, b) => paceOf(a) - paceOf(b) || b.freeSlots - a.freeSlots);
+  return endpoint ? { kind: 'at', endpoint } : { kind: 'wait' };
+}
+
+/** The progress of an item with a length estimate. */
+export interface EstimatedItem {
+  readonly expectedTokens: number;
+  readonly events: number;
+  readonly isComplete: boolean;
+}
+
+/**
+ * The number of events per token of the length estimates; undefined without estimates. Trainers estimate tokens, and
+ * endpoints group tokens into events.
+ *
+ * Estimates are right at the median, so this is the median ratio of a batch's items. Items that still run have a higher
+ * final ratio than now; the Kaplan-Meier estimator accounts for them. Until it reaches the median, the median of the
+ * current ratios is a lower bound.
+ */
+export function eventsPerToken(items: readonly EstimatedItem[]): number | undefined {
+  const ratios = items
+    .filter(({ expectedTokens, events }) => expectedTokens > 0 && events > 0)
+    .map(({ expectedTokens, events, isComplete }) => ({ ratio: events / expectedTokens, isComplete }))
+    .sort((a, b) => a.ratio - b.ratio);
+  let longerShare = 1;
+  for (const [i, { ratio, isComplete }] of ratios.entries()) {
+    if (isComplete) longerShare *= 1 - 1 / (ratios.length - i);
+    if (longerShare <= 0.5) return ratio;
+  }
+  return ratios[Math.floor((ratios.length - 1) / 2)]?.ratio;
+}
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -12,6 +12,7 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
+import type { Hosts } from './hostDirectory.js';
 import { ItemAttempt, type AttemptEnd } from './itemAttempt.js';
 import { ItemBackoff } from './itemBackoff.js';
 import { ItemPlacer, type EndpointTiers } from './itemPlacer.js';
@@ -26,6 +27,8 @@
   readonly store: BatchStore;
   readonly endpoints: EndpointDirectory;
   readonly configuration: ConfigurationService;
+  /** Determine each host's share of the endpoints' connections. */
+  readonly hosts: Pick<Hosts, 'peers'>;
   readonly client: EndpointClient;
   readonly forwarder: Forwarder;
   readonly poison: PoisonGuard;
@@ -136,6 +139,7 @@
     this._progressRecorder.stop();
     this._resultLister.stop();
     this._scoring.stop();
+    this._placer.stop();
     this._placeTimer?.();
     for (const attempt of this._attempts.values()) attempt.stop();
     this._wakeReaders();
@@ -282,6 +286,7 @@
     const { client } = this._ports;
     const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, canMove);
     this._attempts.set(item.id, attempt);
+    this._placer.attemptStarted(item, endpoint);
     const startedMs = this._context.clock.nowMs();
     const claimAgeMs = this._lease.ageMs();
     const claimRevision = this._lease.held.revision;
@@ -292,6 +297,7 @@
     this._logAttempt(item, endpoint, { number, tookMs, claimRevision, claimAgeMs }, end);
     if (this._isStopped) return;
     this._applyEnd(item, endpoint, end);
+    this._placer.attemptEnded({ itemId: item.id, isAnswered: attempt.isAnswered() }, end.kind);
     this._placeItems();
   }
 
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -3,7 +3,7 @@
  */
 import { setMaxListeners } from 'node:events';
 import type { Clock } from '@fuchsiahitch/base';
-import { PaceEstimator } from '@fuchsiahitch/batches';
+import { BaselineSpeed, PaceEstimator } from '@fuchsiahitch/batches';
 import { ConcurrencyLimit, EndpointStats } from '@fuchsiahitch/requests';
 import type { EndpointInfo, EndpointLoad } from './ports.js';
 
@@ -43,6 +43,13 @@
   readonly untilMs: number;
 }
 
+/** A free slot that this host keeps for one item until it is released or expires. */
+export interface SlotReservation {
+  /** False once it was released or has expired. */
+  isValid(): boolean;
+  release(): void;
+}
+
 export class Endpoint {
   readonly stats: EndpointStats;
   readonly limit: ConcurrencyLimit;
@@ -61,6 +68,9 @@
   private _lastEventMs = -Infinity;
   private _reportedPace: ReportedPace | undefined;
   private _pendingLoad: PendingLoad | undefined;
+  private readonly _baselineSpeed = new BaselineSpeed();
+  /** Expiry times of reserved slots. Batches of one host share this object and therefore see each other's reservations. */
+  private readonly _reservations = new Map<SlotReservation, number>();
 
   constructor(info: EndpointInfo, clock: Clock) {
     this._info = info;
@@ -132,7 +142,14 @@
       version: '',
       startId: this.startId(),
       isLeaving: false,
+      workPercent: load.workPercent,
     });
+    if (load.workPercent !== undefined) this._baselineSpeed.add(load.workPercent, this._clock.nowMs());
+  }
+
+  /** The lowest recent percentage of the normal duration of work; undefined without a recent report. */
+  baselinePercent(): number | undefined {
+    return this._baselineSpeed.percent(this._clock.nowMs());
   }
 
   /** The newest version known from the endpoint's heartbeats and answers, unless a recent answer named an older one. */
@@ -193,13 +210,40 @@
     return this._clock.nowMs() < this._unreachableUntilMs;
   }
 
-  /** Number of items that this host may send now. */
+  /** Number of items that this host may send now, without those for which slots are reserved. */
   freeSlots(): number {
+    return Math.max(0, this._openSlots() - this._reservedSlots());
+  }
+
+  /** True if an item with a reservation may be sent now: other hosts may have taken the slot. */
+  hasOpenSlot(): boolean {
+    return this._openSlots() > 0;
+  }
+
+  /** Keeps a free slot for `validMs`; undefined if there is none. Other hosts don't know of it. */
+  reserveSlot(validMs: number): SlotReservation | undefined {
+    if (this.freeSlots() <= 0) return undefined;
+    const reservation: SlotReservation = {
+      isValid: () => this._clock.nowMs() < (this._reservations.get(reservation) ?? -Infinity),
+      release: () => void this._reservations.delete(reservation),
+    };
+    this._reservations.set(reservation, this._clock.nowMs() + validMs);
+    return reservation;
+  }
+
+  private _openSlots(): number {
     if (this.isLeaving || !this.stats.isUsable() || this._clock.nowMs() < this._itemsSuspendedUntilMs)
       return 0;
     return Math.max(0, this._info.slots - this.stats.estimatedLoad());
   }
 
+  private _reservedSlots(): number {
+    const nowMs = this._clock.nowMs();
+    for (const [reservation, untilMs] of this._reservations)
+      if (nowMs >= untilMs) this._reservations.delete(reservation);
+    return this._reservations.size;
+  }
+
   /** Records the time between two events of a stream. */
   recordEventInterval(intervalMs: number): void {
     this._pace.addInterval(intervalMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,6 +98,7 @@
       store: new BatchStore(context, storeOf('batches')),
       endpoints: this.endpoints,
       configuration: this.configuration,
+      hosts: this.hosts,
       client,
       forwarder: this.forwarder,
       poison: this._poison,
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -25,6 +25,11 @@
   ]);
   readonly takeovers = this.counter('fuchsiahitch_batch_takeovers_total', 'Batches taken over', []);
   readonly items = this.counter('fuchsiahitch_items_total', 'Results listed by state', ['state']);
+  readonly itemMoves = this.counter(
+    'fuchsiahitch_item_moves_total',
+    'Moves of items with a reserved target, and where the items continued',
+    ['event'],
+  );
   readonly scores = this.counter('fuchsiahitch_scores_total', 'Requests for scores by outcome', ['outcome']);
   readonly scoring = this.histogram(
     'fuchsiahitch_score_duration_seconds',
--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -1,20 +1,31 @@
 /**
  * Chooses endpoints for the items of one batch.
  */
-import { shouldMove, type Batch, type BatchItem, type BatchLedger } from '@fuchsiahitch/batches';
+import {
+  KnownFastPlacement,
+  knownPaces,
+  MostFreePlacement,
+  type Batch,
+  type BatchItem,
+  type BatchLedger,
+} from '@fuchsiahitch/batches';
 import type { Route } from '@fuchsiahitch/rules';
 import { batchRoute } from './batchRoute.js';
 import type { ConfigurationService } from './configurationService.js';
+import { hasScarceConnections } from './connectionBudget.js';
 import type { Endpoint } from './endpoint.js';
-import { EndpointTier } from './endpointTier.js';
+import { EndpointTier, type TierOptions } from './endpointTier.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { GatewayContext } from './gatewayContext.js';
-import type { ItemAttempt } from './itemAttempt.js';
+import type { Hosts } from './hostDirectory.js';
+import type { AttemptEnd, ItemAttempt } from './itemAttempt.js';
+import { ItemMoves } from './itemMoves.js';
 import { modelShares } from './modelShares.js';
 
 export interface PlacementPorts {
   readonly endpoints: EndpointDirectory;
   readonly configuration: ConfigurationService;
+  readonly hosts: Pick<Hosts, 'peers'>;
 }
 
 /** In order of preference: a tier is used only if no tier before it has a suitable free slot. */
@@ -25,12 +36,20 @@
 /** The search for faster endpoints is too expensive to run at every placement. */
 const MOVE_INTERVAL_MS = 250;
 
-/** An endpoint with free slots. `paceMs` is Infinity until a pace is known. */
-interface PacedEndpoint {
-  readonly endpoint: Endpoint;
-  readonly paceMs: number;
-  /** Free slots not yet reserved by a move. */
-  left: number;
+const MOST_FREE = new MostFreePlacement();
+const KNOWN_FAST = new KnownFastPlacement();
+const NOTHING_AVOIDED: ReadonlySet<string> = new Set();
+
+interface SpeedRules extends TierOptions {
+  /** Whether moves must save time and have a binding target. */
+  readonly isTimeSaving: boolean;
+}
+
+/** An attempt that has ended. */
+interface EndedAttempt {
+  readonly itemId: string;
+  /** Whether the endpoint had started to answer. */
+  readonly isAnswered: boolean;
 }
 
 export class ItemPlacer {
@@ -39,6 +58,7 @@
   private readonly _ledger: BatchLedger;
   private readonly _groupEndpoints = new Map<string, string>();
   private readonly _avoided = new Map<string, Set<string>>();
+  private readonly _moves: ItemMoves;
   /** Items with at least this many expected tokens count as long. */
   private readonly _longTokens: number;
   private _nextMoveCheckMs = -Infinity;
@@ -48,18 +68,25 @@
     this._ports = ports;
     this._ledger = ledger;
     this._longTokens = longTokens(ledger.batch);
+    this._moves = new ItemMoves(context, ledger);
   }
 
   /** Returns the current endpoints for the batch's items; empty if the items have no route. */
   tiers(): EndpointTiers {
     const route = this._routeOfBatch();
-    const tiers = route ? this._tiersOf(route) : [];
-    return tiers.map(endpoints => new EndpointTier(endpoints));
+    if (!route) return [];
+    const options = this._speedRules(route);
+    return this._tiersOf(route).map(endpoints => new EndpointTier(endpoints, options));
   }
 
   /** Reserves a slot for the item. `ignoresGroup`: whether not to prefer the endpoint of the item's group. */
   choose(item: BatchItem, tiers: EndpointTiers, ignoresGroup = false): Endpoint | undefined {
     const avoid = this._avoided.get(item.id) ?? new Set<string>();
+    if (this._moves.isPending(item.id)) {
+      const route = this._routeOfBatch();
+      const moved = this._moves.place(item.id, route ? this._candidates(route) : [], tiers, avoid);
+      if (moved.kind !== 'unrestricted') return moved.kind === 'at' ? moved.endpoint : undefined;
+    }
     const request = {
       groupEndpointId: ignoresGroup ? undefined : this._groupEndpoints.get(item.group),
       isLong: item.expectedTokens >= this._longTokens || this._isStarted(item),
@@ -81,6 +108,21 @@
     this._groupEndpoints.set(item.group, endpoint.id);
   }
 
+  /** Records that an attempt of the item starts, which uses a slot reserved by a move. */
+  attemptStarted(item: BatchItem, endpoint: Endpoint): void {
+    this._moves.started(item.id, endpoint);
+  }
+
+  /** Records the end of an attempt, after which the item may be placed again. */
+  attemptEnded({ itemId, isAnswered }: EndedAttempt, end: AttemptEnd['kind']): void {
+    this._moves.attemptEnded(itemId, end, isAnswered);
+  }
+
+  /** Releases the slots reserved by moves. */
+  stop(): void {
+    this._moves.stop();
+  }
+
   /** Excludes the endpoint for the item until all others were tried. */
   avoid(item: BatchItem, endpoint: Endpoint): void {
     const avoided = this._avoided.get(item.id) ?? new Set<string>();
@@ -96,50 +138,58 @@
   }
 
   /**
-   * Returns attempts whose items should move to a sufficiently faster endpoint with a free slot. Returns none if called
-   * again within `MOVE_INTERVAL_MS`.
+   * Returns attempts to stop, whose items should move to a sufficiently faster endpoint with a free slot. Returns none if
+   * called again within `MOVE_INTERVAL_MS`.
    */
   dueMoves(attempts: readonly ItemAttempt[]): readonly ItemAttempt[] {
     const nowMs = this._context.clock.nowMs();
     if (nowMs < this._nextMoveCheckMs) return [];
     this._nextMoveCheckMs = nowMs + MOVE_INTERVAL_MS;
-    const candidates = this._pacedEndpoints();
-    const moving = attempts.filter(attempt => this._reserveFasterSlot(attempt, candidates));
-    for (const { itemId, endpoint } of moving) {
-      const item = this._ledger.item(itemId);
-      if (item) this.avoid(item, endpoint);
-    }
+    const route = this._routeOfBatch();
+    if (!route) return [];
+    const { isTimeSaving, paceOf } = this._speedRules(route);
+    const moving = this._moves.plan(
+      attempts,
+      { endpoints: this._candidates(route), paceOf, isTimeSaving },
+      itemId => this._avoided.get(itemId) ?? NOTHING_AVOIDED,
+    );
+    // Without a binding target, the item could be placed at the endpoint that it leaves.
+    if (!isTimeSaving) for (const attempt of moving) this._avoidEndpointOf(attempt);
     return moving;
   }
 
-  private _pacedEndpoints(): readonly PacedEndpoint[] {
-    const route = this._routeOfBatch();
-    const candidates = route ? this._candidates(route) : [];
-    return candidates
-      .map(endpoint => ({ endpoint, paceMs: endpoint.paceMs() ?? Infinity, left: endpoint.freeSlots() }))
-      .filter(({ left }) => left > 0);
+  private _avoidEndpointOf({ itemId, endpoint }: ItemAttempt): void {
+    const item = this._ledger.item(itemId);
+    if (item) this.avoid(item, endpoint);
   }
 
   /**
-   * Reserves a slot at a faster endpoint for the attempt's item, if there is one. Without the reservation, all items of
-   * a slow endpoint would move to the same slot.
+   * True where attempts are costly because connections are scarce, or where endpoints report their speed, so that the
+   * time saved by a move can be compared with its cost.
    */
-  private _reserveFasterSlot(attempt: ItemAttempt, candidates: readonly PacedEndpoint[]): boolean {
-    const { endpoint, itemId } = attempt;
-    const paceMs = endpoint.paceMs();
-    if (paceMs === undefined || endpoint.isLeaving) return false;
-    const avoid = this._avoided.get(itemId);
-    const elapsedMs = attempt.elapsedMs();
-    const target = candidates.find(
-      other =>
-        other.left > 0 &&
-        other.endpoint !== endpoint &&
-        !avoid?.has(other.endpoint.id) &&
-        shouldMove(elapsedMs, paceMs, other.paceMs),
+  private _hasTimeSavingMoves(route: Route): boolean {
+    const { endpoints } = this._ports;
+    return poolsOf(route).some(
+      pool =>
+        endpoints.inPool(pool).some(({ stats }) => stats.hasReportedWorkPercent()) ||
+        hasScarceConnections(pool, this._ports),
     );
-    if (!target) return false;
-    target.left -= 1;
-    return true;
+  }
+
+  /** How the items of the route are placed and moved with regard to the speed of endpoints. */
+  private _speedRules(route: Route): SpeedRules {
+    if (!this._hasTimeSavingMoves(route))
+      return { isTimeSaving: false, paceOf: endpoint => endpoint.paceMs(), placement: MOST_FREE };
+    const paces = new Map(poolsOf(route).flatMap(pool => [...knownPaces(this._speedsOf(pool))]));
+    return { isTimeSaving: true, paceOf: endpoint => paces.get(endpoint.id), placement: KNOWN_FAST };
+  }
+
+  private _speedsOf(pool: string): Parameters<typeof knownPaces>[0] {
+    return this._ports.endpoints.inPool(pool).map(endpoint => ({
+      id: endpoint.id,
+      paceMs: endpoint.paceMs(),
+      baselinePercent: endpoint.baselinePercent(),
+    }));
   }
 
   private _routeOfBatch(): Route | undefined {
@@ -167,9 +217,8 @@
   /** Endpoints of the route's pools that are not leaving and whose weights are new enough. */
   private _candidates(route: Route): readonly Endpoint[] {
     const { model, minVersion } = this._ledger.batch;
-    return route.pools
-      .filter(share => share.weight > 0)
-      .flatMap(share => this._ports.endpoints.inPool(share.pool))
+    return poolsOf(route)
+      .flatMap(pool => this._ports.endpoints.inPool(pool))
       .filter(endpoint => !endpoint.isLeaving)
       .filter(endpoint => model === '' || endpoint.versionOf(model) >= minVersion);
   }
@@ -188,6 +237,11 @@
   }
 }
 
+/** The pools that the route's items may use. */
+function poolsOf(route: Route): readonly string[] {
+  return route.pools.filter(share => share.weight > 0).map(share => share.pool);
+}
+
 /** Returns the expected tokens from which items count as long; Infinity without estimates. */
 function longTokens(batch: Batch): number {
   const estimates = batch.items.map(item => item.expectedTokens).sort((a, b) => b - a);
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -58,6 +58,7 @@
       store: new BatchStore(this.context, this.storeClient),
       endpoints: this.endpoints,
       configuration: this.configuration,
+      hosts: this,
       client: world.client,
       forwarder: new Forwarder(this.context, this.endpoints, world.client, poison),
       poison,
