--- a/packages/batches/src/index.ts
+++ b/packages/batches/src/index.ts
@@ -11,6 +11,7 @@
 export * from './listingPolicy.js';
 export * from './model.js';
 export * from './movePolicy.js';
+export * from './modelDemand.js';
 export * from './pace.js';
 export * from './records.js';
 export * from './resultList.js';
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 /**
  * Prometheus metrics of the gateway.
  */
+import type { ConnectionEvent } from '@fuchsiahitch/clients';
 import type { ProtocolCounters } from '@fuchsiahitch/protocol';
 import { MetricsRegistry } from '@fuchsiahitch/telemetry';
 
@@ -50,6 +51,11 @@
     ['event', 'reason'],
   );
   readonly orders = this.counter('fuchsiahitch_orders_total', 'Weight orders by answer', ['answer']);
+  readonly demandUpdates = this.counter(
+    'fuchsiahitch_demand_updates_total',
+    'Announcements of the work of models, by event',
+    ['event'],
+  );
   readonly duties = this.counter('fuchsiahitch_duty_calls_total', 'Calls that are a duty, by answer', [
     'duty',
     'answer',
@@ -78,4 +84,9 @@
     LATENCY_BUCKETS_SECONDS,
     [],
   );
+
+  countConnection(connection: ConnectionEvent): void {
+    const reason = connection.event === 'opened' ? connection.reason : '';
+    this.endpointConnections.inc({ event: connection.event, reason });
+  }
 }
--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -13,6 +13,7 @@
 import { batchRoute } from './batchRoute.js';
 import type { ConfigurationService } from './configurationService.js';
 import { hasScarceConnections } from './connectionBudget.js';
+import type { DemandView } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
 import { EndpointTier, type TierOptions } from './endpointTier.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -26,6 +27,7 @@
   readonly endpoints: EndpointDirectory;
   readonly configuration: ConfigurationService;
   readonly hosts: Pick<Hosts, 'peers'>;
+  readonly demand: DemandView;
 }
 
 /** In order of preference: a tier is used only if no tier before it has a suitable free slot. */
@@ -204,8 +206,7 @@
     const candidates = this._candidates(route);
     const { model } = this._ledger.batch;
     const pool = candidates[0]?.pool ?? '';
-    const { configuration, endpoints } = this._ports;
-    const { targets, shares } = modelShares(pool, configuration, endpoints);
+    const { targets, shares } = modelShares(pool, this._ports);
     if (targets.size < 2) return [candidates];
     const own = new Set(shares.get(model) ?? []);
     return [
