--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -112,6 +112,7 @@
       poison: this._poison,
       demand,
       claimLeaseMs: claimLeaseMs(options.batchEndMs),
+      isRelaying: () => store.isRelaying(),
     };
     this._sweeper = new BatchSweeper(context, storeOf('sweep'), ports.store, options.batchReadableMs);
     this.batches = new BatchService(context, ports, this.hosts);
--- a/tests/modelDemand.spec.ts
+++ b/tests/modelDemand.spec.ts
@@ -112,7 +112,8 @@
 
 /** A configuration with two models and, for two hosts, scarce connections to endpoints with four slots. */
 function publishConfiguration(world: GatewayWorld, maxConns?: number): void {
-  const configuration = { revision: 2, route: route(), models: MODELS, maxConns };
+  const connectionLimits = maxConns === undefined ? {} : { 'gen-pool': maxConns };
+  const configuration = { revision: 2, route: route(), models: MODELS, connectionLimits };
   world.store.put(keys.configurationKey, JSON.stringify(configuration));
   for (const model of MODELS)
     world.store.put(`${keys.versionPrefix}${model}`, JSON.stringify({ model, version: 1 }));
@@ -225,7 +226,8 @@
   private _carriedOut = 0;
 
   constructor() {
-    const configuration = { revision: 2, route: route(), models: MODELS, maxConns: 12 };
+    const connectionLimits = { 'gen-pool': 12 };
+    const configuration = { revision: 2, route: route(), models: MODELS, connectionLimits };
     this.fleet.store.put(keys.configurationKey, JSON.stringify(configuration));
     for (let i = 0; i < ENDPOINTS; i++) this._versions.set(`e${i}`, new Map([[i % 2 === 0 ? 'm' : 'n', 2]]));
     this._nameVersions();
