--- a/packages/batches/src/batchKeys.ts
+++ b/packages/batches/src/batchKeys.ts
@@ -12,12 +12,18 @@
 export const CLAIM_PREFIX = `${KEY_ROOT}own/`;
 
 const POSITION_DIGITS = 7;
-/** A model's steps reuse this many keys in turn. */
+/**
+ * A model's steps reuse this many keys in turn, so that no keys accumulate in the store. A trainer has only a few open
+ * steps at a time.
+ */
 const STEP_KEYS_PER_MODEL = 4;
 /** Digits of the largest safe integer. */
 const REVISION_DIGITS = 16;
 
-/** Each client account has a namespace of its own. The separator cannot occur in the encoded identifier. */
+/**
+ * Each client account has a namespace of its own, so that the identifier of another account's batch finds nothing. The
+ * separator cannot occur in the encoded identifier.
+ */
 export function batchIdOf(accountName: string | undefined, givenId: string): string {
   const id = encodeURIComponent(givenId);
   return accountName === undefined ? id : `${strongDigest([accountName])}@${id}`;
@@ -54,7 +60,7 @@
   return `${KEY_ROOT}batch/${batchId}/progress/`;
 }
 
-/** Keys sort in the order of writing. */
+/** Keys sort by owner, the newest last, and then in the order of writing. */
 export function progressKey(batchId: string, claimRevision: number, record: number): string {
   const owner = String(claimRevision).padStart(REVISION_DIGITS, '0');
   return `${progressPrefix(batchId)}${owner}/${padded(record)}`;
--- a/packages/batches/src/batchLedger.ts
+++ b/packages/batches/src/batchLedger.ts
@@ -48,7 +48,10 @@
   readonly isTextDropped: boolean;
 }
 
-/** An item then discards its text; otherwise a text that no endpoint can continue would be retried forever. */
+/**
+ * An item then discards its text; otherwise a text that no endpoint can continue would be retried forever. These
+ * attempts avoid each other's endpoints, so that a single faulty endpoint does not cause it.
+ */
 const MAX_FRUITLESS_ATTEMPTS = 3;
 
 export class BatchLedger {
@@ -345,7 +348,7 @@
   }
 }
 
-/** Started items come before all others. */
+/** Started items come before all others, since their groups have already waited for them. */
 function startPriority(entry: Entry): number {
   const isStarted = entry.attempts > 0 || entry.progress.lastEventNumber() > 0;
   return isStarted ? Infinity : entry.item.expectedTokens;
--- a/packages/batches/src/listingPolicy.ts
+++ b/packages/batches/src/listingPolicy.ts
@@ -19,7 +19,10 @@
   }
 }
 
-/** Waits longer while no group is complete, since a trainer can use results only with their complete group. */
+/**
+ * Waits longer while no group is complete, since a trainer can use results only with their complete group. The last
+ * wanted group is listed at once: any delay of it delays the trainer's next version.
+ */
 export class CompleteGroupListing implements ListingPolicy {
   intervalMs(ledger: BatchLedger): number {
     if (ledger.isFinished()) return 0;
--- a/packages/batches/src/retryDelay.ts
+++ b/packages/batches/src/retryDelay.ts
@@ -1,7 +1,9 @@
 /**
  * Retry delays for items that failed through no fault of their own.
  *
- * The first retries are immediate, since another endpoint usually accepts the item; then the delay doubles.
+ * Without delays, an item that every endpoint refuses would be sent hundreds of times, and take slots and processor
+ * time from other items. The first retries are immediate, since another endpoint usually accepts the item; then the
+ * delay doubles.
  */
 
 const IMMEDIATE_RETRIES = 2;
--- a/packages/batches/src/storedEvents.ts
+++ b/packages/batches/src/storedEvents.ts
@@ -9,7 +9,7 @@
 import type { GeneratedEvent } from './itemProgress.js';
 import { MAX_RECORD_UNITS } from './records.js';
 
-/** Shorter incomplete texts are not stored. */
+/** Shorter incomplete texts are not stored: an endpoint generates this many events in about a second. */
 const MIN_STORED_EVENTS = 20;
 /** JSON escapes quotes and line feeds, which at most doubles a typical text. */
 const UNITS_PER_CHARACTER = 2;
--- a/packages/duties/src/dutyHandover.ts
+++ b/packages/duties/src/dutyHandover.ts
@@ -3,7 +3,8 @@
  *
  * Targets that don't check fencing tokens must not be called by two hosts about the same subject within a bound. A
  * holder that releases its duty stores the time since its last action on each subject, so that its successor waits for
- * those subjects only.
+ * those subjects only. Without the record, a successor waits out the bound for every subject, which would stop weight
+ * orders for seconds at each planned restart.
  */
 import * as z from 'zod';
 
--- a/packages/entry/src/rolloutService.ts
+++ b/packages/entry/src/rolloutService.ts
@@ -45,6 +45,7 @@
 const RENEW_PERIOD_MS = 3000;
 const MIN_SHARE = 0.01;
 
+/** Even a busy engine answers within one or two round trips. */
 const ENGINE_REPORT_TIMEOUT_MS = 500;
 
 /** Why no sample was produced. `engine-ended`: the engine terminated before it generated a token. */
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -52,7 +52,10 @@
 const STORE_TIMEOUT_MS = 1000;
 /** Retry interval for items that no endpoint had a free slot for. */
 const PLACE_INTERVAL_MS = 25;
-/** Attempts started in one turn of the event loop. Bounds the event loop lag. */
+/**
+ * Attempts started in one turn of the event loop. Bounds the event loop lag: a host with a fraction of a processor core
+ * that starts a whole batch in one turn reads no data for hundreds of milliseconds.
+ */
 const MAX_STARTS_PER_TURN = 16;
 /** An endpoint that refused an item, because it is full or loading weights, receives no items for this long. */
 const REFUSAL_PAUSE_MS = 250;
@@ -241,8 +244,8 @@
   }
 
   /**
-   * Cancels attempts that no endpoint has answered, since their requests may not be written yet. Answered attempts
-   * continue.
+   * Cancels attempts that no endpoint has answered, since their requests may not be written yet: connecting takes up to
+   * a second, and a blocked process writes even later. Answered attempts continue.
    */
   private _cancelUnanswered(): false {
     this._scoring.interrupt();
--- a/packages/gateway/src/batchStore.ts
+++ b/packages/gateway/src/batchStore.ts
@@ -76,6 +76,7 @@
 
 /** The platform's store accepts 32 writes per transaction. Two of them are the claim and the step record. */
 const MAX_PARTS = 30;
+/** Short, so that a write is retried many times within an outage of seconds. */
 const RETRY_MS = 200;
 
 export class BatchStore {
@@ -271,7 +272,9 @@
 
   /**
    * Creates a key if the claim is unchanged. If the key already has this value, an earlier attempt has written it; the
-   * claim is then checked separately, since it may have changed after that write.
+   * claim is then checked separately, since it may have changed after that write. Without the check, an owner that lost
+   * its batch would take the earlier write as confirmation of its claim, and tell readers that there are no more
+   * results.
    */
   private async _createOnce(
     batchId: string,
--- a/packages/gateway/src/batchSweeper.ts
+++ b/packages/gateway/src/batchSweeper.ts
@@ -1,6 +1,7 @@
 /**
- * Removes the records of batches that have passed their retention time. All hosts sweep without coordination: removing a
- * record twice is harmless.
+ * Removes the records of batches that have passed their retention time. All hosts sweep without coordination: removing
+ * a record twice is harmless. Without removal, the store would hold every batch ever submitted, and finally refuse
+ * writes.
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import { CLAIM_PREFIX, parseClaim } from '@fuchsiahitch/batches';
@@ -8,6 +9,7 @@
 import type { BatchStore } from './batchStore.js';
 import type { GatewayContext } from './gatewayContext.js';
 
+/** Each sweep of a host lists all claims in one call. */
 const SWEEP_INTERVAL_MS = 120_000;
 const CALL_TIMEOUT_MS = 3000;
 /** Batches removed per sweep; the next sweep removes the rest. */
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -73,7 +73,9 @@
   readonly leftMs: number;
 }
 
+/** Applies if neither the caller nor the route limits the time. */
 const DEFAULT_TIMEOUT_MS = 30_000;
+/** When all endpoints are full, a slot becomes free within the duration of a few requests. */
 export const RETRY_AFTER_MS = 300;
 
 /** The shorter of the caller's wait time and the route's timeout. */
--- a/packages/gateway/src/claimLease.ts
+++ b/packages/gateway/src/claimLease.ts
@@ -1,9 +1,10 @@
 /**
  * Lease on the claim of a batch, renewed by each answer of the store that confirms the claim.
  *
- * An owner that can't reach the store does not learn that another host has taken its batch over or ended it. Once the
- * lease has expired, it sends no new requests, which bounds how long items are sent after another host has confirmed
- * the end of the batch. Attempts that an endpoint has answered continue, and their results are listed later.
+ * An owner that can't reach the store does not learn that another host has taken its batch over or ended it. Checking
+ * the claim from time to time would not help, since the check would fail as well. Once the lease has expired, it sends
+ * no new requests, which bounds how long items are sent after another host has confirmed the end of the batch. Attempts
+ * that an endpoint has answered continue, and their results are listed later.
  */
 import { Deadline, sleep, type Clock } from '@fuchsiahitch/base';
 import type { BatchStore, HeldClaim } from './batchStore.js';
@@ -13,11 +14,17 @@
 const RENEW_AFTER_MS = 1100;
 /** A short lease is renewed after this fraction of its duration, which leaves time for one retry. */
 const RENEW_FRACTION = 0.6;
-/** Time for requests that were written just before the lease expired to reach their endpoints. */
+/**
+ * Time for requests that were written just before the lease expired to reach their endpoints. Attempts that are not
+ * answered when the lease expires are cancelled.
+ */
 const SEND_MARGIN_MS = 1000;
 /** Interval at which the lease is checked for renewal, and at which failed renewals are retried. */
 const CHECK_INTERVAL_MS = 125;
-/** Leaves time for a retry before the lease expires. */
+/**
+ * A slow store answers within 0.3 s. An unresponsive one must be abandoned early enough for a retry through a peer to
+ * be answered at about the time when the lease expires.
+ */
 const RENEW_TIMEOUT_MS = 700;
 /**
  * An owner returns an empty page only if the store confirmed its claim this recently: a result that was read at one
--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -10,9 +10,15 @@
 import type { CallerLimits, FleetConfiguration, RecordDecoder, RecordKeys } from './ports.js';
 import { StoreMirror, type MirrorSource } from './storeMirror.js';
 
-/** An unresponsive watch is restarted early enough for a change to be in force within two seconds. */
+/**
+ * An unresponsive watch is restarted early enough for a change to be in force within two seconds. A longer wait would
+ * save calls, but callers would receive 404 for a new route for seconds after it was accepted.
+ */
 const WATCH_TIMINGS = { waitMs: 1000, responseGraceMs: 600, spacingMs: 0 };
-/** With an older view, access is `unsure` instead of denied, so that the caller may retry at another host. */
+/**
+ * With an older view, access is `unsure` instead of denied, so that the caller may retry at another host; callers treat
+ * a denial as final. A connected host receives a new configuration within about two seconds.
+ */
 const MAX_DENIAL_AGE_MS = 3000;
 /** Signal reader for the operators' rules, which have no state conditions. */
 const noSignals = (): number => 0;
--- a/packages/gateway/src/dutyLease.ts
+++ b/packages/gateway/src/dutyLease.ts
@@ -24,9 +24,10 @@
 const LAST_HOLDER_GRACE_MS = 700;
 /**
  * Delay between consecutive candidates, so that they don't all call the store when a key becomes free. Long enough for
- * a candidate to see that an earlier one has acquired the key.
+ * a candidate to see that an earlier one has acquired the key, which takes 0.25 s and the time of two calls.
  */
 const ACQUIRE_STEP_MS = 400;
+/** Later candidates all wait equally long: it is unlikely that this many earlier ones fail at once. */
 const MAX_ACQUIRE_STEPS = 8;
 /** While hosts start, their views of the peers differ, and several may consider themselves the first candidate. */
 const ACQUIRE_JITTER_MS = 150;
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -7,9 +7,15 @@
 import { ConcurrencyLimit, EndpointStats } from '@fuchsiahitch/requests';
 import type { EndpointInfo, EndpointLoad } from './ports.js';
 
-/** Age up to which a load report is used; other hosts' requests change the load. */
+/**
+ * Age up to which a load report is used. Other hosts' requests change the load within a second, and an older report
+ * would keep slots unused that are free again.
+ */
 const REPORTED_LOAD_VALID_MS = 1000;
-/** Upper bound of the ejection of an endpoint whose requests failed. */
+/**
+ * Upper bound of the ejection of an endpoint whose requests failed. Shorter than a typical outage, since a probe only
+ * costs one request, which is then retried elsewhere.
+ */
 const MAX_EJECTION_MS = 2000;
 /** A weight load that is not visible by then is assumed to have failed. */
 const LOAD_TIMEOUT_MS = 2500;
@@ -17,11 +23,15 @@
 /** How long a version from an answer takes precedence over the endpoint's record: two heartbeats and a margin. */
 const ANSWER_VALID_MS = 2500;
 
-/** How long an endpoint is avoided after a connection failed or another instance answered at its address. */
+/**
+ * How long an endpoint is avoided after a connection failed or another instance answered at its address. The record of
+ * a terminated endpoint expires within seconds; if only the network was interrupted, the endpoint is soon tried again.
+ */
 const UNREACHABLE_BACKOFF_MS = 1000;
 
 /** How long after its last event a pace measured by this host takes precedence over reports of other hosts. */
 const OWN_PACE_VALID_MS = 3000;
+/** Steps begin every few seconds, and slow endpoints recover within ten seconds. */
 const REPORTED_PACE_VALID_MS = 10_000;
 
 /** A weight version in an answer that is older than the version known before. */
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -44,9 +44,12 @@
   readonly number: number;
 }
 
-/** Limits hedged requests to a share of all requests. */
+/** Limits hedged requests to a share of all requests, so that hedging never doubles the load. */
 const HEDGE_BUDGET = { share: 0.2, burst: 10 };
-/** Share of an endpoint's slots that background requests leave to callers. */
+/**
+ * Share of an endpoint's slots that background requests leave to callers. A batch that ends requests many scores within
+ * a second, more than the slots of an endpoint.
+ */
 const CALLER_RESERVED_SHARE = 0.5;
 /** Retry delay for requests that exceed their account's fair share. */
 const OVERLOAD_RETRY_MS = 500;
--- a/packages/gateway/src/hostChangeLog.ts
+++ b/packages/gateway/src/hostChangeLog.ts
@@ -3,6 +3,7 @@
  */
 import type { GatewayContext } from './gatewayContext.js';
 
+/** Hosts of a failure domain are added and removed within a few hundred milliseconds of each other. */
 const AGGREGATION_MS = 250;
 
 export class HostChangeLog {
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -29,6 +29,7 @@
 
 /** Bounds the time until a failed host is detected. Briefly paused hosts must not lose their leases. */
 const HOST_LEASE = { ttlMs: 2000, renewMs: 600 };
+/** More than the restarts per day of a fleet of several hundred hosts. */
 const MAX_TERMINATED_PROCESSES = 1000;
 const MIRROR_OPTIONS = { prefix: LIVE_PREFIX, waitMs: 4000, spacingMs: 0 };
 
--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -35,7 +35,10 @@
 
 /** Share of the items that are treated as long. Larger than the expected share, since estimates are inexact. */
 const LONG_ITEM_FRACTION = 0.25;
-/** The search for faster endpoints is too expensive to run at every placement. */
+/**
+ * The search for faster endpoints is too expensive for a small host to run at every placement. A measured pace changes
+ * more slowly than this.
+ */
 const MOVE_INTERVAL_MS = 250;
 
 const MOST_FREE = new MostFreePlacement();
@@ -200,7 +203,7 @@
 
   /**
    * Returns the endpoints assigned to the batch's model, then all others. Without the split, batches of two trainers
-   * would fill the same endpoints.
+   * would fill the same endpoints before their owners learn of each other's load.
    */
   private _tiersOf(route: Route): readonly (readonly Endpoint[])[] {
     const candidates = this._candidates(route);
--- a/packages/gateway/src/itemScoring.ts
+++ b/packages/gateway/src/itemScoring.ts
@@ -29,6 +29,7 @@
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
 const SERVER_ERROR = 500;
+/** Several times the longest usual duration of a score. A late score is requested again. */
 const SCORE_TIMEOUT_MS = 1000;
 
 export class ItemScoring {
--- a/packages/gateway/src/orphanRecovery.ts
+++ b/packages/gateway/src/orphanRecovery.ts
@@ -1,6 +1,7 @@
 /**
  * Reassigns the open batches of terminated hosts without waiting for a reader to trigger a takeover: the trainers of an
- * isolated failure domain may be unable to reach any other host.
+ * isolated failure domain may be unable to reach any other host. Their steps would otherwise be delayed by the duration
+ * of the isolation, since the owners in that domain cannot list results.
  *
  * Only the live host with the lowest identifier lists the claims, so that the cost does not depend on the fleet size.
  * It spreads the batches over all hosts.
--- a/packages/gateway/src/paceUpdates.ts
+++ b/packages/gateway/src/paceUpdates.ts
@@ -7,6 +7,7 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { CallRegistry, Hosts } from './hostDirectory.js';
 
+/** An update that takes longer is outdated when it arrives. */
 const PEER_TIMEOUT_MS = 500;
 
 export class PaceUpdates {
--- a/packages/gateway/src/poisonRecords.ts
+++ b/packages/gateway/src/poisonRecords.ts
@@ -3,7 +3,8 @@
  * each trial.
  *
  * Terminations are written unconditionally and have one key each, so repeated and delayed writes are harmless. Trials
- * are claimed by a conditional write, so that only one host runs each. Leases outlive the writing process.
+ * are claimed by a conditional write, so that only one host runs each. Leases outlive the writing process, since
+ * the host that writes a mark may be the next to fail. The keys are under `LIVE_PREFIX`, which all hosts watch already.
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import type { RevisionedStore, Write } from '@fuchsiahitch/clients';
--- a/packages/gateway/src/reachabilityMonitor.ts
+++ b/packages/gateway/src/reachabilityMonitor.ts
@@ -2,7 +2,8 @@
  * Detects that this host is isolated from the store and from the hosts of all other failure domains.
  *
  * An isolated host reports not ready, so that the load balancer sends its callers to other domains, whose hosts take
- * over its batches. If only the store is unreachable, the host remains ready, since other domains are affected as well.
+ * over its batches; otherwise callers would continue to reach a domain that can neither read nor write their batches.
+ * If only the store is unreachable, the host remains ready, since other domains are affected as well.
  *
  * After event loop lag, replies may have arrived without being read. Pending I/O is therefore read before the store or
  * a round of probes counts as unanswered.
--- a/packages/gateway/src/relayedStore.ts
+++ b/packages/gateway/src/relayedStore.ts
@@ -1,5 +1,7 @@
 /**
- * Store client that relays calls through a peer while this host cannot reach the store directly.
+ * Store client that relays calls through a peer while this host cannot reach the store directly. The store may refuse a
+ * single host, or the network may isolate the host from the store alone; without the relay, its batches could be
+ * neither listed nor ended, although other hosts reach the store.
  *
  * Writes are conditional, so that resending one whose outcome is unknown through a peer is safe.
  */
@@ -29,7 +31,7 @@
 const RELAY_SLACK_MS = 300;
 /** Maximum time of a direct call before it counts as failed. */
 const DIRECT_TIMEOUT_MS = 900;
-/** An unanswered call with a shorter timeout does not count as a store failure. */
+/** An unanswered call with a shorter timeout does not count as a store failure: a slow store takes 0.3 s. */
 const CONCLUSIVE_TIMEOUT_MS = 600;
 /** Time for which a peer is skipped after a failed relay. */
 const PEER_PAUSE_MS = 2000;
--- a/packages/gateway/src/retirement.ts
+++ b/packages/gateway/src/retirement.ts
@@ -9,7 +9,10 @@
 import type { Logger } from '@fuchsiahitch/telemetry';
 
 const CALL_TIMEOUT_MS = 1500;
-/** Bounds the time until an unresponsive connection is detected. */
+/**
+ * Bounds the time until an unresponsive connection is detected. A watch takes far fewer calls than polling every two
+ * seconds, and answers earlier.
+ */
 const WATCH_WAIT_MS = 15_000;
 const RETRY_MS = 500;
 
--- a/packages/gateway/src/sharedWatch.ts
+++ b/packages/gateway/src/sharedWatch.ts
@@ -1,5 +1,6 @@
 /**
- * Shares one store watch among the hosts of a failure domain, to bound the number of store calls in large fleets.
+ * Shares one store watch among the hosts of a failure domain, to bound the number of store calls in large fleets. With
+ * a watch per host, calls grow with the fleet, and with its square while all hosts start and each writes its own key.
  *
  * The host with the lowest identifier watches the store. The other hosts follow it, with one call at a time for all
  * prefixes. A follower watches the store itself for a while if the watching host does not respond or has a stale view.
--- a/packages/gateway/src/storeMirror.ts
+++ b/packages/gateway/src/storeMirror.ts
@@ -1,8 +1,9 @@
 /**
  * Local copy of one prefix of the store, updated by a watch.
  *
- * Every watch has a timeout. The prefix is read completely if the store has compacted the changes since the last
- * revision. The last view is retained while the store is unreachable.
+ * Every watch has a timeout, since a watch may become unresponsive without an error. The prefix is read completely if
+ * the store has compacted the changes since the last revision. The last view is retained while the store is
+ * unreachable, so that an outage is not mistaken for an empty fleet.
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import type { RevisionedStore, StoredValue } from '@fuchsiahitch/clients';
@@ -31,6 +32,7 @@
 /** Allows for a round trip to a slow store. */
 const RESPONSE_GRACE_MS = 1500;
 const SNAPSHOT_TIMEOUT_MS = 1500;
+/** Short compared with the seconds within which changes must be known. */
 const RETRY_MS = 250;
 
 export class StoreMirror {
--- a/packages/gateway/src/usageRecords.ts
+++ b/packages/gateway/src/usageRecords.ts
@@ -2,7 +2,7 @@
  * Store records of the usage reports: the content of each window and the progress of the reports.
  *
  * The content of a window is decided and stored before it is first sent, so that a successor of a failed reporter sends
- * the same content again.
+ * the same content again. Otherwise the platform could receive two different reports of one window.
  */
 import { Deadline, err, ok, type Result } from '@fuchsiahitch/base';
 import { KEY_ROOT } from '@fuchsiahitch/batches';
--- a/packages/gateway/src/watchFeed.ts
+++ b/packages/gateway/src/watchFeed.ts
@@ -5,6 +5,7 @@
 
 /** Holds several seconds of changes of a pool with hundreds of endpoints. */
 const MAX_EVENTS = 2000;
+/** A shorter watch would only check that the store is available. */
 const MIN_WAIT_MS = 100;
 
 export interface WatchedPrefix {
--- a/packages/gateway/src/watchedPrefixes.ts
+++ b/packages/gateway/src/watchedPrefixes.ts
@@ -9,7 +9,10 @@
 import type { RecordDecoder, RecordKeys } from './ports.js';
 import type { WatchedPrefix } from './watchFeed.js';
 
-/** `validMs` covers the wait of a watch and up to 0.4 s until a slow store answers. */
+/**
+ * A wait of one second costs each domain one call per second and prefix. `validMs` covers the wait of a watch and up to
+ * 0.4 s until a slow store answers.
+ */
 const URGENT = { waitMs: 1000, validMs: 1400 };
 /** Host leases are renewed every 0.6 s by other calls, which detect an unresponsive store earlier. */
 const HOSTS = { waitMs: 4000, validMs: 5500, spacingMs: 250 };
--- a/packages/listener/src/statusServer.ts
+++ b/packages/listener/src/statusServer.ts
@@ -1,8 +1,8 @@
 /**
  * Serves readiness to a load balancer and metrics to operators.
  *
- * Readiness is answered by Node's HTTP server. The metrics application is loaded on the first request for it, which
- * keeps startup time and memory low.
+ * Readiness is requested once a second and metrics rarely or never. Readiness is therefore answered by Node's HTTP
+ * server. The metrics application is loaded on the first request for it, which keeps startup time and memory low.
  */
 import http from 'node:http';
 import { listenAt, messageOf } from '@fuchsiahitch/base';
--- a/packages/membership/src/leavingEndpoints.ts
+++ b/packages/membership/src/leavingEndpoints.ts
@@ -1,6 +1,7 @@
 /**
  * Tracks which endpoints are leaving, as reported by the endpoints themselves or by peers. An endpoint that is leaving
- * stays so until it restarts.
+ * stays so until it restarts: the platform's list may be outdated or unreachable, and must not restore an endpoint that
+ * is leaving.
  */
 import type { Clock } from '@fuchsiahitch/base';
 import * as z from 'zod';
--- a/packages/metering/src/clockEstimator.ts
+++ b/packages/metering/src/clockEstimator.ts
@@ -1,6 +1,9 @@
 /**
  * Estimates true time as the median of the hosts' wall clocks, some of which may be wrong or jump. Bounded error: half
  * the difference between the two middle clocks, plus the transit time of a message.
+ *
+ * Each wall clock is compared with the monotonic clock of this process, which never jumps, so that a wrong wall clock
+ * of this host has no more influence than any other.
  */
 
 /** Long enough to cover several messages of a host. */
--- a/packages/orders/src/loadChoice.ts
+++ b/packages/orders/src/loadChoice.ts
@@ -47,7 +47,8 @@
 }
 
 /**
- * Limits the number of concurrent loads over all failure domains.
+ * Limits the number of concurrent loads over all failure domains. More concurrent loads slow each other down and occupy
+ * endpoints that the running step needs.
  *
  * The hosts that give orders in different domains do not coordinate: each computes the same window of due endpoints and
  * gives orders to those of its own domain. An endpoint that stays in the window for `skipAfterMs` no longer counts, so
--- a/packages/orders/src/swapPlanner.ts
+++ b/packages/orders/src/swapPlanner.ts
@@ -43,7 +43,7 @@
   readBack: undefined,
   readMs: -Infinity,
 };
-/** The default, about the duration of a swap. */
+/** The default, about the duration of a swap. More frequent reads would cost traffic and rarely show a change. */
 const READ_BACK_INTERVAL_MS = 500;
 const MS_PER_SECOND = 1000;
 
--- a/packages/protocol/src/frameCodec.ts
+++ b/packages/protocol/src/frameCodec.ts
@@ -7,7 +7,7 @@
 const LENGTH_BYTES = 4;
 /** Frame size limit on authenticated connections. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
-/** Frame size limit before authentication. */
+/** Frame size limit before authentication, so that an unknown peer cannot make a host buffer more. */
 export const MAX_HELLO_BYTES = 1024;
 
 /** A framing error. It closes the connection. */
--- a/packages/requests/src/endpointStats.ts
+++ b/packages/requests/src/endpointStats.ts
@@ -78,7 +78,10 @@
       this._openBreaker(INITIAL_OPEN_MS);
   }
 
-  /** Counts as neither success nor failure. After a cancelled probe, the next request becomes the probe. */
+  /**
+   * Counts as neither success nor failure. After a cancelled probe, the next request becomes the probe; otherwise the
+   * endpoint would never be used again.
+   */
   cancelled(isRollout: boolean): void {
     this._inFlight -= 1;
     if (isRollout) this._rolloutInFlight -= 1;
--- a/packages/requests/src/poisonCases.ts
+++ b/packages/requests/src/poisonCases.ts
@@ -1,9 +1,13 @@
 /**
  * Poison requests: requests that crash every endpoint that runs them.
  *
- * Each termination of an endpoint is counted for all requests that ran there. After two terminations a request is held
- * until the endpoints have restarted, then tried once in the whole fleet. An answer clears the request; another
- * termination condemns it, so that it is refused instead of retried.
+ * A crash looks like a broken connection. Without these cases, the request would be retried at the next endpoint and
+ * sent again by its caller, until every endpoint of the pool has crashed.
+ *
+ * Each termination of an endpoint is counted for all requests that ran there, including those that merely ran at the
+ * same time. Terminations alone therefore do not condemn a request. After two terminations a request is held until the
+ * endpoints have restarted, then tried once in the whole fleet. An answer clears the request; another termination
+ * condemns it, so that it is refused instead of retried.
  */
 import type { Clock } from '@fuchsiahitch/base';
 import { targetOfFingerprint } from './requestFingerprint.js';
@@ -28,8 +32,13 @@
   return mark.kind === 'end' ? `end-${mark.startId}` : `trial-${mark.number}`;
 }
 
+/** One termination may have any cause; two already affect two thirds of a pool of three endpoints. */
 const MIN_TERMINATIONS = 2;
-/** The first delay lets endpoints restart. The number of trials is limited because each may cost an endpoint. */
+/**
+ * The first delay lets endpoints restart, which takes about two seconds, so that the trial does not crash the last
+ * endpoint of a small pool. The later trials only detect whether the endpoints were repaired. The number of trials is
+ * limited because each may cost an endpoint and all requests that run there.
+ */
 const TRIAL_DELAYS_MS = [2000, 60_000, 600_000] as const;
 /** Terminations further apart than this are not counted together. */
 const CASE_RETENTION_MS = 600_000;
--- a/packages/requests/src/requestFingerprint.ts
+++ b/packages/requests/src/requestFingerprint.ts
@@ -13,7 +13,10 @@
   readonly bodyBytes?: number;
 }
 
-/** Returns the prefix of the fingerprint, which covers the request line and body length and does not need the body. */
+/**
+ * Returns the prefix of the fingerprint, which covers the request line and body length and does not need the body.
+ * Lookups compare it first, since the complete fingerprint is slow to compute for a body of several megabytes.
+ */
 export function targetDigest(request: RequestIdentity): string {
   const { host, method, target } = request;
   const bodyBytes = request.bodyBytes ?? request.body?.length ?? 0;
--- a/packages/requests/src/slotMap.ts
+++ b/packages/requests/src/slotMap.ts
@@ -7,6 +7,7 @@
 import { hash32, rendezvous } from '@fuchsiahitch/base';
 import * as z from 'zod';
 
+/** With 33 hosts, each owns about four slots and holds the copies of another four. */
 export const SLOTS_PER_DOMAIN = 128;
 /** The maximum number of earlier generations per slot that may still hold records. */
 const MAX_OLDER_GENERATIONS = 16;
@@ -136,7 +137,11 @@
     return this._reassigned(entry, owner, copy, older);
   }
 
-  /** Moves the copy, or else swaps owner and copy. Waits until the earlier generations were trimmed if there are many. */
+  /**
+   * Moves the copy, or else swaps owner and copy. Waits until the earlier generations were trimmed if there are many.
+   * Waiting until all are trimmed would cost one map write per host for each join, since only owners know which slots
+   * are settled.
+   */
   private _rebalanced(entry: SlotEntry, slot: number): SlotEntry {
     const older = this._olderGenerations(entry, slot);
     if (older.length > TRIM_LENGTH) return entry;
--- a/packages/rules/src/model.ts
+++ b/packages/rules/src/model.ts
@@ -12,7 +12,7 @@
 
 /** The minimum share of a pool's slots that is reserved for customer-facing requests. */
 export const CUSTOMER_RESERVE_FLOOR = 0.2;
-/** The maximum number of retries that a rule may allow. */
+/** The maximum number of retries that a rule may allow. More would multiply the load when endpoints fail. */
 export const MAX_RETRIES = 3;
 
 const name = z
--- a/packages/rules/src/ruleHistory.ts
+++ b/packages/rules/src/ruleHistory.ts
@@ -1,6 +1,7 @@
 /**
  * The active rules of a host, whose revision never decreases: a document is accepted only if its revision is
- * higher, and an edit only if it is the next one.
+ * higher, and an edit only if it is the next one. Otherwise a watch that skips a revision, a store restored from an
+ * older copy, or an outdated peer could reactivate old rules.
  */
 import { applyEdit, type Edit } from './edit.js';
 import { EMPTY_DOCUMENT, type RuleDocument } from './model.js';
--- a/packages/steps/src/model.ts
+++ b/packages/steps/src/model.ts
@@ -1,6 +1,7 @@
 /**
  * A step requests a number of samples for the prompt of each of its groups. A slot is one position in a group and
- * is filled by exactly one sample. Each attempt at a slot has its own sample identifier.
+ * is filled by exactly one sample. Each attempt at a slot has its own sample identifier, so that a later attempt is not
+ * mistaken for an earlier one.
  */
 import * as z from 'zod';
 
--- a/packages/telemetry/src/enableRoarr.ts
+++ b/packages/telemetry/src/enableRoarr.ts
@@ -1,4 +1,5 @@
 /**
- * Enables roarr, which reads this variable when it is loaded. Must be imported before roarr.
+ * Enables roarr, which reads this variable when it is loaded and otherwise drops every line silently. Must be imported
+ * before roarr.
  */
 process.env.ROARR_LOG = 'true';
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -18,8 +18,9 @@
 }
 
 const LEVEL_ORDER: Readonly<Record<LogLevel, number>> = { debug: 0, info: 1, warn: 2, error: 3 };
-/** Lines are dropped beyond this, so that a stalled log collector does not exhaust the memory. */
+/** About 2,000 lines. Lines are dropped beyond this, so that a stalled log collector does not exhaust the memory. */
 const MAX_PENDING_BYTES = 512 * 1024;
+/** Sustained rate. Limits the processor time that logging takes on a small host. */
 const LINES_PER_SECOND = 300;
 const BURST_LINES = 2000;
 const MS_PER_SECOND = 1000;
