--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -44,9 +44,12 @@
   readonly number: number;
 }
 
-/** Limits hedged requests to a share of all requests. */
+/** Limits hedged requests to a share of all requests, so that hedging never doubles the load. */
 const HEDGE_BUDGET = { share: 0.2, burst: 10 };
-/** Share of an endpoint's slots that background requests leave to callers. */
+/**
+ * Share of an endpoint's slots that background requests leave to callers. A batch that ends requests many scores within
+ * a second, more than the slots of an endpoint.
+ */
 const CALLER_RESERVED_SHARE = 0.5;
 /** Retry delay for requests that exceed their account's fair share. */
 const OVERLOAD_RETRY_MS = 500;
@@ -220,7 +223,7 @@
     return this._hedgeBudget.take();
   }
 
-  /** Chooses the endpoint for an attempt; if all are at their limit, the least loaded one. */
+  /** Chooses the endpoint for an attempt; if all are at their limit, the one with the least expected time. */
   chooseEndpoint(route: Route, tried: ReadonlySet<string>, isBackground = false): Endpoint | undefined {
     const pool = this._drawPool(route);
     const endpoints = preferReachable(this._endpoints.inPool(pool), tried).filter(
@@ -239,7 +242,7 @@
     const picked = this._picker.pick(endpoints, request);
     if (picked) return this._endpoints.get(picked.id);
     if (isBackground) return undefined;
-    return leastLoaded(endpoints.filter(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)));
+    return fastest(endpoints.filter(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)));
   }
 
   /** Runs one attempt until its answer is complete. */
@@ -417,9 +420,10 @@
   return preferred.some(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)) ? preferred : endpoints;
 }
 
-function leastLoaded(endpoints: readonly Endpoint[]): Endpoint | undefined {
-  let least: Endpoint | undefined;
+/** The endpoint with the least expected time; the least loaded one where no percentage is reported. */
+function fastest(endpoints: readonly Endpoint[]): Endpoint | undefined {
+  let found: Endpoint | undefined;
   for (const endpoint of endpoints)
-    if (!least || endpoint.stats.estimatedLoad() < least.stats.estimatedLoad()) least = endpoint;
-  return least;
+    if (!found || endpoint.stats.expectedTime() < found.stats.expectedTime()) found = endpoint;
+  return found;
 }
