Batches: shorter search for a home

The end of asking a host decides in one function whether the next is asked. A comment says when the maximum lag of the last seconds stays in effect.

--- a/packages/gateway/src/batchHomes.ts
+++ b/packages/gateway/src/batchHomes.ts
@@ -135,23 +135,16 @@
     const skipped: Owner[] = [];
     if (sizeOf(batch) > MAX_FORWARDED_BYTES) return { asked, skipped, outcome: 'oversized' };
     const askDeadline = deadline.atMost(Math.min(MAX_ASK_MS, deadline.remainingMs() - OWN_WRITE_MS));
-    let outcome: HomeOutcome | undefined;
     for (const host of hosts) {
-      if (asked.length === MAX_ASKED_HOSTS) break;
-      if (this._isPaused(host)) {
-        skipped.push(host);
-        continue;
+      if (this._isPaused(host)) skipped.push(host);
+      else if (askDeadline.remainingMs() < MIN_ASK_MS)
+        return { asked, skipped, outcome: asked.at(-1)?.end ?? 'no-time' };
+      else {
+        asked.push(await this._ask(host, batch, askDeadline.remainingMs()));
+        if (!mayAskNext(asked)) break;
       }
-      if (askDeadline.remainingMs() < MIN_ASK_MS) {
-        outcome ??= 'no-time';
-        break;
-      }
-      const answer = await this._ask(host, batch, askDeadline.remainingMs());
-      asked.push(answer);
-      outcome = answer.end;
-      if (outcome !== 'declined' && outcome !== 'not-sent') break;
     }
-    return { asked, skipped, outcome: outcome ?? (skipped.length > 0 ? 'paused' : 'self') };
+    return { asked, skipped, outcome: asked.at(-1)?.end ?? (skipped.length > 0 ? 'paused' : 'self') };
   }
 
   /** Returns other hosts for a batch that this host gives up, the most preferred first. Excludes paused hosts. */
@@ -229,6 +222,12 @@
   return `${hostId}/${incarnation}`;
 }
 
+/** True if no host that was asked has a write pending, and another one may be asked. */
+function mayAskNext(asked: readonly Asked[]): boolean {
+  const end = asked.at(-1)?.end;
+  return asked.length < MAX_ASKED_HOSTS && (end === 'declined' || end === 'not-sent');
+}
+
 /** Estimates the size of the message that carries the batch. */
 function sizeOf(batch: Batch): number {
   let bytes = 0;
--- a/packages/gateway/src/batchSubmissions.ts
+++ b/packages/gateway/src/batchSubmissions.ts
@@ -139,7 +139,10 @@
     });
   }
 
-  /** `recentLagMs` is a maximum over up to 5 s, in which the trainer submits its next step. */
+  /**
+   * `recentLagMs` is a maximum over up to 5 s, in which the trainer submits its next step. It stays in effect while the
+   * loop still has any measurable lag, also a small one, since the monitor has no maximum over a shorter time.
+   */
   private _currentLagMs(): number {
     const { clock, eventLoop } = this._context;
     return eventLoop.hasNoLagSince(clock.nowMs() - LAG_VIEW_MS) ? 0 : eventLoop.recentLagMs();
