--- a/packages/gateway/src/recentAcceptances.ts
+++ b/packages/gateway/src/recentAcceptances.ts
@@ -10,8 +10,7 @@
 export type AcceptanceState = 'accepted' | 'unknown';
 
 /**
- * Assumed limit of the time after which a store executes a write whose caller has stopped waiting. Not
- * measured.
+ * Assumed limit of the time after which a store executes a write whose caller has stopped waiting.
  */
 const RETENTION_MS = 60_000;
 /** Bounds memory. Four trainers that submit every 4 s to a store that never answers reach 60 batches. */
