Reading pass: reasons of constants, names, and shorter functions

Cause: several comments gave figures of one deployment or only the price of a value as its reason, some called numbers "figures" or described an earlier behaviour, and a long method mixed a decision with its log line.

Change: comments state a reason or a plain description. `ModelWorkFigure` is `RecentWork`, `LAG_VIEW_MS` is `LAG_RECOVERY_MS`. Behaviour, log texts and metrics are unchanged.

--- a/packages/batches/src/baselineSpeed.ts
+++ b/packages/batches/src/baselineSpeed.ts
@@ -5,7 +5,7 @@
  * only slow it down. The lowest of several reports is therefore the speed of the endpoint itself.
  */
 
-/** How long a report counts. Bounds the effect of a low figure after the endpoint itself has become slower. */
+/** How long a report counts. Bounds the effect of a low percentage after the endpoint itself has become slower. */
 const WINDOW_MS = 10_000;
 /** Reports are combined into slots of this duration, so that memory does not grow with the number of reports. */
 const SLOT_MS = 500;
--- a/packages/batches/src/homeHosts.ts
+++ b/packages/batches/src/homeHosts.ts
@@ -71,7 +71,7 @@
 
 /** With more lag, the owner delays the reading of events and the start of items. */
 const MAX_LOOP_LAG_MS = 200;
-/** More than two steps of two trainers. The limit keeps the owner responsive on a host with a quarter of a core. */
+/** More than two steps of each of two trainers. The limit keeps the owner responsive on a small host. */
 const MAX_OPEN_ITEMS = 600;
 
 /** Returns why a host can't own another batch, or undefined if it can. Bounds the load of homes shared by trainers. */
--- a/packages/batches/src/idleTimeouts.ts
+++ b/packages/batches/src/idleTimeouts.ts
@@ -19,9 +19,7 @@
 const ABANDON_MS = 1200;
 /** The number of missed events after which the endpoint is suspect. */
 const SUSPECT_MISSED_EVENTS = 8;
-/**
- * More than twice an ordinary pause: garbage collection or a burst of prompts takes about 150 ms.
- */
+/** More than twice an ordinary pause: garbage collection or a burst of prompts takes about 150 ms. */
 const MIN_SUSPECT_MS = 350;
 
 /** `paceMs`: the time between two events at the endpoint; undefined while not measured. */
--- a/packages/batches/src/modelDemand.ts
+++ b/packages/batches/src/modelDemand.ts
@@ -10,13 +10,13 @@
 
 /** Steps whose mean is a model's work. A single step varies with the lengths of its longest items. */
 const AVERAGED_STEPS = 3;
-/** The averaged steps and those still running: a step is due 7.5 s after its submission, the next one follows after 4 s. */
+/** The averaged steps and those still running, since a step is submitted before the previous one has ended. */
 const KEPT_STEPS = 8;
-/** More than three steps. A trainer without a step for this long has probably stopped. */
+/** Longer than several steps. A trainer without a step for this long has probably stopped. */
 const DEMAND_VALID_MS = 30_000;
 
-/** The work of one model. */
-export interface ModelWorkFigure {
+/** The work of one model, as last announced. */
+export interface RecentWork {
   /** Mean of the last steps. */
   readonly work: number;
   /** Time since the last announcement about the model. */
@@ -26,7 +26,7 @@
 /** The work of the models of a pool, all in the same unit. */
 export interface PoolDemand {
   readonly unit: 'events' | 'tokens';
-  readonly models: ReadonlyMap<string, ModelWorkFigure>;
+  readonly models: ReadonlyMap<string, RecentWork>;
 }
 
 /**
@@ -34,10 +34,10 @@
  * yet, counts as an average one. Otherwise the first trainer would get nearly all endpoints, and the next ones would
  * cause their loads again.
  */
-export function workOfModels({ models: figures }: PoolDemand, models: readonly string[]): ModelWork {
-  const known = [...figures.values()].map(({ work }) => work);
+export function workOfModels({ models: recentWork }: PoolDemand, models: readonly string[]): ModelWork {
+  const known = [...recentWork.values()].map(({ work }) => work);
   const mean = known.reduce((sum, work) => sum + work, 0) / known.length;
-  return new Map(models.map(model => [model, figures.get(model)?.work ?? mean]));
+  return new Map(models.map(model => [model, recentWork.get(model)?.work ?? mean]));
 }
 
 interface Step {
@@ -95,7 +95,7 @@
     models: readonly string[],
     amountOf: (step: Step) => number | undefined,
   ): PoolDemand | undefined {
-    const figures = new Map<string, ModelWorkFigure>();
+    const recentWork = new Map<string, RecentWork>();
     for (const model of models) {
       const steps = this._stepsOf(pool, model);
       // A batch without events was ended before it ran, and one without tokens has no estimates: neither tells the
@@ -105,9 +105,9 @@
       if (averaged.length === 0) return undefined;
       const work = averaged.reduce((sum, amount) => sum + amount, 0) / averaged.length;
       const ageMs = this._clock.nowMs() - Math.max(...steps.map(step => step.atMs));
-      figures.set(model, { work, ageMs });
+      recentWork.set(model, { work, ageMs });
     }
-    return { unit, models: figures };
+    return { unit, models: recentWork };
   }
 
   private _stepsOf(pool: string, model: string): readonly Step[] {
--- a/packages/batches/src/weightedShares.ts
+++ b/packages/batches/src/weightedShares.ts
@@ -16,9 +16,12 @@
 
 /** Ratio of paces from which endpoints count as clearly different. Measured paces of equal endpoints vary less. */
 const CLEAR_PACE_RATIO = 1.5;
-/** Difference of two models from their exact shares, in endpoints and in sum, from which endpoints are moved. */
+/** Endpoints are moved if the surplus of one model plus the deficit of another is at least this many endpoints. */
 const MIN_DIFFERENCE = 2;
-/** Ratio of work from which endpoints are moved; smaller variations occur between the steps of one trainer. */
+/**
+ * Ratio from which the work of two models, in total or per endpoint, counts as different. Smaller variations occur
+ * between the steps of one trainer.
+ */
 const MIN_WORK_RATIO = 1.1;
 /** Surplus of fast endpoints from which a model gives one to a model that has none. */
 const MIN_FAST_SURPLUS = 2;
@@ -165,7 +168,7 @@
   }
 }
 
-/** True if the receiver lacks so much compared with the giver that it justifies loads. */
+/** True if the receiver lacks so many endpoints compared with the giver that moving them is worth the loads. */
 function isDifferenceClear(giver: Share<PacedEndpoint>, receiver: Share<PacedEndpoint>): boolean {
   const [given, received] = [giver.endpoints.length, receiver.endpoints.length];
   if (received === 0) return true;
--- a/packages/entry/src/endpointService.ts
+++ b/packages/entry/src/endpointService.ts
@@ -9,10 +9,7 @@
 import type { HostContext } from './hostContext.js';
 import type { MembershipService } from './membershipService.js';
 
-/**
- * One endpoint is polled per interval, so that the traffic does not grow with the number of endpoints. With 16
- * endpoints, each is polled every 6.4 s.
- */
+/** One endpoint is polled per interval, so that the traffic does not grow with the number of endpoints. */
 const REPORT_INTERVAL_MS = 400;
 /** Minimum time between two polls of the same endpoint. */
 const MIN_REPORT_PERIOD_MS = 2000;
--- a/packages/gateway/src/batchHandover.ts
+++ b/packages/gateway/src/batchHandover.ts
@@ -9,7 +9,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { Hosts } from './hostDirectory.js';
 
-/** A takeover costs two calls to the store and one read of the batch. */
+/** Allows for the takeover: two calls to the store and one read of the batch. */
 const ADOPT_TIMEOUT_MS = 1500;
 const MAX_SUCCESSORS = 3;
 /** The last successor is a random host, since the preferred ones may fail for the same reason. */
--- a/packages/gateway/src/batchSubmissions.ts
+++ b/packages/gateway/src/batchSubmissions.ts
@@ -36,12 +36,12 @@
 
 const RETRY_AFTER_MS = 1000;
 /**
- * After this time without lag, a host accepts batches again. One late turn of its event loop otherwise sends the next
- * step of a trainer, which follows after 4 s, to another host.
+ * After this time without lag, a host accepts batches again. Shorter than the interval of a trainer's steps: one late
+ * turn of the event loop would otherwise send the next step to another host.
  */
-const LAG_VIEW_MS = 1000;
+const LAG_RECOVERY_MS = 1000;
 /**
- * The interval at which the store is tried. With no more time left than this, an acceptance that has failed is not
+ * The interval at which a write to the store is retried. With no more time left than this, a failed acceptance is not
  * repeated; otherwise each of many joined submissions with the same deadline would try again in turn.
  */
 const MIN_WRITE_MS = 200;
@@ -141,11 +141,11 @@
 
   /**
    * `recentLagMs` is a maximum over up to 5 s, in which the trainer submits its next step. It stays in effect while the
-   * loop still has any measurable lag, also a small one, since the monitor has no maximum over a shorter time.
+   * loop still has any measurable lag, since the monitor has no maximum over a shorter time.
    */
   private _currentLagMs(): number {
     const { clock, eventLoop } = this._context;
-    return eventLoop.hasNoLagSince(clock.nowMs() - LAG_VIEW_MS) ? 0 : eventLoop.recentLagMs();
+    return eventLoop.hasNoLagSince(clock.nowMs() - LAG_RECOVERY_MS) ? 0 : eventLoop.recentLagMs();
   }
 
   /** Accepts a batch at this host. Not `not-run` if the write of an earlier acceptance may have been executed. */
--- a/packages/gateway/src/batchSweeper.ts
+++ b/packages/gateway/src/batchSweeper.ts
@@ -9,7 +9,7 @@
 import type { BatchStore } from './batchStore.js';
 import type { GatewayContext } from './gatewayContext.js';
 
-/** Each sweep of a host lists all claims in one call. */
+/** Long, because every host lists all claims in each sweep. A late removal only delays the release of storage. */
 const SWEEP_INTERVAL_MS = 120_000;
 const CALL_TIMEOUT_MS = 3000;
 /** Batches removed per sweep; the next sweep removes the rest. */
--- a/packages/gateway/src/demandUpdates.ts
+++ b/packages/gateway/src/demandUpdates.ts
@@ -21,7 +21,7 @@
 const PEER_TIMEOUT_MS = 500;
 /**
  * A host that has just started receives the demand of all models within this time: two steps of each trainer. Until
- * then it changes no endpoint's model. With equal shares, a restarted order holder would undo the shares of the others.
+ * then it changes no endpoint's model; a restarted holder of weight orders would otherwise return to equal shares.
  */
 const STARTUP_MS = 10_000;
 
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -31,7 +31,7 @@
 
 /** How long after its last event a pace measured by this host takes precedence over reports of other hosts. */
 const OWN_PACE_VALID_MS = 3000;
-/** Steps begin every few seconds, and slow endpoints recover within ten seconds. */
+/** Covers the time between steps. Ends early enough for an endpoint that has recovered to be used again. */
 const REPORTED_PACE_VALID_MS = 10_000;
 
 /** A weight version in an answer that is older than the version known before. */
--- a/packages/gateway/src/eventLoopMonitor.ts
+++ b/packages/gateway/src/eventLoopMonitor.ts
@@ -9,12 +9,12 @@
  */
 import type { CancelTimer, Clock } from '@fuchsiahitch/base';
 
-/** Costs 20 short wake-ups per second. */
+/** About the time between two events of a stream. */
 const SAMPLE_INTERVAL_MS = 50;
 /**
  * Smaller lag is ignored. About half of the time between two events of a stream. With 50 ms, paces measured on a host
- * with little processor time were too inaccurate and items moved needlessly: a process that is limited to a third of a
- * core stands still for up to two thirds of each 100 ms.
+ * with limited processor time are inaccurate, and items move needlessly: the scheduler suspends the process for tens of
+ * milliseconds at a time.
  */
 const LAG_THRESHOLD_MS = 25;
 /** Samples that a decision waits after lag, so that endpoints can answer what was sent late: the time of two events. */
--- a/packages/gateway/src/itemMoves.ts
+++ b/packages/gateway/src/itemMoves.ts
@@ -19,9 +19,8 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { AttemptEnd, ItemAttempt } from './itemAttempt.js';
 
-/** A target that the item could not start at by then is no longer kept for it. */
+/** How long a slot is kept for an item that does not start at its target. */
 const RESERVATION_MS = 2000;
-
 /** After this time since the decision, running at a slower endpoint is better than waiting further. */
 const MAX_WAIT_MS = 2000;
 
@@ -244,26 +243,29 @@
     const reservation = target.reserveSlot(RESERVATION_MS);
     if (!reservation) return false;
     const { itemId, endpoint: source } = attempt;
-    const decidedMs = this._context.clock.nowMs();
-    const sourcePaceMs = item.paceMs;
     this._pending.get(itemId)?.reservation.release();
     this._pending.set(itemId, {
       source,
-      sourcePaceMs,
+      sourcePaceMs: item.paceMs,
       target,
       reservation,
-      decidedMs,
+      decidedMs: this._context.clock.nowMs(),
       continuedAt: undefined,
       isFailed: false,
     });
     const history = this._histories.get(itemId) ?? NO_MOVES;
     this._histories.set(itemId, { ...history, moves: item.moves + 1 });
     this._context.metrics.itemMoves.inc({ event: 'decided' });
+    this._logDecision(item, target, targetPaceMs, move);
+    return true;
+  }
+
+  private _logDecision(item: RunningItem, target: Endpoint, targetPaceMs: number, move: Move): void {
     this._context.log.info('item moves', {
       batchId: this._ledger.batch.id,
-      itemId,
-      endpointId: source.id,
-      paceMs: Math.round(sourcePaceMs),
+      itemId: item.itemId,
+      endpointId: item.endpointId,
+      paceMs: Math.round(item.paceMs),
       targetId: target.id,
       targetPaceMs: Math.round(targetPaceMs),
       isTargetMeasured: target.paceMs() !== undefined,
@@ -274,7 +276,6 @@
       move: item.moves + 1,
       failedMoves: item.failedMoves,
     });
-    return true;
   }
 }
 
--- a/packages/gateway/src/progressRecorder.ts
+++ b/packages/gateway/src/progressRecorder.ts
@@ -7,7 +7,7 @@
 import type { ClaimLease } from './claimLease.js';
 import type { GatewayContext } from './gatewayContext.js';
 
-/** A crash of the owner loses at most this much of each item's output, at the cost of one store write per second. */
+/** A crash of the owner loses at most this much of each item's output. */
 const RECORD_INTERVAL_MS = 1000;
 const STORE_TIMEOUT_MS = 1000;
 
--- a/packages/gateway/src/recentAcceptances.ts
+++ b/packages/gateway/src/recentAcceptances.ts
@@ -9,11 +9,9 @@
 /** `accepted`: the store's claim has been read since. `unknown`: the write may still be executed. */
 export type AcceptanceState = 'accepted' | 'unknown';
 
-/**
- * Assumed limit of the time after which a store executes a write whose caller has stopped waiting.
- */
+/** Assumed limit of the time after which a store executes a write whose caller has stopped waiting. */
 const RETENTION_MS = 60_000;
-/** Bounds memory. Four trainers that submit every 4 s to a store that never answers reach 60 batches. */
+/** Bounds memory. More than dozens of trainers submit within the retention time. */
 const MAX_BATCHES = 1000;
 
 interface Entry {
--- a/packages/gateway/src/shareMonitor.ts
+++ b/packages/gateway/src/shareMonitor.ts
@@ -43,15 +43,15 @@
         const key = `${pool}\n${model}`;
         counts.set(key, count);
         if (this._counts.get(key) === count) continue;
-        const figure = demand?.models.get(model);
+        const recent = demand?.models.get(model);
         this._context.log.info('model share', {
           pool,
           model,
           count,
           before: this._counts.get(key),
-          work: figure && Math.round(figure.work),
+          work: recent && Math.round(recent.work),
           unit: demand?.unit,
-          demandAgeMs: figure && Math.round(figure.ageMs),
+          demandAgeMs: recent && Math.round(recent.ageMs),
         });
       }
     }
--- a/packages/gateway/src/watchedPrefixes.ts
+++ b/packages/gateway/src/watchedPrefixes.ts
@@ -10,8 +10,8 @@
 import type { WatchedPrefix } from './watchFeed.js';
 
 /**
- * A wait of one second costs each domain one call per second and prefix. `validMs` covers the wait of a watch and up to
- * 0.4 s until a slow store answers.
+ * Followers detect a failed watching host within two seconds. `validMs` covers the wait of a watch and up to 0.4 s
+ * until a slow store answers.
  */
 const URGENT = { waitMs: 1000, validMs: 1400 };
 /** Host leases are renewed every 0.6 s by other calls, which detect an unresponsive store earlier. */
--- a/packages/requests/src/slotMap.ts
+++ b/packages/requests/src/slotMap.ts
@@ -7,7 +7,7 @@
 import { hash32, rendezvous } from '@fuchsiahitch/base';
 import * as z from 'zod';
 
-/** With 33 hosts, each owns about four slots and holds the copies of another four. */
+/** Several for each of some dozens of hosts, so that all own about the same number. */
 export const SLOTS_PER_DOMAIN = 128;
 /** The maximum number of earlier generations per slot that may still hold records. */
 const MAX_OLDER_GENERATIONS = 16;
--- a/tests/batchHomeSteps.spec.ts
+++ b/tests/batchHomeSteps.spec.ts
@@ -1,11 +1,11 @@
 /**
  * Which output of the previous step a home uses: that in its memory only if it is complete and of the right batch.
  */
-import tap from 'tap';
+import tap, { type Test } from 'tap';
 import { err, sleep } from '@fuchsiahitch/base';
 import { BATCH, read } from './batchCalls.js';
 import { batch } from './gatewayFixtures.js';
-import type { GatewayHost } from './gatewayHosts.js';
+import type { GatewayHost, GatewayWorld } from './gatewayHosts.js';
 import { startScarceHosts, submitAt, type ScarceHosts } from './homeHostCalls.js';
 
 /** Starts hosts whose items generate an event every 20 ms. */
@@ -31,6 +31,19 @@
   };
 }
 
+/** Submits the next step at the home and checks that each item continues after the events of the previous step. */
+async function testContinuation(t: Test, world: GatewayWorld, home: GatewayHost): Promise<void> {
+  const before = world.client.items.length;
+  t.equal(await submitAt(world, home, batch('b2', BATCH.items, { step: 2 })), 'accepted');
+  await world.clock.advance(300);
+  const calls = world.client.items.slice(before);
+  t.equal(calls.length, 3);
+  t.ok(
+    calls.every(({ afterEvent }) => afterEvent >= 30),
+    calls.map(({ afterEvent }) => afterEvent).join(),
+  );
+}
+
 for (const [name, isFailure] of [
   ['have not been read yet', false],
   ['could not be read', true],
@@ -56,15 +69,7 @@
     t.ok(isReady());
     // The items of the previous batch have started again, or start later than those of the next one.
     await world.clock.advance(10);
-    const before = world.client.items.length;
-    t.equal(await submitAt(world, home, batch('b2', BATCH.items, { step: 2 })), 'accepted');
-    await world.clock.advance(300);
-    const calls = world.client.items.slice(before);
-    t.equal(calls.length, 3);
-    t.ok(
-      calls.every(({ afterEvent }) => afterEvent >= 30),
-      calls.map(({ afterEvent }) => afterEvent).join(),
-    );
+    await testContinuation(t, world, home);
     await reading;
     world.stop();
   });
@@ -81,14 +86,6 @@
   home.isRelaying = false;
   await world.clock.advance(2000);
   t.equal(await world.until(next.batches.end('b1-again')), 'ended');
-  const before = world.client.items.length;
-  t.equal(await submitAt(world, home, batch('b2', BATCH.items, { step: 2 })), 'accepted');
-  await world.clock.advance(300);
-  const calls = world.client.items.slice(before);
-  t.equal(calls.length, 3);
-  t.ok(
-    calls.every(({ afterEvent }) => afterEvent >= 30),
-    calls.map(({ afterEvent }) => afterEvent).join(),
-  );
+  await testContinuation(t, world, home);
   world.stop();
 });
--- a/tests/endpointSpeed.spec.ts
+++ b/tests/endpointSpeed.spec.ts
@@ -27,7 +27,7 @@
 };
 
 await tap.test('should read the percentage of the load header, and ignore a malformed one', async t => {
-  // Fails if a figure that is not a positive number is taken for a speed, or hides the other figures.
+  // Fails if a percentage that is not a positive number is taken for a speed, or hides the other values.
   const server = new WireServer();
   const endpoint = { ...INFO, address: await server.listen() };
   const client = new PlatformEndpointClient();
@@ -192,7 +192,7 @@
 });
 
 await tap.test('should pick exactly as before where no percentage is reported', t => {
-  // Fails if deployments without the fourth figure are served differently.
+  // Fails if deployments whose endpoints report no percentage are served differently.
   const clock = new VirtualClock();
   const views = Array.from({ length: 6 }, (_, i) => view(clock, `e${i}`));
   for (const [i, one] of views.entries()) one.report(i % 4);
--- a/tests/modelDemand.spec.ts
+++ b/tests/modelDemand.spec.ts
@@ -99,7 +99,7 @@
 });
 
 await tap.test('should count a model whose trainer has not started as an average one', t => {
-  // Fails if the first trainer of a day gets nearly all endpoints, which the others then load again.
+  // Fails if the first trainer that starts gets nearly all endpoints, which the others then load again.
   const demand = new ModelDemand(new VirtualClock());
   demand.record(update('m', 'm0', 100));
   const first = demand.ofPool(POOL, ['m', 'n', 'o'], model => model === 'm');
--- a/tests/movePolicy.spec.ts
+++ b/tests/movePolicy.spec.ts
@@ -169,7 +169,7 @@
 }
 
 await tap.test('should continue a moved item at no endpoint slower than the one it left', t => {
-  // Fails if an item whose target is gone ends up slower than before, as one move in four did.
+  // Fails if an item whose target is gone ends up slower than before.
   const left = { id: 'left', paceMs: 60 };
   const continued = (...endpoints: readonly PlacementEndpoint[]): unknown =>
     continueMoved(endpoints, left, new Set(['avoided']));
--- a/tests/speedWorld.ts
+++ b/tests/speedWorld.ts
@@ -9,7 +9,7 @@
 export interface SpeedyEndpoint {
   readonly eventMs: number;
   readonly slots: number;
-  /** The fourth figure of `Server-Load`; absent if it is not reported. */
+  /** The duration of work in percent that `Server-Load` reports; absent if it is not reported. */
   readonly percent?: number | undefined;
 }
 
