Home host load test: the trainers' steps in a class of their own

Cause: one function of sixty lines set the fleet up, ran the trainers and computed the means.

Change: `TrainerLoad` runs the steps, in the same order of calls and random draws. Measurements and checks are unchanged.

--- a/tests/homeHostLoad.ts
+++ b/tests/homeHostLoad.ts
@@ -51,6 +51,54 @@
   readonly owners: number;
 }
 
+/** Trainers that submit, read and end each step at a random host of the accepting failure domains. */
+class TrainerLoad {
+  /** Number of results that were read. */
+  listed = 0;
+  /** Pairs of a trainer and a host that owned one of its batches. */
+  readonly owners = new Set<string>();
+  private readonly _fleet: GatewayFleet;
+  private readonly _accepting: readonly FleetHost[];
+  private readonly _random = new SeededRandom(11);
+
+  constructor(fleet: GatewayFleet, acceptingDomains: number) {
+    this._fleet = fleet;
+    this._accepting = fleet.hosts.filter((_, i) => i % DOMAINS < acceptingDomains);
+  }
+
+  async runTrainer(trainer: number): Promise<void> {
+    for (let step = 1; step <= STEPS; step++) {
+      const startMs = this._fleet.clock.nowMs();
+      await this._runStep(trainer, step);
+      await this._wait(Math.max(0, startMs + STEP_MS - this._fleet.clock.nowMs()));
+    }
+  }
+
+  private async _runStep(trainer: number, step: number): Promise<void> {
+    const id = `t${trainer}-${step}`;
+    const items = Array.from({ length: ITEMS }, (_, i) => item(`${id}-${i}`, { group: `g${i >> 3}` }));
+    const given = batch(id, items, { step, accountName: `trainer-${trainer}` });
+    const deadline = Deadline.after(this._fleet.clock, 3000);
+    await this._anyHost()?.gateway.batches.submit(given, deadline);
+    await this._wait(READ_AFTER_MS);
+    const read = await this._anyHost()?.gateway.batches.read(id, 0, 500);
+    if (read?.kind === 'page') this.listed += read.page.results.length;
+    const claim = JSON.parse(this._fleet.store.value(`fuchsiahitch/own/${id}`) ?? '{}') as {
+      readonly owner?: { readonly hostId: string };
+    };
+    this.owners.add(`${trainer}/${claim.owner?.hostId ?? ''}`);
+    await this._anyHost()?.gateway.batches.end(id);
+  }
+
+  private _anyHost(): FleetHost | undefined {
+    return this._accepting[this._random.below(this._accepting.length)];
+  }
+
+  private async _wait(ms: number): Promise<void> {
+    await new Promise<void>(resolve => void this._fleet.clock.after(ms, resolve));
+  }
+}
+
 /** `acceptingDomains`: the failure domains at which the submissions arrive. */
 async function measureSteps(hosts: number, isScarce: boolean, acceptingDomains: number): Promise<StepCosts> {
   const connections = new ConnectionModel();
@@ -66,34 +114,10 @@
   fleet.client.script = call => ({ events: 2 - call.afterEvent, end: { kind: 'done' }, eventMs: EVENT_MS });
   await fleet.start();
   await fleet.clock.advance(2000);
-  const random = new SeededRandom(11);
-  const accepting = fleet.hosts.filter((_, i) => i % DOMAINS < acceptingDomains);
-  const anyHost = (): FleetHost | undefined => accepting[random.below(accepting.length)];
+  const load = new TrainerLoad(fleet, acceptingDomains);
   // The idle fleet makes the same calls in each run.
   const before = countsOf(fleet);
-  const owners = new Set<string>();
-  let listed = 0;
-  const runTrainer = async (trainer: number): Promise<void> => {
-    for (let step = 1; step <= STEPS; step++) {
-      const id = `t${trainer}-${step}`;
-      const items = Array.from({ length: ITEMS }, (_, i) => item(`${id}-${i}`, { group: `g${i >> 3}` }));
-      const given = batch(id, items, { step, accountName: `trainer-${trainer}` });
-      const startMs = fleet.clock.nowMs();
-      const deadline = Deadline.after(fleet.clock, 3000);
-      await anyHost()?.gateway.batches.submit(given, deadline);
-      await new Promise<void>(resolve => void fleet.clock.after(READ_AFTER_MS, resolve));
-      const read = await anyHost()?.gateway.batches.read(id, 0, 500);
-      if (read?.kind === 'page') listed += read.page.results.length;
-      const claim = JSON.parse(fleet.store.value(`fuchsiahitch/own/${id}`) ?? '{}') as {
-        readonly owner?: { readonly hostId: string };
-      };
-      owners.add(`${trainer}/${claim.owner?.hostId ?? ''}`);
-      await anyHost()?.gateway.batches.end(id);
-      const leftMs = Math.max(0, startMs + STEP_MS - fleet.clock.nowMs());
-      await new Promise<void>(resolve => void fleet.clock.after(leftMs, resolve));
-    }
-  };
-  const running = Promise.all(Array.from({ length: TRAINERS }, (_, i) => runTrainer(i)));
+  const running = Promise.all(Array.from({ length: TRAINERS }, (_, i) => load.runTrainer(i)));
   await fleet.clock.advance(STEPS * STEP_MS + 3000);
   await running;
   const after = countsOf(fleet);
@@ -103,8 +127,8 @@
     connections: connections.opened / steps,
     storeCalls: (after.storeCalls - before.storeCalls) / steps,
     peerCalls: (after.peerCalls - before.peerCalls) / steps,
-    listed: listed / steps,
-    owners: owners.size / TRAINERS,
+    listed: load.listed / steps,
+    owners: load.owners.size / TRAINERS,
   };
 }
 
