Capacity policy that restores a pool after it lost endpoints

Cause: nothing replaces reclaimed endpoints; the pool stays small and items wait seconds for a slot.

--- a/packages/capacity/src/capacityPolicy.ts
+++ b/packages/capacity/src/capacityPolicy.ts
@@ -5,6 +5,8 @@
 
 export interface CapacityPolicy {
   readonly name: string;
+  /** True if it needs `PoolView.shortage`, and wants numbers of regular endpoints instead of all. */
+  readonly usesBase?: boolean;
   /** Deterministic, so that successive holders of the duty agree. */
   wanted(pool: PoolView): WantedCapacity;
 }
--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -2,3 +2,5 @@
 export * from './capacityPolicy.js';
 export * from './model.js';
 export * from './orderTracker.js';
+export * from './poolBase.js';
+export * from './restoreCapacity.js';
--- a/packages/capacity/src/model.ts
+++ b/packages/capacity/src/model.ts
@@ -20,6 +20,50 @@
   readonly models: number;
   /** Number of serving endpoints by failure domain. */
   readonly present: ReadonlyMap<string, number>;
+  /** Comparison with the complete pool; absent while that is unknown, or for policies that don't use it. */
+  readonly shortage?: PoolShortage | undefined;
+  /** Domains in which no further endpoints may be ordered now, because the last order failed. */
+  readonly backingOff?: ReadonlySet<string>;
+}
+
+/** Numbers of endpoints by kind. */
+export interface EndpointCounts {
+  readonly regular: number;
+  /** Endpoints that the platform may reclaim at short notice. */
+  readonly reclaimable: number;
+}
+
+/** What a pool lacks compared with its base: the endpoints of each kind and domain that it had when complete. */
+export interface PoolShortage {
+  readonly domains: ReadonlyMap<string, DomainShortage>;
+  /** Number of endpoints of the base in all domains. */
+  readonly baseTotal: number;
+  /** Lowest number of missing endpoints in the recent past, without those that replace them. */
+  readonly missing: number;
+  /** Time for which the base has been complete; 0 while endpoints are missing. */
+  readonly completeForMs: number;
+}
+
+export interface DomainShortage {
+  readonly base: EndpointCounts;
+  readonly present: EndpointCounts;
+  /** Regular endpoints that the platform runs for others than the policy. An order below it would remove some. */
+  readonly floor: number;
+  /** Additional regular endpoints that were ordered and are expected to serve, or do. */
+  readonly planned: number;
+  /** Upper bound of the additional regular endpoints, including those of orders with an unknown outcome. */
+  readonly added: number;
+  /** Regular endpoints below the base that left after draining, as in a release or a planned scale-in. */
+  readonly withdrawn: number;
+  /** Time since the number of endpoints last fell for another reason than an order. */
+  readonly sinceLossMs: number;
+}
+
+/** The part of a pool's state that outlives the holder of the duty. */
+export interface CapacityRecord {
+  readonly base: ReadonlyMap<string, EndpointCounts>;
+  /** Upper bound of the additional regular endpoints by domain. */
+  readonly added: ReadonlyMap<string, number>;
 }
 
 /** Wanted number of endpoints by failure domain; a domain that is not listed remains unchanged. */
--- a/packages/capacity/src/orderTracker.ts
+++ b/packages/capacity/src/orderTracker.ts
@@ -12,6 +12,8 @@
   /** Pause of a subject after the first failed order; doubles with each further failure. */
   readonly initialBackoffMs: number;
   readonly maxBackoffMs: number;
+  /** Whether an order is also repeated if more endpoints than wanted remain, since an earlier one was executed late. */
+  readonly repeatsReductions?: boolean;
 }
 
 /** Outcome of an order. `none-left`: the platform has no more endpoints. `unsure`: it may have been received. */
@@ -50,7 +52,15 @@
     const sinceMs = nowMs - last.atMs;
     if (last.end !== 'accepted') return sinceMs >= this._backoffMs(last.failures);
     if (last.count !== wanted) return true;
-    return present < wanted && sinceMs >= Math.max(OVERDUE_FACTOR * bootMs, this._options.maxBackoffMs);
+    const isUnfulfilled = this._options.repeatsReductions === true ? present !== wanted : present < wanted;
+    return isUnfulfilled && sinceMs >= Math.max(OVERDUE_FACTOR * bootMs, this._options.maxBackoffMs);
+  }
+
+  /** Returns true during the pause that follows a failed order. */
+  isBackingOff(subject: string): boolean {
+    const last = this._subjects.get(subject);
+    if (!last || last.end === 'accepted') return false;
+    return this._clock.nowMs() - last.atMs < this._backoffMs(last.failures);
   }
 
   recordOrder(subject: string, count: number, end: CapacityOrderOutcome): void {
--- /dev/null
+++ b/packages/capacity/src/restoreCapacity.ts
@@ -0,0 +1,101 @@
+/**
+ * Policy that replaces lost endpoints of a pool by regular ones.
+ */
+import type { CapacityPolicy } from './capacityPolicy.js';
+import type { DomainShortage, PoolScaling, PoolShortage, PoolView, WantedCapacity } from './model.js';
+
+/**
+ * Endpoints are ordered if more than this part of the base is missing. A release replaces endpoints one by one and
+ * stays below it.
+ */
+const MIN_MISSING_PART = 0.1;
+/** Endpoints that have returned may leave again soon; a release right after it would have to be ordered again. */
+const RELEASE_AFTER_MS = 10_000;
+/** A domain that has just lost endpoints is unlikely to have others. */
+const LOSS_BACKOFF_MS = 5000;
+
+/**
+ * Orders regular endpoints for those that are missing from the base, in the cheapest domains that may have some, and
+ * releases them when the base is complete again.
+ *
+ * Answers the load after a part of the pool was reclaimed: without replacement, the remaining endpoints have less
+ * capacity than the trainers' batches need, and items wait for seconds until they get a slot.
+ */
+export class RestoreCapacity implements CapacityPolicy {
+  readonly name = 'restore';
+  readonly usesBase = true;
+
+  wanted({ scaling, shortage, backingOff }: PoolView): WantedCapacity {
+    if (!shortage) return new Map();
+    const { domains, missing, baseTotal, completeForMs } = shortage;
+    if (missing > MIN_MISSING_PART * baseTotal)
+      return withAdditions(scaling, shortage, backingOff ?? new Set());
+    return completeForMs >= RELEASE_AFTER_MS ? withoutAdditions(domains) : new Map();
+  }
+}
+
+/** The policy's own additions may be removed, nothing else. */
+function withoutAdditions(domains: ReadonlyMap<string, DomainShortage>): WantedCapacity {
+  const added = [...domains].filter(([, domain]) => domain.added > 0);
+  return new Map(added.map(([name, { floor }]) => [name, floor]));
+}
+
+function withAdditions(
+  scaling: PoolScaling,
+  shortage: PoolShortage,
+  backingOff: ReadonlySet<string>,
+): WantedCapacity {
+  const { domains } = shortage;
+  const wanted = new Map<string, number>();
+  let left = shortage.missing;
+  for (const [name, { floor, planned }] of domains) {
+    left -= planned;
+    // Already ordered. The total is stated again so that the order is repeated if it may not have been executed.
+    if (planned > 0) wanted.set(name, floor + planned);
+  }
+  for (const name of candidates(scaling, shortage, backingOff)) {
+    const domain = domains.get(name) ?? EMPTY_DOMAIN;
+    const before = domain.floor + domain.planned;
+    const count = Math.min(left, scaling.max - reclaimableOf(domain) - before);
+    if (count <= 0) continue;
+    wanted.set(name, Math.max(scaling.min, before + count));
+    left -= count;
+  }
+  return wanted;
+}
+
+/** Domains in which endpoints may be ordered, the cheapest first. */
+function candidates(
+  { prices }: PoolScaling,
+  { domains, missing, baseTotal }: PoolShortage,
+  backingOff: ReadonlySet<string>,
+): readonly string[] {
+  const names = [...prices]
+    .sort(([nameA, priceA], [nameB, priceB]) => priceA - priceB || (nameA < nameB ? -1 : 1))
+    .map(([name]) => name)
+    // Ordering the base of a domain from which endpoints were withdrawn would undo a planned scale-in.
+    .filter(name => !backingOff.has(name) && (domains.get(name)?.withdrawn ?? 0) === 0);
+  const withoutLoss = names.filter(name => (domains.get(name)?.sinceLossMs ?? Infinity) >= LOSS_BACKOFF_MS);
+  const isLossEverywhere = [...prices.keys()].every(
+    name => (domains.get(name)?.sinceLossMs ?? Infinity) < LOSS_BACKOFF_MS,
+  );
+  // If endpoints were lost everywhere, an immediate refusal costs no more than waiting. If most are lost at once,
+  // however, it is more likely that their records are missing for a moment.
+  return isLossEverywhere && missing < baseTotal / 2 ? names : withoutLoss;
+}
+
+/** Reclaimable endpoints that count for the domain's limit; lost ones may return. */
+function reclaimableOf({ base, present }: DomainShortage): number {
+  return Math.max(base.reclaimable, present.reclaimable);
+}
+
+const NO_ENDPOINTS = { regular: 0, reclaimable: 0 };
+const EMPTY_DOMAIN: DomainShortage = {
+  base: NO_ENDPOINTS,
+  present: NO_ENDPOINTS,
+  floor: 0,
+  planned: 0,
+  added: 0,
+  withdrawn: 0,
+  sinceLossMs: Infinity,
+};
--- a/packages/gateway/src/dutyOptions.ts
+++ b/packages/gateway/src/dutyOptions.ts
@@ -1,7 +1,7 @@
 /**
  * Options of the platform duties of a host, from its settings.
  */
-import { CapacityByModel, KeepCapacity, type CapacityPolicy } from '@fuchsiahitch/capacity';
+import { CapacityByModel, KeepCapacity, RestoreCapacity, type CapacityPolicy } from '@fuchsiahitch/capacity';
 import type { CapacityOptions } from './capacityOrders.js';
 import type { PlatformDuties } from './ports.js';
 import type { UsageServiceOptions } from './usageService.js';
@@ -19,19 +19,36 @@
   readonly capacity: CapacityOptions | undefined;
 }
 
-/** `endpointsPerModel`: 0 disables capacity orders. */
+export const capacityPolicyNames = ['keep', 'by-model', 'restore'] as const;
+
+/** Values of the program flags. */
+export interface CapacityPolicyFlags {
+  /** Undefined for the default: `by-model` if a number of endpoints per model is set, otherwise `restore`. */
+  readonly 'capacity-policy'?: (typeof capacityPolicyNames)[number] | undefined;
+  /** With 0, `by-model` orders nothing. */
+  readonly 'endpoints-per-model': number;
+}
+
 export function dutyOptions(
   { usage, ordersCapacity, handoverMs }: DutySettings,
   duties: PlatformDuties,
-  endpointsPerModel: number,
+  flags: CapacityPolicyFlags,
 ): DutyOptions {
-  const policy = capacityPolicy(endpointsPerModel);
+  const policy = capacityPolicy(flags);
   return {
     usage: usage && { ...usage, duties, handoverMs },
     capacity: ordersCapacity ? { policy, duties, handoverMs } : undefined,
   };
 }
 
-function capacityPolicy(endpointsPerModel: number): CapacityPolicy {
-  return endpointsPerModel > 0 ? new CapacityByModel(endpointsPerModel) : new KeepCapacity();
+function capacityPolicy(flags: CapacityPolicyFlags): CapacityPolicy {
+  const endpointsPerModel = flags['endpoints-per-model'];
+  switch (flags['capacity-policy'] ?? (endpointsPerModel > 0 ? 'by-model' : 'restore')) {
+    case 'keep':
+      return new KeepCapacity();
+    case 'by-model':
+      return endpointsPerModel > 0 ? new CapacityByModel(endpointsPerModel) : new KeepCapacity();
+    case 'restore':
+      return new RestoreCapacity();
+  }
 }
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -63,6 +63,11 @@
     return this._mirror.ageMs();
   }
 
+  /** Time since the store last failed to answer; records may have expired meanwhile. */
+  sinceFailureMs(): number {
+    return this._mirror.sinceFailureMs();
+  }
+
   /** All endpoints of the pool, including leaving ones. */
   inPool(pool: string): readonly Endpoint[] {
     return [...this._endpoints.values()].filter(endpoint => endpoint.pool === pool);
--- a/packages/gateway/src/programFlags.ts
+++ b/packages/gateway/src/programFlags.ts
@@ -3,6 +3,7 @@
  */
 import { logLevels } from '@fuchsiahitch/telemetry';
 import * as z from 'zod';
+import { capacityPolicyNames } from './dutyOptions.js';
 
 const MIN_KEY_LENGTH = 16;
 
@@ -20,9 +21,13 @@
   },
   'endpoints-per-model': {
     schema: z.coerce.number().int().min(0).max(1000),
-    help: 'endpoints to order for each model of a pool that can be scaled; 0 keeps what there is',
+    help: 'endpoints that the by-model policy orders for each model of a pool that can be scaled; 0 for none',
     fallback: '0',
   },
+  'capacity-policy': {
+    schema: z.enum(capacityPolicyNames).optional(),
+    help: `one of ${capacityPolicyNames.join(', ')}; if omitted, by-model with endpoints per model, otherwise restore`,
+  },
   'trace-file': {
     schema: z.string(),
     help: 'the file that spans are written to; empty for none',
