--- a/tests/dutyStandIn.ts
+++ b/tests/dutyStandIn.ts
@@ -30,6 +30,10 @@
   readonly broken: string[] = [];
   /** Refuses all calls, as when no endpoints are left to order. */
   isSoldOut = false;
+  /** Failure domains whose orders are refused. */
+  readonly soldOutDomains = new Set<string>();
+  /** Called when an order is executed. */
+  onOrder: (order: CapacityOrder) => void = () => undefined;
   lateMs = 3000;
   private readonly _clock: Clock;
   private readonly _handoverMs: number;
@@ -43,7 +47,8 @@
   from(hostId: string): PlatformDuties {
     return {
       reportUsage: (holder, report) => this._call(hostId, holder, () => this._recordReport(report)),
-      orderCapacity: (holder, order) => this._call(hostId, holder, () => this.orders.push(order)),
+      orderCapacity: (holder, order) =>
+        this._call(hostId, holder, () => this._recordOrder(order), this.soldOutDomains.has(order.domain)),
     };
   }
 
@@ -51,14 +56,19 @@
     return [...this.reports.values()].reduce((sum, report) => sum + totalOf(report.counts), 0);
   }
 
-  private async _call(hostId: string, holder: DutyHolder, execute: () => void): Promise<DutyAnswer> {
+  private async _call(
+    hostId: string,
+    holder: DutyHolder,
+    execute: () => void,
+    isRefused = false,
+  ): Promise<DutyAnswer> {
     await sleep(this._clock, ANSWER_DELAY_MS);
     const mode = this.unreachableFrom.has(hostId) ? 'unreachable' : this.mode;
     if (mode === 'unreachable') return 'unreached';
     if (mode === 'late') return this._executeLate(execute);
     this._checkRules({ ...holder, hostId, atMs: this._clock.nowMs() });
     if (mode === 'busy') return 'busy';
-    if (this.isSoldOut) return 'refused';
+    if (this.isSoldOut || isRefused) return 'refused';
     if (mode !== 'silent') execute();
     if (mode === 'available') return 'accepted';
     await sleep(this._clock, UNANSWERED_MS);
@@ -71,6 +81,11 @@
     return 'unknown';
   }
 
+  private _recordOrder(order: CapacityOrder): void {
+    this.orders.push(order);
+    this.onOrder(order);
+  }
+
   private _recordReport(report: UsageReport): void {
     const before = this.reports.get(report.window);
     if (before && JSON.stringify(before) !== JSON.stringify(report))
