Restored capacity: order elsewhere if accepted endpoints do not arrive

Cause: a domain that accepts orders and is cut off would count as the replacement forever. Change: endpoints that are overdue no longer count as planned, and their domain counts as one with losses. The time that is left to a draining endpoint is no change of its record.

--- a/packages/capacity/src/poolBase.ts
+++ b/packages/capacity/src/poolBase.ts
@@ -21,6 +21,9 @@
 const DECREASE_MS = 30_000;
 /** Endpoints that are missing for less may have restarted. */
 const MISSING_MS = 500;
+/** Ordered endpoints that have not arrived after this multiple of their boot time, but no less than the minimum. */
+const OVERDUE_FACTOR = 3;
+const MIN_OVERDUE_MS = 15_000;
 /** An order without an answer may be executed until then. */
 const LATE_ORDER_MS = 30_000;
 
@@ -45,8 +48,8 @@
     for (const [name, added] of record?.added ?? []) this._domain(name).restoreAdditions(added, nowMs);
   }
 
-  /** Updates the numbers from a current view of all endpoints of the pool. */
-  observe(endpoints: readonly PresentEndpoint[], nowMs: number): void {
+  /** Updates the numbers from a current view of all endpoints of the pool. `bootMs`: from an order to service. */
+  observe(endpoints: readonly PresentEndpoint[], nowMs: number, bootMs: number): void {
     this._nowMs = nowMs;
     this._countWithdrawn(endpoints);
     const counts = countsOf(endpoints);
@@ -54,6 +57,8 @@
     for (const [name, domain] of this._domains)
       domain.observe(counts.get(name) ?? { regular: 0, reclaimable: 0 }, nowMs, this._isFirst);
     this._isFirst = false;
+    const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * bootMs);
+    for (const domain of this._domains.values()) domain.giveUpOverdue(nowMs, overdueMs);
     this._updateBase(nowMs);
     this._updateMissing(nowMs);
     if (this._completeForMs() < STABLE_MS) return;
@@ -245,6 +250,15 @@
     else if (this._ordered > 0) this._confirmed = this._ordered;
   }
 
+  /** Lets the policy order in other domains if this one does not deliver, as when it is cut off. */
+  giveUpOverdue(nowMs: number, overdueMs: number): void {
+    if (this._planned <= this._arrived || nowMs - this._lastAdditionMs < overdueMs) return;
+    this._planned = this._arrived;
+    this._confirmed = this._arrived;
+    this._isUncertain = true;
+    this._lastLossMs = nowMs;
+  }
+
   /** Forgets additions that are gone and can't appear any more. Call while the base is complete. */
   forgetReleased(nowMs: number): void {
     if (this.added === 0 || this._present.regular > this._floor) return;
--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -105,7 +105,7 @@
   }
 
   private _checkPool(pool: string, scaling: PoolScaling): void {
-    const base = this._bases?.observe(pool);
+    const base = this._bases?.observe(pool, scaling.bootMs);
     if (this._usesBase() && !base) return;
     const shortage = base?.shortage();
     const present = this._presentOf(pool, scaling);
--- a/packages/gateway/src/poolBases.ts
+++ b/packages/gateway/src/poolBases.ts
@@ -36,7 +36,7 @@
   }
 
   /** Updates the pool's base; undefined while the record is unread or the view of the endpoints is unreliable. */
-  observe(pool: string): PoolBase | undefined {
+  observe(pool: string, bootMs: number): PoolBase | undefined {
     const base = this._bases.get(pool);
     if (!base) {
       this._readIfDue(pool);
@@ -52,7 +52,7 @@
       isReclaimable: endpoint.info().isReclaimable === true,
       isLeaving: endpoint.isLeaving,
     }));
-    base.observe(endpoints, this._context.clock.nowMs());
+    base.observe(endpoints, this._context.clock.nowMs(), bootMs);
     return base;
   }
 
--- a/tests/dutyWire.spec.ts
+++ b/tests/dutyWire.spec.ts
@@ -76,6 +76,17 @@
   platform.close();
 });
 
+await tap.test('should order regular endpoints and take a conflict for a refusal', async t => {
+  const platform = await serve(409);
+  const order = { pool: 'gen-pool', domain: 'tekapo', count: 12 };
+  t.equal(await new DutyClient(platform.address).orderCapacity(ACT, order, TIMEOUTS), 'refused');
+  const [call] = platform.seen;
+  t.equal(call?.line, 'POST /scale');
+  t.match(call?.headers, { 'lease-holder': 'edge-1', 'fencing-token': '12' });
+  t.same(JSON.parse(call?.body ?? ''), { service: 'gen-pool', zone: 'tekapo', group_count: 12 });
+  platform.close();
+});
+
 await tap.test('should map the end of a call to its outcome', async t => {
   // -1: the request is never answered. 0: the connection is reset.
   const ends = { 429: 'busy', 503: 'busy', 500: 'busy', 400: 'refused', '-1': 'unknown', 0: 'unknown' };
--- a/tests/restoreCapacity.spec.ts
+++ b/tests/restoreCapacity.spec.ts
@@ -12,6 +12,7 @@
   type WantedCapacity,
 } from '@fuchsiahitch/capacity';
 import { dutyOptions, programFlags, type CapacityPolicyFlags } from '@fuchsiahitch/gateway';
+import { PlatformRecordDecoder } from '@fuchsiahitch/platform';
 import type { KindCounts } from './capacityPlatform.js';
 import { GatewayFleet } from './gatewayFleet.js';
 
@@ -37,7 +38,7 @@
 
   advance(ms: number): void {
     for (const endMs = this.nowMs + ms; this.nowMs < endMs; this.nowMs += 100)
-      this.base.observe([...this._present(), ...this.leaving], this.nowMs);
+      this.base.observe([...this._present(), ...this.leaving], this.nowMs, SCALING.bootMs);
   }
 
   wanted(): WantedCapacity {
@@ -177,6 +178,21 @@
   t.end();
 });
 
+await tap.test('should order elsewhere if accepted endpoints do not arrive', t => {
+  // Guards against waiting forever for a domain that accepts orders and is cut off.
+  const pool = completePool();
+  pool.counts['domain-2'] = [7, 0];
+  pool.advance(1000);
+  pool.base.orderPlanned('domain-1', 20, pool.nowMs);
+  pool.base.orderEnded('domain-1', 'accepted');
+  pool.advance(14_000);
+  t.same(pool.wantedList(), [['domain-1', 20]]);
+  pool.advance(2000);
+  t.same(pool.wantedList(), [['domain-0', 19]]);
+  t.equal(pool.base.record()?.added.get('domain-1'), 12, 'they may still arrive, and are then released');
+  t.end();
+});
+
 await tap.test('should release the additional endpoints ten seconds after the base is complete', t => {
   const pool = restoredPool();
   pool.advance(40_000);
@@ -330,6 +346,19 @@
   t.end();
 });
 
+await tap.test('should read the kind of an endpoint and ignore the time that is left to it', t => {
+  // Guards against a change of view with each heartbeat of an endpoint that is reclaimed.
+  const decoder = new PlatformRecordDecoder();
+  const record = { service: 's', address: '10.0.0.1:1', zone: 'tekapo', version: 'v', slots: 8 };
+  const valueOf = (more: object): string =>
+    JSON.stringify({ ...record, state: 'draining', cold_left_ms: 0, seq: 1, ...more });
+  t.match(decoder.endpoint('e', valueOf({ spot: true })), { isReclaimable: true, isLeaving: true });
+  t.match(decoder.endpoint('e', valueOf({})), { isReclaimable: false });
+  const [first, second] = [2500, 1300].map(leavesMs => valueOf({ spot: true, leaves_ms: leavesMs }));
+  t.equal(decoder.endpointWithoutHeartbeat(first ?? ''), decoder.endpointWithoutHeartbeat(second ?? ''));
+  t.end();
+});
+
 await tap.test('should select the policy by flag', t => {
   const settings = { usage: undefined, ordersCapacity: true, handoverMs: 3000 };
   const duties = new GatewayFleet({ hosts: 0, domains: 1, endpoints: 0 }).duties.from('host');
