Capacity base: only a planned decrease lowers it

Cause: a stable distribution with the base's total replaced the base, also in a domain whose endpoints had crashed, so that a later order stated less than the platform runs there. Each drained endpoint counted as withdrawn, also when a release had replaced it, so that crashed endpoints were taken for a scale-in.

Change: the base is raised by kind and domain. Endpoints count as withdrawn only as far as their number falls when they begin to drain, and no longer when the number rises again. No decrease is followed while the domain has additional endpoints, because these cannot be distinguished from others.

--- a/packages/capacity/src/poolBase.ts
+++ b/packages/capacity/src/poolBase.ts
@@ -33,7 +33,8 @@
 export class PoolBase {
   private readonly _domains = new Map<string, DomainState>();
   private _hasBase: boolean;
-  private _leaving = new Map<string, string>();
+  /** Identifiers of the regular endpoints that drain. */
+  private _leaving: ReadonlySet<string> = new Set();
   private _stable: { readonly counts: string; readonly sinceMs: number } | undefined;
   private _missing: readonly { readonly atMs: number; readonly count: number }[] = [];
   private _completeSinceMs: number | undefined;
@@ -51,11 +52,13 @@
   /** Updates the numbers from a current view of all endpoints of the pool. `bootMs`: from an order to service. */
   observe(endpoints: readonly PresentEndpoint[], nowMs: number, bootMs: number): void {
     this._nowMs = nowMs;
-    this._countWithdrawn(endpoints);
     const counts = countsOf(endpoints);
+    const newlyLeaving = this._newlyLeaving(endpoints);
     for (const name of counts.keys()) this._domain(name);
-    for (const [name, domain] of this._domains)
-      domain.observe(counts.get(name) ?? { regular: 0, reclaimable: 0 }, nowMs, this._isFirst);
+    for (const [name, domain] of this._domains) {
+      const present = counts.get(name) ?? { regular: 0, reclaimable: 0 };
+      domain.observe(present, newlyLeaving.get(name) ?? 0, nowMs, this._isFirst);
+    }
     this._isFirst = false;
     const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * bootMs);
     for (const domain of this._domains.values()) domain.giveUpOverdue(nowMs, overdueMs);
@@ -112,16 +115,20 @@
     return domain;
   }
 
-  private _countWithdrawn(endpoints: readonly PresentEndpoint[]): void {
-    const ids = new Set(endpoints.map(endpoint => endpoint.id));
-    for (const [id, name] of this._leaving) if (!ids.has(id)) this._domain(name).withdrawnAndGone += 1;
+  /** Number of regular endpoints that have begun to drain since the last call, by domain. */
+  private _newlyLeaving(endpoints: readonly PresentEndpoint[]): ReadonlyMap<string, number> {
     const leaving = endpoints.filter(endpoint => endpoint.isLeaving && !endpoint.isReclaimable);
-    this._leaving = new Map(leaving.map(({ id, domain }) => [id, domain]));
-    for (const domain of this._domains.values()) domain.withdrawing = 0;
-    for (const { domain } of leaving) this._domain(domain).withdrawing += 1;
+    const counts = new Map<string, number>();
+    for (const { id, domain } of leaving)
+      if (!this._leaving.has(id)) counts.set(domain, (counts.get(domain) ?? 0) + 1);
+    this._leaving = new Set(leaving.map(({ id }) => id));
+    return counts;
   }
 
-  /** The base is the last stable distribution of the highest total. */
+  /**
+   * A stable distribution of at least the base's total raises the base, and never lowers it: if endpoints crash in one
+   * domain while others appear elsewhere, the platform may still run the crashed ones.
+   */
   private _updateBase(nowMs: number): void {
     const own = [...this._domains].map(([name, domain]) => [name, domain.own()] as const);
     const counts = JSON.stringify(own);
@@ -129,8 +136,10 @@
     const total = own.reduce((sum, [, each]) => sum + totalOf(each), 0);
     if (nowMs - this._stable.sinceMs < STABLE_MS || total === 0) return;
     if (this._hasBase && total < this._baseTotal()) return;
+    for (const [name, each] of own)
+      if (this._hasBase) this._domain(name).raiseBase(each);
+      else this._domain(name).setBase(each);
     this._hasBase = true;
-    for (const [name, each] of own) this._domain(name).setBase(each);
   }
 
   private _updateMissing(nowMs: number): void {
@@ -163,9 +172,9 @@
   base: EndpointCounts = { regular: 0, reclaimable: 0 };
   /** Upper bound of the additional endpoints. */
   added = 0;
-  /** Regular endpoints that drain now, and those that have left after draining. */
-  withdrawing = 0;
-  withdrawnAndGone = 0;
+  /** Regular endpoints below the floor that were drained and not replaced. */
+  private _withdrawn = 0;
+  private _lastOwn = 0;
   private _present: EndpointCounts = { regular: 0, reclaimable: 0 };
   private _floor = 0;
   private _planned = 0;
@@ -184,6 +193,15 @@
   setBase(base: EndpointCounts): void {
     this.base = base;
     this._floor = base.regular;
+    this._lastOwn = base.regular;
+  }
+
+  raiseBase({ regular, reclaimable }: EndpointCounts): void {
+    this.base = {
+      regular: Math.max(this.base.regular, regular),
+      reclaimable: Math.max(this.base.reclaimable, reclaimable),
+    };
+    this._floor = Math.max(this._floor, this.base.regular);
   }
 
   /** The predecessor's orders may not have been executed yet. */
@@ -195,7 +213,7 @@
     this._lastAdditionMs = nowMs;
   }
 
-  observe(present: EndpointCounts, nowMs: number, isFirst: boolean): void {
+  observe(present: EndpointCounts, newlyLeaving: number, nowMs: number, isFirst: boolean): void {
     const before = isFirst ? this.base : this._present;
     if (totalOf(present) < totalOf(before) && !this._isReleased) this._lastLossMs = nowMs;
     this._present = present;
@@ -205,9 +223,9 @@
     this._arrived = this._isReleased ? beyondFloor : Math.max(this._arrived, beyondFloor);
     const own = this.own().regular;
     this._floor = Math.max(this._floor, own);
-    if (own >= this.base.regular) this.withdrawnAndGone = 0;
+    this._countWithdrawn(own, newlyLeaving);
     if (this._regular?.own !== own) this._regular = { own, sinceMs: nowMs };
-    if (nowMs - this._regular.sinceMs >= DECREASE_MS) this._followDecrease(own);
+    if (nowMs - this._regular.sinceMs >= DECREASE_MS) this._followDecrease();
   }
 
   interrupt(): void {
@@ -220,6 +238,11 @@
     return { regular: Math.max(0, regular - this._arrived), reclaimable };
   }
 
+  /** Regular endpoints of the base that were drained and not replaced. */
+  withdrawn(): number {
+    return Math.max(0, this._withdrawn - (this._floor - this.base.regular));
+  }
+
   view(nowMs: number): DomainShortage {
     return {
       base: this.base,
@@ -227,7 +250,7 @@
       floor: this._floor,
       planned: this._planned,
       added: this.added,
-      withdrawn: this._withdrawn(),
+      withdrawn: this.withdrawn(),
       sinceLossMs: nowMs - this._lastLossMs,
     };
   }
@@ -287,20 +310,23 @@
     if (!this._isUncertain) this.added = Math.max(this._confirmed, this._arrived);
   }
 
-  private _withdrawn(): number {
-    const missing = Math.max(0, this.base.regular - this.own().regular);
-    return Math.min(missing, this.withdrawnAndGone + this.withdrawing);
+  /** A lower number counts as withdrawn as far as endpoints began to drain, a higher one as their replacement. */
+  private _countWithdrawn(own: number, newlyLeaving: number): void {
+    const change = own - this._lastOwn;
+    this._lastOwn = own;
+    const withdrawn = this._withdrawn + (change < 0 ? Math.min(newlyLeaving, -change) : -change);
+    this._withdrawn = Math.max(0, Math.min(withdrawn, this._floor - own));
   }
 
   /**
    * The base follows a planned decrease only. Reclaimed and failed endpoints remain in it, so that their replacements
-   * are kept.
+   * are kept. While there are additional endpoints, it is unknown whether those that were drained belong to the base.
    */
-  private _followDecrease(own: number): void {
-    const withdrawn = this._withdrawn();
-    if (withdrawn === 0 || own >= this.base.regular) return;
-    this.setBase({ ...this.base, regular: this.base.regular - withdrawn });
-    this.withdrawnAndGone = 0;
+  private _followDecrease(): void {
+    if (this._withdrawn === 0 || this._planned > 0 || this._arrived > 0) return;
+    this._floor -= this._withdrawn;
+    this.base = { ...this.base, regular: Math.min(this.base.regular, this._floor) };
+    this._withdrawn = 0;
   }
 }
 
--- a/tests/restoreCapacity.spec.ts
+++ b/tests/restoreCapacity.spec.ts
@@ -85,6 +85,15 @@
   return pool;
 }
 
+function drainingIn(domain: string, count: number): readonly PresentEndpoint[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `x${i}`,
+    domain,
+    isReclaimable: false,
+    isLeaving: true,
+  }));
+}
+
 await tap.test('should take the base only after ten seconds without a change', t => {
   // Guards against taking the first endpoints of a starting pool for all of it.
   const pool = new ObservedPool(undefined, { 'domain-0': [1, 0] });
@@ -244,9 +253,8 @@
 
 await tap.test('should follow a planned scale-in after 30 s without undoing it', t => {
   const pool = completePool();
-  const ids = [0, 1, 2, 3, 4, 5];
   pool.counts['domain-1'] = [2, 0];
-  pool.leaving = ids.map(i => ({ id: `x${i}`, domain: 'domain-1', isReclaimable: false, isLeaving: true }));
+  pool.leaving = drainingIn('domain-1', 6);
   pool.advance(2000);
   pool.leaving = [];
   pool.advance(6000);
@@ -262,6 +270,55 @@
   t.end();
 });
 
+await tap.test('should keep the base of a domain with crashed endpoints if others appear elsewhere', t => {
+  // Guards against an order or a release that states less than the platform runs in the domain.
+  const pool = completePool();
+  pool.counts['domain-0'] = [3, 0];
+  pool.counts['domain-1'] = [12, 0];
+  pool.advance(20_000);
+  const { base } = pool.base.record() ?? {};
+  t.same(base?.get('domain-0'), { regular: 7, reclaimable: 0 });
+  t.same(base?.get('domain-1'), { regular: 12, reclaimable: 0 });
+  t.equal(pool.base.shortage()?.domains.get('domain-0')?.floor, 7);
+  t.end();
+});
+
+await tap.test('should not take crashed endpoints for withdrawn ones after a release', t => {
+  // Guards against a lower base after a release that replaced endpoints while others were missing.
+  const pool = completePool();
+  pool.counts['domain-1'] = [4, 0];
+  pool.advance(1000);
+  for (let i = 0; i < 4; i++) {
+    pool.counts['domain-1'] = [3, 0];
+    pool.leaving = [{ id: `old-${i}`, domain: 'domain-1', isReclaimable: false, isLeaving: true }];
+    pool.advance(1000);
+    // The replacement starts before or after the old endpoint has left.
+    if (i % 2 === 0) pool.leaving = [];
+    pool.advance(500);
+    pool.counts['domain-1'] = [4, 0];
+    pool.advance(500);
+    pool.leaving = [];
+    pool.advance(1000);
+  }
+  t.equal(pool.base.shortage()?.domains.get('domain-1')?.withdrawn, 0);
+  pool.advance(40_000);
+  t.equal(pool.base.shortage()?.baseTotal, 34);
+  t.end();
+});
+
+await tap.test('should follow no decrease in a domain with additional endpoints', t => {
+  // Guards against a lower base after additional endpoints were drained by others.
+  const pool = restoredPool();
+  pool.advance(1000);
+  pool.counts['domain-1'] = [15, 0];
+  pool.leaving = drainingIn('domain-1', 5);
+  pool.advance(2000);
+  pool.leaving = [];
+  pool.advance(40_000);
+  t.equal(pool.base.shortage()?.domains.get('domain-1')?.base.regular, 8);
+  t.end();
+});
+
 await tap.test('should compare with the recorded base when starting during a shortage', t => {
   const record = completePool().base.record();
   const shortCounts = { ...COUNTS, 'domain-2': [7, 0] } as const;
