Capacity base: orders include the additional endpoints that run

Cause: additional endpoints that ran could exceed the planned ones after a release was answered busy or got no answer, and after an overdue order was executed late. A later order in the domain then removed some of them while endpoints were missing. After a refused repetition, an accepted order was forgotten although it may be executed late.

Change: the planned number is at least the number that arrived. Only accepted or possibly executed releases count as such. Endpoints that an accepted smaller order removes are not taken for missing ones. The comments on refused repetitions and on missing endpoints are corrected.

--- a/packages/capacity/src/model.ts
+++ b/packages/capacity/src/model.ts
@@ -38,7 +38,7 @@
   readonly domains: ReadonlyMap<string, DomainShortage>;
   /** Number of endpoints of the base in all domains. */
   readonly baseTotal: number;
-  /** Lowest number of missing endpoints in the recent past, without those that replace them. */
+  /** Endpoints missing from the base throughout the last 500 ms; additional endpoints are not counted as present. */
   readonly missing: number;
   /** Time for which the base has been complete; 0 while endpoints are missing. */
   readonly completeForMs: number;
--- a/packages/capacity/src/poolBase.ts
+++ b/packages/capacity/src/poolBase.ts
@@ -184,6 +184,8 @@
   private _confirmed = 0;
   /** Highest number of additional endpoints that were seen. */
   private _arrived = 0;
+  /** Additional endpoints that will remain after an accepted order, until no more than these are seen. */
+  private _remaining = Infinity;
   private _isReleased = false;
   private _isUncertain = false;
   private _lastAdditionMs = -Infinity;
@@ -220,7 +222,11 @@
     const beyondFloor = Math.min(this.added, Math.max(0, present.regular - this._floor));
     // While additional endpoints are being released, their number falls. Otherwise a lower number of regular endpoints
     // means that endpoints are missing, whether or not they are additional.
-    this._arrived = this._isReleased ? beyondFloor : Math.max(this._arrived, beyondFloor);
+    this._arrived = this._isReleased
+      ? beyondFloor
+      : Math.max(beyondFloor, Math.min(this._arrived, this._remaining));
+    if (beyondFloor <= this._remaining) this._remaining = Infinity;
+    if (!this._isReleased) this._planArrived();
     const own = this.own().regular;
     this._floor = Math.max(this._floor, own);
     this._countWithdrawn(own, newlyLeaving);
@@ -248,7 +254,7 @@
       base: this.base,
       present: this._present,
       floor: this._floor,
-      planned: this._planned,
+      planned: this._expected(),
       added: this.added,
       withdrawn: this.withdrawn(),
       sinceLossMs: nowMs - this._lastLossMs,
@@ -259,7 +265,9 @@
     const additional = Math.max(0, count - this._floor);
     this._ordered = additional;
     if (additional === 0) return;
-    this.added = Math.max(additional, this._isUncertain ? this.added : 0);
+    // Endpoints that this order removes remain until they are drained.
+    this.added = Math.max(additional, this._arrived, this._isUncertain ? this.added : 0);
+    this._remaining = Infinity;
     this._planned = additional;
     this._isReleased = false;
     this._lastAdditionMs = nowMs;
@@ -268,9 +276,15 @@
   orderEnded(end: AdditionOutcome): void {
     const isRefused = end === 'none-left' || end === 'not-sent';
     this._isUncertain ||= !isRefused && end !== 'accepted';
-    if (this._ordered === 0 && !isRefused) this._release();
-    else if (this._ordered > 0 && isRefused) this._withdrawPlan(end);
-    else if (this._ordered > 0) this._confirmed = this._ordered;
+    if (this._ordered === 0) {
+      if (end === 'accepted' || end === 'unsure') this._release();
+      return;
+    }
+    if (isRefused) return this._withdrawPlan(end);
+    this._confirmed = this._ordered;
+    if (end !== 'accepted') return;
+    this._planned = this._ordered;
+    this._remaining = this._ordered;
   }
 
   /** Lets the policy order in other domains if this one does not deliver, as when it is cut off. */
@@ -295,17 +309,33 @@
     this._isUncertain = false;
   }
 
+  /** Endpoints of an order that was given up, or whose release was not executed, are part of the next total. */
+  private _planArrived(): void {
+    const arrived = Math.min(this._arrived, this._remaining);
+    this._planned = Math.max(this._planned, arrived);
+    this._confirmed = Math.max(this._confirmed, arrived);
+  }
+
+  /** Additional endpoints that an order must include in its total so that it removes none. */
+  private _expected(): number {
+    return Math.max(this._planned, Math.min(this._arrived, this._remaining));
+  }
+
   /** The additional endpoints will leave, or may do so if the order has no answer. */
   private _release(): void {
     this._isReleased = true;
+    this._remaining = Infinity;
     this._planned = 0;
     this._confirmed = 0;
   }
 
   /** Returns to what was ordered before, so that the missing endpoints can be ordered in another domain. */
   private _withdrawPlan(end: AdditionOutcome): void {
-    // If a repeated order is refused, the earlier one has not been executed either.
-    if (end === 'none-left' && this._confirmed >= this._ordered) this._confirmed = this._arrived;
+    // A refusal of a repeated order shows that the earlier one has had no effect so far. It may still be executed.
+    if (end === 'none-left' && this._confirmed >= this._ordered) {
+      this._confirmed = this._arrived;
+      this._isUncertain = true;
+    }
     this._planned = this._confirmed;
     if (!this._isUncertain) this.added = Math.max(this._confirmed, this._arrived);
   }
@@ -323,7 +353,7 @@
    * are kept. While there are additional endpoints, it is unknown whether those that were drained belong to the base.
    */
   private _followDecrease(): void {
-    if (this._withdrawn === 0 || this._planned > 0 || this._arrived > 0) return;
+    if (this._withdrawn === 0 || this._expected() > 0) return;
     this._floor -= this._withdrawn;
     this.base = { ...this.base, regular: Math.min(this.base.regular, this._floor) };
     this._withdrawn = 0;
--- a/tests/restoreCapacity.spec.ts
+++ b/tests/restoreCapacity.spec.ts
@@ -241,6 +241,78 @@
   t.end();
 });
 
+await tap.test('should keep additional endpoints whose release was not executed', t => {
+  // Guards against a smaller order in a new shortage, after a release was answered busy or got no answer.
+  for (const end of ['busy', 'unsure'] as const) {
+    const pool = restoredPool();
+    pool.advance(1000);
+    pool.counts['domain-2'] = [7, 12];
+    pool.advance(11_000);
+    pool.base.orderPlanned('domain-1', 8, pool.nowMs);
+    pool.base.orderEnded('domain-1', end);
+    pool.advance(1000);
+    pool.counts['domain-2'] = [7, 8];
+    pool.advance(1000);
+    t.same(pool.wantedList(), [['domain-1', 20]], end);
+  }
+  t.end();
+});
+
+await tap.test('should keep endpoints of an overdue order that arrive late', t => {
+  // Guards against a later order in their domain that states fewer endpoints than run there.
+  const pool = completePool();
+  pool.counts['domain-2'] = [7, 8];
+  pool.advance(1000);
+  pool.base.orderPlanned('domain-1', 12, pool.nowMs);
+  pool.base.orderEnded('domain-1', 'accepted');
+  pool.advance(17_000);
+  t.same(pool.wantedList(), [['domain-0', 11]]);
+  pool.counts['domain-1'] = [12, 0];
+  pool.advance(1000);
+  t.same(pool.wantedList(), [['domain-1', 12]]);
+  pool.counts['domain-2'] = [7, 6];
+  pool.advance(6000);
+  t.same(pool.wantedList(), [['domain-1', 14]]);
+  t.end();
+});
+
+await tap.test('should not take endpoints for missing that a smaller order removed', t => {
+  // Guards against an order for additional endpoints that were removed on purpose.
+  const pool = restoredPool();
+  pool.advance(1000);
+  pool.counts['domain-2'] = [7, 8];
+  pool.base.orderPlanned('domain-1', 12, pool.nowMs);
+  pool.base.orderEnded('domain-1', 'accepted');
+  pool.advance(1000);
+  t.equal(pool.base.shortage()?.domains.get('domain-1')?.floor, 8, 'before they are drained');
+  pool.counts['domain-1'] = [12, 0];
+  pool.advance(1000);
+  t.equal(pool.base.shortage()?.missing, 4);
+  t.same(pool.wantedList(), [['domain-1', 12]]);
+  pool.counts['domain-1'] = [20, 0];
+  pool.advance(1000);
+  t.same(pool.wantedList(), [['domain-1', 20]], 'an earlier order was executed late');
+  t.end();
+});
+
+await tap.test('should release endpoints of an accepted order whose repetition was refused', t => {
+  // Guards against taking them for a part of the base when the first order is executed late.
+  const pool = completePool();
+  pool.counts['domain-2'] = [7, 0];
+  pool.advance(1000);
+  for (const end of ['accepted', 'none-left'] as const) {
+    pool.base.orderPlanned('domain-1', 20, pool.nowMs);
+    pool.base.orderEnded('domain-1', end);
+    pool.advance(1000);
+  }
+  pool.counts['domain-1'] = [20, 0];
+  pool.counts['domain-2'] = [7, 12];
+  pool.advance(11_500);
+  t.same(pool.wantedList(), [['domain-1', 8]]);
+  t.equal(pool.base.shortage()?.baseTotal, 34);
+  t.end();
+});
+
 await tap.test('should keep endpoints that the operators added meanwhile', t => {
   // Guards against a release that removes more than the policy added.
   const pool = restoredPool();
