Capacity: the limits of a domain apply to both kinds together

Cause: the minimum was applied to the regular endpoints alone, also if the order then exceeded the maximum or the number that is missing; the remaining number was reduced by what was meant instead of what was ordered.

Change: the minimum is reduced by the reclaimable endpoints; a domain is skipped if its minimum exceeds the maximum or what is left to order.

Ran: restoreCapacity.spec and restoreCapacityBase.spec: the new test fails before the change; 28 passed, 0 failed after it.

--- a/packages/capacity/src/restoreCapacity.ts
+++ b/packages/capacity/src/restoreCapacity.ts
@@ -65,14 +65,10 @@
   for (const name of candidates(scaling, shortage, backingOff)) {
     const domain = domains.get(name) ?? EMPTY_DOMAIN;
     const before = domain.floor + domain.planned;
-    const count = Math.min(
-      left,
-      scaling.max - reclaimableOf(domain) - before,
-      totalForMissing(domain, shortage.missing) - before,
-    );
-    if (count <= 0) continue;
-    wanted.set(name, Math.max(scaling.min, before + count));
-    left -= count;
+    const total = orderTotal(scaling, domain, left, shortage.missing);
+    if (total === undefined) continue;
+    wanted.set(name, total);
+    left -= total - before;
   }
   return wanted;
 }
@@ -97,6 +93,20 @@
   return isLossEverywhere && missing < baseTotal / 2 ? names : withoutLoss;
 }
 
+/** Undefined if no endpoints can be added. The limits of a domain apply to both kinds of endpoints together. */
+function orderTotal(
+  { min, max }: PoolScaling,
+  domain: DomainShortage,
+  left: number,
+  missing: number,
+): number | undefined {
+  const before = domain.floor + domain.planned;
+  const reclaimable = reclaimableOf(domain);
+  const most = Math.min(max - reclaimable, totalForMissing(domain, missing), before + left);
+  const total = Math.max(min - reclaimable, most);
+  return total > before && total <= most ? total : undefined;
+}
+
 /**
  * Number of regular endpoints at which the domain alone would replace all that are missing. A higher total would also
  * start endpoints that were withdrawn, in case this is not known.
--- a/tests/observedPool.ts
+++ b/tests/observedPool.ts
@@ -22,12 +22,13 @@
   leaving: readonly PresentEndpoint[] = [];
   backingOff: ReadonlySet<string> = new Set();
   base: PoolBase;
-  private readonly _max: number;
+  /** Limits per domain. */
+  limits: { readonly min: number; readonly max: number };
 
   constructor(record?: CapacityRecord, counts: KindCounts = COUNTS, max = SCALING.max) {
     this.base = new PoolBase(record, 0);
     this.counts = copyOf(counts);
-    this._max = max;
+    this.limits = { min: SCALING.min, max };
   }
 
   advance(ms: number): void {
@@ -37,7 +38,7 @@
 
   wanted(): WantedCapacity {
     return new RestoreCapacity().wanted({
-      scaling: { ...SCALING, max: this._max },
+      scaling: { ...SCALING, ...this.limits },
       models: 4,
       present: new Map(),
       shortage: this.base.shortage(),
--- a/tests/restoreCapacity.spec.ts
+++ b/tests/restoreCapacity.spec.ts
@@ -53,6 +53,21 @@
   t.end();
 });
 
+await tap.test('should apply the minimum of a domain to both kinds together', t => {
+  // Guards against orders for more endpoints than are missing, and against a maximum that they exceed.
+  const pool = completePool({ 'domain-0': [7, 0], 'domain-1': [2, 6], 'domain-2': [7, 12] });
+  pool.counts['domain-2'] = [7, 8];
+  pool.advance(1000);
+  pool.limits = { min: 8, max: 22 };
+  t.same(pool.wantedList(), [['domain-1', 6]], 'domain-1 has eight endpoints, six of them reclaimable');
+  pool.limits = { min: 16, max: 22 };
+  t.same(pool.wantedList(), [], 'both domains would need more than are missing');
+  pool.limits = { min: 9, max: 22 };
+  pool.backingOff = new Set(['domain-1']);
+  t.same(pool.wantedList(), [['domain-0', 11]]);
+  t.end();
+});
+
 await tap.test(
   'should order in a domain with losses if all have them, but not if most records are missing',
   t => {
