Capacity orders: check lease and view before sending, log orders that are not sent

Cause: an order was sent after its record was stored without checking whether the lease, or the view that the order follows from, was still valid. While the directory read all endpoints again, the bases did not learn that the view was not current. Orders without a valid lease and overdue ones left no log line; a missing lease was logged as a record that was not stored. A write that threw would have blocked all later ones.

Change: an order is sent only with the token of the tenure in which it was decided, if the duty may act on the subject and the view is reliable. The bases are observed also while the directory is not synced. Each order that is not sent is logged with its cause, and overdue orders are logged when they are given up.

--- a/packages/capacity/src/poolBase.ts
+++ b/packages/capacity/src/poolBase.ts
@@ -27,6 +27,14 @@
 /** An order without an answer may be executed until then. */
 const LATE_ORDER_MS = 30_000;
 
+/** An order whose endpoints have not arrived in time, so that others may be ordered elsewhere. */
+export interface OverdueOrder {
+  readonly domain: string;
+  /** Additional regular endpoints that were planned, and those that arrived. */
+  readonly planned: number;
+  readonly arrived: number;
+}
+
 /** `not-sent`: the order was given up before it was sent, or certainly not received. */
 export type AdditionOutcome = CapacityOrderOutcome | 'not-sent';
 
@@ -51,8 +59,11 @@
     this._leaving = new Set(record?.draining);
   }
 
-  /** Updates the numbers from a current view of all endpoints of the pool. `bootMs`: from an order to service. */
-  observe(endpoints: readonly PresentEndpoint[], nowMs: number, bootMs: number): void {
+  /**
+   * Updates the numbers from a current view of all endpoints of the pool. `bootMs`: from an order to service. Returns
+   * the orders that are given up.
+   */
+  observe(endpoints: readonly PresentEndpoint[], nowMs: number, bootMs: number): readonly OverdueOrder[] {
     this._nowMs = nowMs;
     const counts = countsOf(endpoints);
     const newlyLeaving = this._newlyLeaving(endpoints);
@@ -63,11 +74,16 @@
     }
     this._isFirst = false;
     const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * bootMs);
-    for (const domain of this._domains.values()) domain.giveUpOverdue(nowMs, overdueMs);
+    const overdue: OverdueOrder[] = [];
+    for (const [name, domain] of this._domains) {
+      const counts = domain.giveUpOverdue(nowMs, overdueMs);
+      if (counts) overdue.push({ domain: name, ...counts });
+    }
     this._updateBase(nowMs);
     this._updateMissing(nowMs);
-    if (this._completeForMs() < STABLE_MS) return;
-    for (const domain of this._domains.values()) domain.forgetReleased(nowMs);
+    if (this._completeForMs() >= STABLE_MS)
+      for (const domain of this._domains.values()) domain.forgetReleased(nowMs);
+    return overdue;
   }
 
   /** Call when the view may be incomplete: times without a change start again. */
@@ -300,12 +316,14 @@
   }
 
   /** Lets the policy order in other domains if this one does not deliver, as when it is cut off. */
-  giveUpOverdue(nowMs: number, overdueMs: number): void {
-    if (this._planned <= this._arrived || nowMs - this._lastAdditionMs < overdueMs) return;
+  giveUpOverdue(nowMs: number, overdueMs: number): Omit<OverdueOrder, 'domain'> | undefined {
+    if (this._planned <= this._arrived || nowMs - this._lastAdditionMs < overdueMs) return undefined;
+    const planned = this._planned;
     this._planned = this._arrived;
     this._confirmed = this._arrived;
     this._isUncertain = true;
     this._lastLossMs = nowMs;
+    return { planned, arrived: this._arrived };
   }
 
   /** Forgets additions that are gone and can't appear any more. Call while the base is complete. */
--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -91,8 +91,10 @@
 
   tick(): void {
     const nowMs = this._context.clock.nowMs();
-    if (nowMs < this._nextCheckMs || !this._ports.endpoints.isSynced()) return;
-    this._nextCheckMs = nowMs + (this._usesBase() ? BASE_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS);
+    if (nowMs < this._nextCheckMs) return;
+    // Without a synced view the pools are still checked: the bases must learn that it may be incomplete.
+    if (this._ports.endpoints.isSynced())
+      this._nextCheckMs = nowMs + (this._usesBase() ? BASE_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS);
     for (const [pool, scaling] of this._ports.configuration.scalings()) this._checkPool(pool, scaling);
   }
 
@@ -106,7 +108,7 @@
 
   private _checkPool(pool: string, scaling: PoolScaling): void {
     const base = this._bases?.observe(pool, scaling.bootMs);
-    if (this._usesBase() && !base) return;
+    if (!this._ports.endpoints.isSynced() || (this._usesBase() && !base)) return;
     const shortage = base?.shortage();
     const present = this._presentOf(pool, scaling);
     const models = this._ports.configuration.models().get(pool)?.length ?? 1;
@@ -141,11 +143,14 @@
   }
 
   private _place(pool: string, orders: readonly PoolOrder[], base: PoolBase | undefined): void {
+    const token = this._duty.token();
+    if (token === undefined) return this._giveUp(orders, undefined, 'no valid lease');
+    const tenure = { token, tracker: this._tracker, bases: this._bases };
     for (const order of orders) {
       this._pendingSubjects.add(subjectOf(order));
       base?.orderPlanned(order.domain, order.wanted, this._context.clock.nowMs());
     }
-    const placed = this._recordAndSend(pool, orders, base).finally(() => {
+    const placed = this._recordAndSend(pool, orders, base, tenure).finally(() => {
       for (const order of orders) this._pendingSubjects.delete(subjectOf(order));
     });
     this._duty.track(placed);
@@ -156,20 +161,14 @@
     pool: string,
     orders: readonly PoolOrder[],
     base: PoolBase | undefined,
+    tenure: Tenure,
   ): Promise<void> {
-    if (base && !(await this._writeRecord(pool))) {
-      for (const { domain } of orders) base.orderEnded(domain, 'not-sent');
-      this._nextCheckMs = this._context.clock.nowMs() + CHECK_INTERVAL_MS;
-      this._context.log.warn('capacity orders not sent', { pool, reason: 'record not stored' });
+    const held = { key: CAPACITY_KEY, version: tenure.token };
+    if (tenure.bases && !(await tenure.bases.write(pool, held))) {
+      this._giveUp(orders, base, 'record not stored');
       return;
     }
-    await Promise.all(orders.map(order => this._send(order, base)));
-  }
-
-  private async _writeRecord(pool: string): Promise<boolean> {
-    const version = this._duty.token();
-    if (version === undefined || !this._bases) return false;
-    return this._bases.write(pool, { key: CAPACITY_KEY, version });
+    await Promise.all(orders.map(order => this._send(order, base, tenure)));
   }
 
   private _recordInBackground(pool: string): void {
@@ -177,23 +176,39 @@
     if (version !== undefined) this._bases?.writeInBackground(pool, { key: CAPACITY_KEY, version });
   }
 
-  private async _send(order: PoolOrder, base: PoolBase | undefined): Promise<void> {
+  private async _send(order: PoolOrder, base: PoolBase | undefined, tenure: Tenure): Promise<void> {
     const { pool, domain, wanted } = order;
     const subject = subjectOf(order);
-    const fencingToken = this._duty.token();
-    if (fencingToken === undefined) {
-      base?.orderEnded(domain, 'not-sent');
+    const obstacle = this._obstacle(subject, tenure);
+    if (obstacle !== undefined) {
+      this._giveUp([order], base, obstacle);
       return;
     }
     this._duty.recordActionOn(subject, this._context.clock.nowMs() + TIMEOUTS.connectMs);
-    const dutyHolder = { holder: this._context.hostId, fencingToken };
+    const dutyHolder = { holder: this._context.hostId, fencingToken: tenure.token };
     const call = { pool, domain, count: wanted };
     const answer = await this._options.duties.orderCapacity(dutyHolder, call, TIMEOUTS);
-    this._tracker.recordOrder(subject, wanted, toOrderOutcome(answer));
+    tenure.tracker.recordOrder(subject, wanted, toOrderOutcome(answer));
     base?.orderEnded(domain, answer === 'unreached' ? 'not-sent' : toOrderOutcome(answer));
     this._context.metrics.duties.inc({ duty: 'capacity', answer });
-    this._logOrder(order, answer);
-    this._countFailure(answer);
+    this._logOrder(order, { answer });
+    if (tenure.tracker === this._tracker) this._countFailure(answer);
+  }
+
+  /** Why an order must not be sent although it was due before its record was stored. */
+  private _obstacle(subject: string, { token, bases }: Tenure): string | undefined {
+    if (this._duty.token() !== token) return 'lease ended or not renewed';
+    if (!this._duty.canActOn(subject)) return 'previous holder may act';
+    return bases?.isViewReliable() === false ? 'view of endpoints may be incomplete' : undefined;
+  }
+
+  /** Tries again after the next check, which is delayed so that it is not logged with each tick. */
+  private _giveUp(orders: readonly PoolOrder[], base: PoolBase | undefined, cause: string): void {
+    this._nextCheckMs = this._context.clock.nowMs() + CHECK_INTERVAL_MS;
+    for (const order of orders) {
+      base?.orderEnded(order.domain, 'not-sent');
+      this._logOrder(order, { answer: 'not-sent', cause });
+    }
   }
 
   /** Releases the duty after repeated failures: another host may be able to reach the platform. */
@@ -207,9 +222,12 @@
     void this._duty.yieldFor(YIELD_MS);
   }
 
-  private _logOrder({ pool, domain, wanted, present, shortage }: PoolOrder, answer: DutyAnswer): void {
+  private _logOrder(
+    { pool, domain, wanted, present, shortage }: PoolOrder,
+    result: { readonly answer: DutyAnswer | 'not-sent'; readonly cause?: string },
+  ): void {
     const policy = this._options.policy.name;
-    const line = { pool, of: domain, wanted, present, answer, policy };
+    const line = { pool, of: domain, wanted, present, ...result, policy };
     const inDomain = shortage?.domains.get(domain);
     const details = shortage && {
       kind: 'regular',
@@ -222,6 +240,13 @@
   }
 }
 
+/** State of one tenure of the duty. An order is sent and recorded only in the one in which it was decided. */
+interface Tenure {
+  readonly token: number;
+  readonly tracker: OrderTracker;
+  readonly bases: PoolBases | undefined;
+}
+
 /** Wanted and present number of endpoints of a pool in one failure domain. */
 interface PoolOrder {
   readonly pool: string;
--- a/packages/gateway/src/poolBases.ts
+++ b/packages/gateway/src/poolBases.ts
@@ -42,7 +42,7 @@
       this._readIfDue(pool);
       return undefined;
     }
-    if (!this._isViewReliable()) {
+    if (!this.isViewReliable()) {
       base.interrupt();
       return undefined;
     }
@@ -52,17 +52,32 @@
       isReclaimable: endpoint.info().isReclaimable === true,
       isLeaving: endpoint.isLeaving,
     }));
-    base.observe(endpoints, this._context.clock.nowMs(), bootMs);
+    const overdue = base.observe(endpoints, this._context.clock.nowMs(), bootMs);
+    for (const { domain, ...counts } of overdue)
+      this._context.log.warn('capacity order overdue', { pool, of: domain, ...counts });
     return base;
   }
 
+  /** Returns false if endpoints that serve may be missing from the view. */
+  isViewReliable(): boolean {
+    const endpoints = this._endpoints;
+    if (!endpoints.isSynced() || endpoints.ageMs() > MAX_VIEW_AGE_MS) return false;
+    return endpoints.sinceFailureMs() >= OUTAGE_QUIET_MS;
+  }
+
   /** Stores the pool's record; false if that may have failed. Writes run one after the other. */
   async write(pool: string, held: HeldKey): Promise<boolean> {
     this._pendingWrites += 1;
-    this._lastWrite = this._lastWrite.then(() => this._write(pool, held));
-    const isStored = await this._lastWrite;
-    this._pendingWrites -= 1;
-    if (!isStored) this._writeAfterMs = this._context.clock.nowMs() + RETRY_MS;
+    let isStored = false;
+    try {
+      const written = this._lastWrite.then(() => this._write(pool, held));
+      // A write that throws must not prevent the later ones.
+      this._lastWrite = written.catch(() => false);
+      isStored = await written;
+    } finally {
+      this._pendingWrites -= 1;
+      if (!isStored) this._writeAfterMs = this._context.clock.nowMs() + RETRY_MS;
+    }
     return isStored;
   }
 
@@ -81,12 +96,6 @@
     return outcome !== 'failed';
   }
 
-  private _isViewReliable(): boolean {
-    const endpoints = this._endpoints;
-    if (!endpoints.isSynced() || endpoints.ageMs() > MAX_VIEW_AGE_MS) return false;
-    return endpoints.sinceFailureMs() >= OUTAGE_QUIET_MS;
-  }
-
   private _readIfDue(pool: string): void {
     const nowMs = this._context.clock.nowMs();
     if (nowMs < (this._readAfterMs.get(pool) ?? -Infinity)) return;
--- a/tests/fakeStore.ts
+++ b/tests/fakeStore.ts
@@ -50,6 +50,11 @@
     return this._entries.get(key)?.value;
   }
 
+  /** The lease with which the key was written. */
+  leaseOf(key: string): string | undefined {
+    return this._entries.get(key)?.leaseId;
+  }
+
   keys(prefix: string): readonly string[] {
     this._expire();
     return [...this._entries.keys()].filter(key => key.startsWith(prefix)).sort();
