Capacity: the default policy is keep

Cause: with the capacity duty, a pool without endpoints per model was restored by default. Only deployments that ask for it should order endpoints.

Without the flag, by-model applies with endpoints per model, otherwise keep. The help text says so.

Ran: restoreCapacity.spec: the test of the flag fails before the change; 20 passed, 0 failed after it.

--- a/packages/gateway/src/dutyOptions.ts
+++ b/packages/gateway/src/dutyOptions.ts
@@ -23,7 +23,7 @@
 
 /** Values of the program flags. */
 export interface CapacityPolicyFlags {
-  /** Undefined for the default: `by-model` if a number of endpoints per model is set, otherwise `restore`. */
+  /** Undefined for the default: `by-model` if a number of endpoints per model is set, otherwise `keep`. */
   readonly 'capacity-policy'?: (typeof capacityPolicyNames)[number] | undefined;
   /** With 0, `by-model` orders nothing. */
   readonly 'endpoints-per-model': number;
@@ -43,7 +43,7 @@
 
 function capacityPolicy(flags: CapacityPolicyFlags): CapacityPolicy {
   const endpointsPerModel = flags['endpoints-per-model'];
-  switch (flags['capacity-policy'] ?? (endpointsPerModel > 0 ? 'by-model' : 'restore')) {
+  switch (flags['capacity-policy'] ?? (endpointsPerModel > 0 ? 'by-model' : 'keep')) {
     case 'keep':
       return new KeepCapacity();
     case 'by-model':
--- a/packages/gateway/src/programFlags.ts
+++ b/packages/gateway/src/programFlags.ts
@@ -26,7 +26,7 @@
   },
   'capacity-policy': {
     schema: z.enum(capacityPolicyNames).optional(),
-    help: `one of ${capacityPolicyNames.join(', ')}; if omitted, by-model with endpoints per model, otherwise restore`,
+    help: `one of ${capacityPolicyNames.join(', ')}; if omitted, by-model with endpoints per model, otherwise keep`,
   },
   'trace-file': {
     schema: z.string(),
