--- a/packages/batches/src/batchLedger.ts
+++ b/packages/batches/src/batchLedger.ts
@@ -48,7 +48,10 @@
   readonly isTextDropped: boolean;
 }
 
-/** An item then discards its text; otherwise a text that no endpoint can continue would be retried forever. */
+/**
+ * An item then discards its text; otherwise a text that no endpoint can continue would be retried forever. These
+ * attempts avoid each other's endpoints, so that a single faulty endpoint does not cause it.
+ */
 const MAX_FRUITLESS_ATTEMPTS = 3;
 
 export class BatchLedger {
@@ -58,6 +61,7 @@
   private readonly _confirmed: ItemResult[] = [];
   private _unconfirmed: ItemResult[] = [];
   private _priorityGroups: ReadonlySet<string> = new Set();
+  private _generatedEvents = 0;
 
   constructor(batch: Batch, listed: readonly ItemResult[], rules: ItemRules) {
     this.batch = batch;
@@ -192,7 +196,14 @@
   }
 
   event(itemId: string, event: GeneratedEvent): EventEffect {
-    return this._entry(itemId).progress.add(event);
+    const effect = this._entry(itemId).progress.add(event);
+    if (effect === 'added') this._generatedEvents += 1;
+    return effect;
+  }
+
+  /** Events that endpoints have generated for this owner, including those of discarded texts. */
+  generatedEvents(): number {
+    return this._generatedEvents;
   }
 
   completed(itemId: string): void {
@@ -337,7 +348,7 @@
   }
 }
 
-/** Started items come before all others. */
+/** Started items come before all others, since their groups have already waited for them. */
 function startPriority(entry: Entry): number {
   const isStarted = entry.attempts > 0 || entry.progress.lastEventNumber() > 0;
   return isStarted ? Infinity : entry.item.expectedTokens;
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -1,4 +1,6 @@
 /** Clients for the platform's services, endpoints and scorers. */
+export * from './connectionList.js';
+export * from './connectionPool.js';
 export * from './connectionProbe.js';
 export * from './engine.js';
 export * from './endpointPools.js';
@@ -6,6 +8,7 @@
 export * from './headerPairs.js';
 export * from './httpEngineClient.js';
 export * from './httpTools.js';
+export * from './keysToRemove.js';
 export * from './keyValueStore.js';
 export * from './memberList.js';
 export * from './resetInterceptor.js';
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -8,10 +8,12 @@
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
 import { ClaimLease, READ_CONFIRMATION_MAX_AGE_MS } from './claimLease.js';
 import type { ConfigurationService } from './configurationService.js';
+import type { DemandUpdates } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
+import type { Hosts } from './hostDirectory.js';
 import { ItemAttempt, type AttemptEnd } from './itemAttempt.js';
 import { ItemBackoff } from './itemBackoff.js';
 import { ItemPlacer, type EndpointTiers } from './itemPlacer.js';
@@ -26,9 +28,12 @@
   readonly store: BatchStore;
   readonly endpoints: EndpointDirectory;
   readonly configuration: ConfigurationService;
+  /** Determine each host's share of the endpoints' connections. */
+  readonly hosts: Pick<Hosts, 'peers'>;
   readonly client: EndpointClient;
   readonly forwarder: Forwarder;
   readonly poison: PoisonGuard;
+  readonly demand: DemandUpdates;
   /** How long an owner may act on its claim after the store confirmed it. */
   readonly claimLeaseMs: number;
 }
@@ -47,7 +52,10 @@
 const STORE_TIMEOUT_MS = 1000;
 /** Retry interval for items that no endpoint had a free slot for. */
 const PLACE_INTERVAL_MS = 25;
-/** Attempts started in one turn of the event loop. Bounds the event loop lag. */
+/**
+ * Attempts started in one turn of the event loop. Bounds the event loop lag: a host with a fraction of a processor core
+ * that starts a whole batch in one turn reads no data for hundreds of milliseconds.
+ */
 const MAX_STARTS_PER_TURN = 16;
 /** An endpoint that refused an item, because it is full or loading weights, receives no items for this long. */
 const REFUSAL_PAUSE_MS = 250;
@@ -136,6 +144,7 @@
     this._progressRecorder.stop();
     this._resultLister.stop();
     this._scoring.stop();
+    this._placer.stop();
     this._placeTimer?.();
     for (const attempt of this._attempts.values()) attempt.stop();
     this._wakeReaders();
@@ -235,8 +244,8 @@
   }
 
   /**
-   * Cancels attempts that no endpoint has answered, since their requests may not be written yet. Answered attempts
-   * continue.
+   * Cancels attempts that no endpoint has answered, since their requests may not be written yet: connecting takes up to
+   * a second, and a blocked process writes even later. Answered attempts continue.
    */
   private _cancelUnanswered(): false {
     this._scoring.interrupt();
@@ -282,6 +291,7 @@
     const { client } = this._ports;
     const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, canMove);
     this._attempts.set(item.id, attempt);
+    this._placer.attemptStarted(item, endpoint);
     const startedMs = this._context.clock.nowMs();
     const claimAgeMs = this._lease.ageMs();
     const claimRevision = this._lease.held.revision;
@@ -292,6 +302,7 @@
     this._logAttempt(item, endpoint, { number, tookMs, claimRevision, claimAgeMs }, end);
     if (this._isStopped) return;
     this._applyEnd(item, endpoint, end);
+    this._placer.attemptEnded({ itemId: item.id, isAnswered: attempt.isAnswered() }, end.kind);
     this._placeItems();
   }
 
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 /**
  * Prometheus metrics of the gateway.
  */
+import type { ConnectionEvent } from '@fuchsiahitch/clients';
 import type { ProtocolCounters } from '@fuchsiahitch/protocol';
 import { MetricsRegistry } from '@fuchsiahitch/telemetry';
 
@@ -23,8 +24,18 @@
     'call',
     'outcome',
   ]);
+  readonly batchHomes = this.counter(
+    'fuchsiahitch_batch_homes_total',
+    'Submissions to pools with scarce connections, by the outcome of asking the home host',
+    ['outcome'],
+  );
   readonly takeovers = this.counter('fuchsiahitch_batch_takeovers_total', 'Batches taken over', []);
   readonly items = this.counter('fuchsiahitch_items_total', 'Results listed by state', ['state']);
+  readonly itemMoves = this.counter(
+    'fuchsiahitch_item_moves_total',
+    'Moves of items with a reserved target, and where the items continued',
+    ['event'],
+  );
   readonly scores = this.counter('fuchsiahitch_scores_total', 'Requests for scores by outcome', ['outcome']);
   readonly scoring = this.histogram(
     'fuchsiahitch_score_duration_seconds',
@@ -39,7 +50,17 @@
     'Calls to the store by caller',
     ['caller', 'call'],
   );
+  readonly endpointConnections = this.counter(
+    'fuchsiahitch_endpoint_connections_total',
+    'Connections to endpoints opened, by reason, and reused',
+    ['event', 'reason'],
+  );
   readonly orders = this.counter('fuchsiahitch_orders_total', 'Weight orders by answer', ['answer']);
+  readonly demandUpdates = this.counter(
+    'fuchsiahitch_demand_updates_total',
+    'Announcements of the work of models, by event',
+    ['event'],
+  );
   readonly duties = this.counter('fuchsiahitch_duty_calls_total', 'Calls that are a duty, by answer', [
     'duty',
     'answer',
@@ -68,4 +89,9 @@
     LATENCY_BUCKETS_SECONDS,
     [],
   );
+
+  countConnection(connection: ConnectionEvent): void {
+    const reason = connection.event === 'opened' ? connection.reason : '';
+    this.endpointConnections.inc({ event: connection.event, reason });
+  }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,6 @@
 /** The gateway, without the sockets and the platform protocol. */
+export * from './batchHandover.js';
+export * from './batchHomes.js';
 export * from './batchOutcomes.js';
 export * from './batchOwner.js';
 export * from './batchService.js';
@@ -12,6 +14,7 @@
 export * from './claimLease.js';
 export * from './configurationService.js';
 export * from './connectionBudget.js';
+export * from './demandUpdates.js';
 export * from './dutyLease.js';
 export * from './dutyOptions.js';
 export * from './endpoint.js';
@@ -27,6 +30,7 @@
 export * from './eventLoopMonitor.js';
 export * from './orphanRecovery.js';
 export * from './peerCaller.js';
+export * from './modelShares.js';
 export * from './poisonGuard.js';
 export * from './poisonAnnouncer.js';
 export * from './poisonRecords.js';
