Test: capacity orders with planned scale-ins in any sequence

The property that no order states less than the platform runs for others now includes endpoints that operators withdraw.

--- a/tests/restoreCapacity.spec.ts
+++ b/tests/restoreCapacity.spec.ts
@@ -9,7 +9,15 @@
 import { PlatformRecordDecoder } from '@fuchsiahitch/platform';
 import type { KindCounts } from './capacityPlatform.js';
 import { GatewayFleet } from './gatewayFleet.js';
-import { completePool, copyOf, COUNTS, ObservedPool, restoredPool, SCALING } from './observedPool.js';
+import {
+  completePool,
+  copyOf,
+  COUNTS,
+  drainingIn,
+  ObservedPool,
+  restoredPool,
+  SCALING,
+} from './observedPool.js';
 
 await tap.test('should take the base only after ten seconds without a change', t => {
   // Guards against taking the first endpoints of a starting pool for all of it.
@@ -302,6 +310,7 @@
       isExecuted: fc.boolean(),
     }),
     fc.record({ kind: fc.constant('restart' as const) }),
+    fc.record({ kind: fc.constant('withdraw' as const), domain, count: fc.nat(3) }),
   );
   fc.assert(
     fc.property(fc.array(event, { maxLength: 40 }), events => {
@@ -316,6 +325,14 @@
         } else if (step.kind === 'return') {
           for (const [name, [regular, reclaimable]] of Object.entries(base))
             pool.counts[name] = [Math.max(targets[name] ?? 0, regular), reclaimable];
+        } else if (step.kind === 'withdraw') {
+          const counts = pool.counts[step.domain] ?? [0, 0];
+          const own = base[step.domain] ?? [0, 0];
+          const count = Math.min(step.count, own[0], counts[0]);
+          counts[0] -= count;
+          own[0] -= count;
+          targets[step.domain] = (targets[step.domain] ?? 0) - count;
+          pool.leaving = drainingIn(step.domain, count);
         } else if (step.kind === 'restart') {
           pool.base = new PoolBase(pool.base.record(), pool.nowMs);
         } else if (step.kind === 'order') {
@@ -329,6 +346,7 @@
           }
         }
         pool.advance(step.kind === 'wait' ? step.ms : 200);
+        pool.leaving = [];
         const shortage = pool.base.shortage();
         if (shortage && shortage.baseTotal > 34) return false;
       }
