--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,6 +38,7 @@
 export * from './ports.js';
 export * from './programFlags.js';
 export * from './reachabilityMonitor.js';
+export * from './recentAcceptances.js';
 export * from './relayedStore.js';
 export * from './resultLister.js';
 export * from './retirement.js';
