Batches: one median, and one function for the pools of a route

Cause: the lower median stood in itemPlacement and again in baselineSpeed, and the pools with a weight in itemPlacer and again in demandUpdates. Behaviour is the same.

--- a/packages/batches/src/baselineSpeed.ts
+++ b/packages/batches/src/baselineSpeed.ts
@@ -4,6 +4,7 @@
  * The percentage that an endpoint reports changes many times a second with the other processes of its machine, which
  * only slow it down. The lowest of several reports is therefore the speed of the endpoint itself.
  */
+import { median } from './median.js';
 
 /** How long a report counts. Bounds the effect of a low percentage after the endpoint itself has become slower. */
 const WINDOW_MS = 10_000;
@@ -66,6 +67,5 @@
   const ratios: number[] = [];
   for (const { paceMs, baselinePercent } of speeds)
     if (paceMs !== undefined && baselinePercent !== undefined) ratios.push(paceMs / baselinePercent);
-  ratios.sort((a, b) => a - b);
-  return ratios[Math.floor((ratios.length - 1) / 2)];
+  return median(ratios);
 }
--- a/packages/batches/src/itemPlacement.ts
+++ b/packages/batches/src/itemPlacement.ts
@@ -5,6 +5,7 @@
  * of a group share their prompt and are placed together while the endpoint has free slots. Slow endpoints are avoided,
  * since one slow item delays its group and with it the step.
  */
+import { median } from './median.js';
 
 export interface PlacementEndpoint {
   readonly id: string;
@@ -35,9 +36,7 @@
 
 /** The median of the known paces. */
 export function medianPaceMs(endpoints: readonly PlacementEndpoint[]): number | undefined {
-  const paces = endpoints.map(endpoint => endpoint.paceMs).filter(pace => pace !== undefined);
-  paces.sort((a, b) => a - b);
-  return paces[Math.floor((paces.length - 1) / 2)];
+  return median(endpoints.map(endpoint => endpoint.paceMs).filter(pace => pace !== undefined));
 }
 
 export function isSlow(endpoint: PlacementEndpoint, medianMs: number | undefined): boolean {
--- a/packages/gateway/src/batchRoute.ts
+++ b/packages/gateway/src/batchRoute.ts
@@ -11,6 +11,11 @@
   return item && itemRoute(configuration, batch, item);
 }
 
+/** The pools that the route's items may use. */
+export function poolsOf(route: Route): readonly string[] {
+  return route.pools.filter(share => share.weight > 0).map(share => share.pool);
+}
+
 /** Returns the route of a single item, or undefined if there is none. */
 export function itemRoute(
   configuration: ConfigurationService,
--- a/packages/gateway/src/demandUpdates.ts
+++ b/packages/gateway/src/demandUpdates.ts
@@ -10,7 +10,7 @@
   type PoolDemand,
 } from '@fuchsiahitch/batches';
 import { calls } from '@fuchsiahitch/protocol';
-import { batchRoute } from './batchRoute.js';
+import { batchRoute, poolsOf } from './batchRoute.js';
 import type { ConfigurationService } from './configurationService.js';
 import { hasScarceConnections } from './connectionBudget.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
@@ -104,10 +104,8 @@
   /** The pools with scarce connections that the batch's model shares with others. */
   private _poolsOf(batch: Batch): readonly string[] {
     const { configuration } = this._ports;
-    const pools = batchRoute(configuration, batch)?.pools ?? [];
-    return pools
-      .filter(({ weight }) => weight > 0)
-      .map(({ pool }) => pool)
+    const route = batchRoute(configuration, batch);
+    return (route ? poolsOf(route) : [])
       .filter(pool => configuration.models().get(pool)?.includes(batch.model))
       .filter(pool => hasScarceConnections(pool, this._ports));
   }
--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -10,7 +10,7 @@
   type BatchLedger,
 } from '@fuchsiahitch/batches';
 import type { Route } from '@fuchsiahitch/rules';
-import { batchRoute } from './batchRoute.js';
+import { batchRoute, poolsOf } from './batchRoute.js';
 import type { ConfigurationService } from './configurationService.js';
 import { hasScarceConnections } from './connectionBudget.js';
 import type { DemandView } from './demandUpdates.js';
@@ -241,11 +241,6 @@
   }
 }
 
-/** The pools that the route's items may use. */
-function poolsOf(route: Route): readonly string[] {
-  return route.pools.filter(share => share.weight > 0).map(share => share.pool);
-}
-
 /** Returns the expected tokens from which items count as long; Infinity without estimates. */
 function longTokens(batch: Batch): number {
   const estimates = batch.items.map(item => item.expectedTokens).sort((a, b) => b - a);
