Observability of leaving endpoints: age of each view, source of each news, time to the write

A view's age counted from the last answer of whoever was asked, so that a host that follows reported the age of the watching host's answer; lines of endpoints did not say how the host learned; lines of requests had no age, or one of the end of the request.

Change: a view now has the instant of the store's state that it shows (Instant counts pauses of the process). The watching host passes the age of its view on, and how long it held the question, so that a follower counts from the store as well. 'endpoint' lines have source, revision and maxDelayMs; 'request attempt' and 'item attempt' have endpointsAgeMs at the decision and writtenAfterMs; two histograms and a gauge beside them. Each call to an endpoint carries a WriteGuard that is asked right before the first byte is written; it only records for now. No decision is changed.

A host of an earlier build refuses answers with the age, and watches the store itself until it is replaced.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -2,6 +2,7 @@
 export * from './clock.js';
 export * from './deadline.js';
 export * from './hash.js';
+export * from './instant.js';
 export * from './listenAt.js';
 export * from './result.js';
 export * from './random.js';
--- a/packages/clients/src/endpointPools.ts
+++ b/packages/clients/src/endpointPools.ts
@@ -6,6 +6,7 @@
 import { errorCode } from './etcdStore.js';
 import { resetInterceptor, ResetTracker } from './resetInterceptor.js';
 import { buildConnector, type Dispatcher } from 'undici';
+import { writeGuardInterceptor, type GuardedRequestOptions } from './writeGuardInterceptor.js';
 
 const CONNECT_TIMEOUT_MS = 600;
 /** Shorter than common server keep-alive timeouts, so that reused connections are rarely closed by the server. */
@@ -30,6 +31,11 @@
     this._onConnection = onConnection;
   }
 
+  /** Sends a request to an address. */
+  async request(address: string, options: GuardedRequestOptions): Promise<Dispatcher.ResponseData> {
+    return this.poolFor(address).request(options);
+  }
+
   /** Returns the pool of an address. Without pipelining, a connection reset affects at most one request. */
   poolFor(address: string): Dispatcher {
     const existing = this._pools.get(address);
@@ -47,7 +53,7 @@
       replaced: this._replaced.get(address),
     });
     this._replaced.delete(address);
-    const dispatcher = pool.compose(resetInterceptor(this._resets));
+    const dispatcher = pool.compose(resetInterceptor(this._resets), writeGuardInterceptor());
     this._pools.set(address, { pool, dispatcher });
     return dispatcher;
   }
--- a/packages/clients/src/httpTools.ts
+++ b/packages/clients/src/httpTools.ts
@@ -7,8 +7,16 @@
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 10_000;
 
+/** Error code of a request that its sender withheld before it was written. */
+export const WITHHELD_CODE = 'FUCHSIAHITCH_WITHHELD';
 /** Error codes that prove that no byte of the request was sent. */
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+const NOT_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+  WITHHELD_CODE,
+]);
 
 /** Returns true if the error proves that the request was never sent; otherwise its outcome is unknown. */
 export function isNotSentError(thrown: unknown): boolean {
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -17,3 +17,4 @@
 export * from './singleCall.js';
 export * from './timeoutAfterPendingIo.js';
 export * from './watchByChanges.js';
+export * from './writeGuardInterceptor.js';
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -11,6 +11,7 @@
 import type { DemandUpdates } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import type { SendDetails } from './endpointSend.js';
 import type { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { Hosts } from './hostDirectory.js';
@@ -47,6 +48,7 @@
   readonly claimRevision: number;
   /** Age of the store's last confirmation of the claim when the attempt started. */
   readonly claimAgeMs: number;
+  readonly send: SendDetails;
 }
 
 const STORE_TIMEOUT_MS = 1000;
@@ -299,8 +301,8 @@
     if (!this._poisonFilter.isSuspectItem(item)) this._placer.recordStart(item, endpoint);
     const canMove = (current: ItemAttempt): boolean =>
       this.maySend() && this._placer.hasFreeSlotElsewhere(item, current);
-    const { client } = this._ports;
-    const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, canMove);
+    const { client, endpoints } = this._ports;
+    const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, endpoints, canMove);
     this._attempts.set(item.id, attempt);
     this._placer.attemptStarted(item, endpoint);
     const startedMs = this._context.clock.nowMs();
@@ -310,7 +312,8 @@
     const tookMs = this._context.clock.nowMs() - startedMs;
     await this._poisonFilter.ended(item, endpoint, end);
     this._attempts.delete(item.id);
-    this._logAttempt(item, endpoint, { number, tookMs, claimRevision, claimAgeMs }, end);
+    const send = attempt.sendDetails();
+    this._logAttempt(item, endpoint, { number, tookMs, claimRevision, claimAgeMs, send }, end);
     if (this._isStopped) return;
     this._applyEnd(item, endpoint, end);
     this._placer.attemptEnded({ itemId: item.id, isAnswered: attempt.isAnswered() }, end.kind);
@@ -384,7 +387,7 @@
   private _logAttempt(
     item: BatchItem,
     endpoint: Endpoint,
-    { number, tookMs, claimRevision, claimAgeMs }: AttemptDetails,
+    { number, tookMs, claimRevision, claimAgeMs, send }: AttemptDetails,
     end: AttemptEnd,
   ): void {
     this._context.metrics.attempts.inc({ kind: 'item', end: end.kind });
@@ -403,7 +406,7 @@
       claimRevision,
       claimAgeMs: Math.round(claimAgeMs),
       loopDelayMs: Math.round(this._context.eventLoop.recentLagMs()),
-      endpointsAgeMs: Math.round(this._ports.endpoints.ageMs()),
+      ...send,
     });
   }
 }
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -2,6 +2,7 @@
  * A caller's request, its answer, and the outcomes of the request and its attempts.
  */
 import type { Route } from '@fuchsiahitch/rules';
+import type { EndpointSend } from './endpointSend.js';
 import type { HeaderPair, NotRunReason } from './ports.js';
 
 /** A caller's request with its complete body. */
@@ -71,6 +72,7 @@
   readonly tookMs: number;
   /** The time left until the request's deadline when it was sent. */
   readonly leftMs: number;
+  readonly send: EndpointSend;
 }
 
 /** Applies if neither the caller nor the route limits the time. */
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -11,6 +11,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { EndpointInfo, RecordDecoder, RecordKeys } from './ports.js';
 import { StoreMirror, type MirrorSource } from './storeMirror.js';
+import type { ChangeOrigin } from './storeView.js';
 
 /** Delay of a removal after a store outage: records that expired during it return about two seconds later. */
 const REMOVAL_GRACE_MS = 2300;
@@ -46,7 +47,10 @@
       context,
       store,
       { prefix: keys.endpointPrefix, waitMs: WATCH_WAIT_MS, spacingMs: 0 },
-      { changed: item => this._recordChanged(item), removed: key => this._recordRemoved(key) },
+      {
+        changed: (item, origin) => this._recordChanged(item, origin),
+        removed: (key, origin) => this._recordRemoved(key, origin),
+      },
     );
   }
 
@@ -63,6 +67,11 @@
     return this._mirror.ageMs();
   }
 
+  /** Milliseconds since the state of the store that the view shows; Infinity before the first read. */
+  viewAgeMs(): number {
+    return this._mirror.viewAgeMs();
+  }
+
   /** Time since the store last failed to answer; records may have expired meanwhile. */
   sinceFailureMs(): number {
     return this._mirror.sinceFailureMs();
@@ -85,23 +94,24 @@
   recordRestart(id: string, startWallMs: number, versions: ReadonlyMap<string, number>): void {
     const known = this._endpoints.get(id);
     if (!known || startWallMs <= known.info().startWallMs) return;
-    this._apply({ ...known.info(), startWallMs, versions, isLeaving: false });
+    this._apply({ ...known.info(), startWallMs, versions, isLeaving: false }, undefined);
   }
 
-  private _recordChanged({ key, value, version }: StoredValue): void {
+  private _recordChanged({ key, value, version }: StoredValue, origin: ChangeOrigin): void {
     const id = key.slice(this._keys.endpointPrefix.length);
     const info = this._decoder.endpoint(id, value);
     if (info) {
       this._pendingRemovals.get(id)?.();
       this._pendingRemovals.delete(id);
-      this._apply(info);
+      this._apply(info, origin);
       return;
     }
     this._context.log.warn('unreadable endpoint record', { endpointId: id, revision: version });
-    this._recordRemoved(key);
+    this._recordRemoved(key, origin);
   }
 
-  private _apply(info: EndpointInfo): void {
+  /** `origin` is undefined for a restart that the endpoint reported itself. */
+  private _apply(info: EndpointInfo, origin: ChangeOrigin | undefined): void {
     const { id, startWallMs } = info;
     const lastMs = this._lastStartWallMs.get(id) ?? 0;
     if (startWallMs < lastMs) {
@@ -115,7 +125,7 @@
     this._rememberStart(id, startWallMs);
     const known = this._endpoints.get(id);
     if (known?.info().startWallMs === startWallMs) {
-      if (info.isLeaving && !known.isLeaving) this._logChange('leaving', known);
+      if (info.isLeaving && !known.isLeaving) this._logChange('leaving', known, origin);
       known.update(info);
       return;
     }
@@ -123,7 +133,7 @@
     this._endpoints.set(id, endpoint);
     known?.markReplaced(info);
     if (known) this._onRestarted(known.info().address);
-    this._logChange(known ? 'restarted' : 'new', endpoint);
+    this._logChange(known ? 'restarted' : 'new', endpoint, origin);
   }
 
   private _rememberStart(id: string, startWallMs: number): void {
@@ -134,27 +144,46 @@
       this._lastStartWallMs.delete(oldest);
   }
 
-  private _recordRemoved(key: string): void {
+  private _recordRemoved(key: string, origin: ChangeOrigin): void {
     const id = key.slice(this._keys.endpointPrefix.length);
     const endpoint = this._endpoints.get(id);
     if (!endpoint || this._pendingRemovals.has(id)) return;
-    if (this._mirror.sinceFailureMs() > OUTAGE_WINDOW_MS) return this._remove(endpoint);
-    const cancel = this._context.clock.after(REMOVAL_GRACE_MS, () => this._remove(endpoint));
+    if (this._mirror.sinceFailureMs() > OUTAGE_WINDOW_MS) return this._remove(endpoint, origin);
+    const heldOrigin = { ...origin, maxDelayMs: origin.maxDelayMs + REMOVAL_GRACE_MS };
+    const cancel = this._context.clock.after(REMOVAL_GRACE_MS, () => this._remove(endpoint, heldOrigin));
     this._pendingRemovals.set(id, cancel);
   }
 
-  private _remove(endpoint: Endpoint): void {
+  private _remove(endpoint: Endpoint, origin: ChangeOrigin): void {
     this._pendingRemovals.delete(endpoint.id);
     // Another instance may have replaced it meanwhile.
     if (this._endpoints.get(endpoint.id) === endpoint) this._endpoints.delete(endpoint.id);
     endpoint.markLeaving();
-    this._logChange('gone', endpoint);
+    this._logChange('gone', endpoint, origin);
   }
 
-  private _logChange(change: string, endpoint: Endpoint): void {
+  private _logChange(
+    change: 'new' | 'restarted' | 'leaving' | 'gone',
+    endpoint: Endpoint,
+    origin: ChangeOrigin | undefined,
+  ): void {
+    const { log, metrics } = this._context;
     const { id, pool, domain } = endpoint;
     const { startWallMs } = endpoint.info();
     const sinceFailureMs = Math.round(Math.min(this._mirror.sinceFailureMs(), 1e6));
-    this._context.log.info('endpoint', { change, endpointId: id, pool, domain, startWallMs, sinceFailureMs });
+    const { source = 'endpoint', revision, maxDelayMs = Infinity } = origin ?? {};
+    const isEnd = change === 'leaving' || change === 'gone';
+    if (isEnd) metrics.endpointNews.observe({ change, source }, maxDelayMs / 1000);
+    log.info('endpoint', {
+      change,
+      endpointId: id,
+      pool,
+      domain,
+      startWallMs,
+      sinceFailureMs,
+      source,
+      revision,
+      maxDelayMs: Math.round(Math.min(maxDelayMs, 1e6)),
+    });
   }
 }
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -118,14 +118,16 @@
     const attempt = this._sentCount;
     const leftMs = this._deadline.remainingMs();
     const startedMs = this._context.clock.nowMs();
-    const end = await this._forwarder.attempt(this._request, endpoint, leftMs, this._abortController.signal);
+    const send = this._forwarder.decideSend('request');
+    const { signal } = this._abortController;
+    const end = await this._forwarder.attempt(this._request, endpoint, send, leftMs, signal);
     const tookMs = this._context.clock.nowMs() - startedMs;
     if (end.kind === 'broken') await this._poison.recordBroken(this._request, endpoint);
     if (end.kind === 'answered') this._poison.answered(this._request);
     this._runningCount -= 1;
     this._pendingAttemptEnds.push(end);
     this._wake?.();
-    this._forwarder.logAttempt(this._request, endpoint, end, { number: attempt, tookMs, leftMs });
+    this._forwarder.logAttempt(this._request, endpoint, end, { number: attempt, tookMs, leftMs, send });
   }
 
   private _handleAttemptEnd(end: RequestAttemptEnd): ForwardOutcome | undefined {
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -27,10 +27,18 @@
 } from './callerRequest.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import { EndpointSend, type SendKind } from './endpointSend.js';
 import { ForwardedRequest } from './forwardedRequest.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { PoisonGuard } from './poisonGuard.js';
-import type { EndpointAnswer, EndpointClient, EndpointReply, NotRunReason } from './ports.js';
+import type {
+  EndpointAnswer,
+  EndpointCall,
+  EndpointClient,
+  EndpointReply,
+  NotRunReason,
+  WriteGuard,
+} from './ports.js';
 
 /** How an attempt ended, as logged; for a stream, the head of its answer. */
 type LoggedOutcome = RequestAttemptEnd | EndpointReply;
@@ -245,10 +253,16 @@
     return fastest(endpoints.filter(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)));
   }
 
+  /** Called when an endpoint was chosen for a send, to record the view on which it was chosen. */
+  decideSend(kind: SendKind): EndpointSend {
+    return new EndpointSend(this._context, this._endpoints, kind);
+  }
+
   /** Runs one attempt until its answer is complete. */
   async attempt(
     request: CallerRequest,
     endpoint: Endpoint,
+    send: EndpointSend,
     leftMs: number,
     signal: AbortSignal,
   ): Promise<RequestAttemptEnd> {
@@ -257,7 +271,7 @@
     endpoint.limit.recordUsage(endpoint.stats.inFlight());
     const span = this._context.tracing.startSpan('endpoint', request.trace);
     const metered = this._startMetering(request);
-    const end = await this._exchange(request, endpoint, leftMs, signal);
+    const end = await this._exchange(toCall(request, endpoint, send, leftMs), endpoint, signal);
     metered?.ended(end.kind !== 'not-run');
     span.end({ requestId: request.id, endpointId: endpoint.id, end: end.kind });
     const isFailure = end.kind === 'broken' || (end.kind === 'answered' && end.isFailure);
@@ -284,16 +298,15 @@
       fingerprint: end.kind === 'broken' ? this._poison.detailsOf(request).fingerprint : undefined,
       tookMs: Math.round(details.tookMs),
       leftMs: Math.round(details.leftMs),
+      ...details.send.details(),
     });
   }
 
   private async _exchange(
-    request: CallerRequest,
+    call: EndpointCall,
     endpoint: Endpoint,
-    leftMs: number,
     signal: AbortSignal,
   ): Promise<RequestAttemptEnd> {
-    const call = toCall(request, endpoint, leftMs);
     const reply = await this._client.send(call, signal);
     if (reply.kind === 'not-run') {
       if (reply.reason === 'refused') endpoint.limit.refused();
@@ -339,10 +352,11 @@
     const startedMs = this._context.clock.nowMs();
     const leftMs = deadline.remainingMs();
     const metered = this._startMetering(request);
-    const reply = await this._client.send(toCall(request, endpoint, leftMs), disconnected);
+    const send = this.decideSend('stream');
+    const reply = await this._client.send(toCall(request, endpoint, send, leftMs), disconnected);
     metered?.ended(reply.kind !== 'not-run');
     const tookMs = this._context.clock.nowMs() - startedMs;
-    this.logAttempt(request, endpoint, reply, { number, tookMs, leftMs });
+    this.logAttempt(request, endpoint, reply, { number, tookMs, leftMs, send });
     if (reply.kind === 'broken') await this._poison.recordBroken(request, endpoint);
     if (reply.kind !== 'answered') {
       endpoint.stats.ended(false, reply.kind === 'broken');
@@ -392,13 +406,9 @@
   return endpoint.stats.estimatedLoad() < Math.max(1, endpoint.info().slots * (1 - CALLER_RESERVED_SHARE));
 }
 
-function toCall(
-  request: CallerRequest,
-  endpoint: Endpoint,
-  leftMs: number,
-): Parameters<EndpointClient['send']>[0] {
+function toCall(request: CallerRequest, endpoint: Endpoint, guard: WriteGuard, leftMs: number): EndpointCall {
   const { accountName, method, target, headers, body } = request;
-  return { endpoint: endpoint.info(), accountName, method, target, headers, body, leftMs };
+  return { guard, endpoint: endpoint.info(), accountName, method, target, headers, body, leftMs };
 }
 
 function recordNotSent(endpoint: Endpoint, reason: NotRunReason): StreamEnd {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -213,6 +213,11 @@
       'Time since the store last answered',
       () => this.configuration.ageMs() / 1000,
     );
+    metrics.gauge(
+      'fuchsiahitch_endpoint_view_age_seconds',
+      'Time since the state of the store that the view of the endpoints shows',
+      () => this.endpoints.viewAgeMs() / 1000,
+    );
     metrics.gauge(
       'fuchsiahitch_event_loop_delay_seconds',
       'Greatest delay of the event loop in the last seconds',
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -20,6 +20,19 @@
     'Ends of endpoints under requests, and what followed',
     ['event'],
   );
+  /** Upper bound: since the last state of the store that the host knew before the change. */
+  readonly endpointNews = this.histogram(
+    'fuchsiahitch_endpoint_news_seconds',
+    'Time until a host applied that an endpoint is leaving or gone, at most, by how it learned of it',
+    LATENCY_BUCKETS_SECONDS,
+    ['change', 'source'],
+  );
+  readonly decisionAge = this.histogram(
+    'fuchsiahitch_endpoint_decision_age_seconds',
+    'Age of the view of the endpoints on which a send was decided',
+    LATENCY_BUCKETS_SECONDS,
+    ['kind'],
+  );
   readonly batches = this.counter('fuchsiahitch_batches_total', 'Batch calls by outcome', [
     'call',
     'outcome',
--- a/packages/gateway/src/itemAttempt.ts
+++ b/packages/gateway/src/itemAttempt.ts
@@ -4,6 +4,7 @@
 import { idleTimeouts, type BatchItem, type BatchLedger, type GeneratedEvent } from '@fuchsiahitch/batches';
 import type { CancelTimer } from '@fuchsiahitch/base';
 import type { Endpoint } from './endpoint.js';
+import { EndpointSend, type EndpointFreshness, type SendDetails } from './endpointSend.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { EndpointClient, EndpointLoad, ItemEnd, ItemProgressListener } from './ports.js';
 
@@ -24,6 +25,7 @@
   private readonly _abort = new AbortController();
   private readonly _startedMs: number;
   private readonly _canMove: (attempt: ItemAttempt) => boolean;
+  private readonly _send: EndpointSend;
   /** Set when this host ends the attempt. Takes precedence over the end that the client reports. */
   private _endOverride: AttemptEnd | undefined;
   private _isAnswered = false;
@@ -39,9 +41,11 @@
     ledger: BatchLedger,
     item: BatchItem,
     endpoint: Endpoint,
+    view: EndpointFreshness,
     canMove: (attempt: ItemAttempt) => boolean,
   ) {
     this._canMove = canMove;
+    this._send = new EndpointSend(context, view, 'item');
     this._context = context;
     this._client = client;
     this._ledger = ledger;
@@ -66,6 +70,10 @@
     return this._isAnswered;
   }
 
+  sendDetails(): SendDetails {
+    return this._send.details();
+  }
+
   elapsedMs(): number {
     return this._context.clock.nowMs() - this._startedMs;
   }
@@ -174,6 +182,7 @@
 
   private _call(): Parameters<EndpointClient['runItem']>[0] {
     return {
+      guard: this._send,
       endpoint: this.endpoint.info(),
       itemId: this._item.id,
       accountName: this._ledger.batch.accountName,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -37,8 +37,15 @@
   readonly workPercent?: number | undefined;
 }
 
+/** Asked right before the first byte of a request is written to its connection. */
+export interface WriteGuard {
+  /** Returns false if the request must not be sent any more. */
+  mayWrite(): boolean;
+}
+
 /** A request as it is sent to an endpoint. */
 export interface EndpointCall {
+  readonly guard: WriteGuard;
   readonly endpoint: EndpointInfo;
   /** The client account that the request is made for; undefined if it has none. */
   readonly accountName: string | undefined;
@@ -81,6 +88,7 @@
 
 /** A batch item as it is sent to an endpoint. */
 export interface ItemCall {
+  readonly guard: WriteGuard;
   readonly endpoint: EndpointInfo;
   readonly itemId: string;
   /** The client account that owns the batch; undefined if it has none. */
--- a/packages/gateway/src/sharedWatch.ts
+++ b/packages/gateway/src/sharedWatch.ts
@@ -5,12 +5,19 @@
  * The host with the lowest identifier watches the store. The other hosts follow it, with one call at a time for all
  * prefixes. A follower watches the store itself for a while if the watching host does not respond or has a stale view.
  */
-import { sleep, type Deadline, type Result } from '@fuchsiahitch/base';
-import type { Changes, Snapshot, StoreError } from '@fuchsiahitch/clients';
+import { Instant, sleep, type Deadline, type Result } from '@fuchsiahitch/base';
+import type { Snapshot, StoreError } from '@fuchsiahitch/clients';
 import type { GatewayContext } from './gatewayContext.js';
 import type { CallRegistry, Hosts } from './hostDirectory.js';
-import type { MirrorSource } from './storeMirror.js';
-import { followCall, type FollowReply, type FollowRequest, type Revisions } from './storeRelayMessages.js';
+import type { MirrorChanges, MirrorSource, MirrorStore } from './storeMirror.js';
+import {
+  followCall,
+  type FollowedChanges,
+  type FollowReply,
+  type FollowRequest,
+  type Revisions,
+} from './storeRelayMessages.js';
+import { watchedAsOf } from './storeView.js';
 import { WatchFeed, type WatchedPrefix } from './watchFeed.js';
 
 /** How long a follower's request waits for changes, and the additional time for the network. */
@@ -23,7 +30,7 @@
 
 export class SharedWatch implements MirrorSource {
   private readonly _context: GatewayContext;
-  private readonly _store: MirrorSource;
+  private readonly _store: MirrorStore;
   private readonly _feeds: ReadonlyMap<string, WatchFeed>;
   private _hosts: WatchHosts | undefined;
   private _directUntilMs = -Infinity;
@@ -32,7 +39,7 @@
   private _pendingFollow: Promise<boolean> | undefined;
   private _waiters: (() => void)[] = [];
 
-  constructor(context: GatewayContext, store: MirrorSource, prefixes: readonly WatchedPrefix[]) {
+  constructor(context: GatewayContext, store: MirrorStore, prefixes: readonly WatchedPrefix[]) {
     this._context = context;
     this._store = store;
     this._feeds = new Map(prefixes.map(watched => [watched.prefix, new WatchFeed(watched)]));
@@ -48,8 +55,9 @@
   }
 
   async snapshot(prefix: string, deadline: Deadline): Promise<Result<Snapshot, StoreError>> {
+    const began = Instant.now(this._context.clock);
     const snapshot = await this._store.snapshot(prefix, deadline);
-    if (snapshot.ok) this._feed(prefix).restart(snapshot.value, this._context.clock.nowMs());
+    if (snapshot.ok) this._feed(prefix).restart(snapshot.value, began, this._context.clock.nowMs());
     return snapshot;
   }
 
@@ -58,17 +66,21 @@
     afterRevision: number,
     waitMs: number,
     deadline: Deadline,
-  ): Promise<Result<Changes, StoreError | 'compacted'>> {
+  ): Promise<Result<MirrorChanges, StoreError | 'compacted'>> {
+    const { clock } = this._context;
     const feed = this._feed(prefix);
     const buffered =
       feed.hasChangesAfter(afterRevision) || (await this._follow()) ? feed.after(afterRevision) : undefined;
-    if (buffered) return { ok: true, value: buffered };
+    if (buffered) return { ok: true, value: { ...buffered, view: feed.view() } };
     await this._awaitSpacing(feed);
-    const ownWaitMs = Math.min(waitMs, feed.waitMs(this._context.clock.nowMs()));
+    const ownWaitMs = Math.min(waitMs, feed.waitMs(clock.nowMs()));
+    const began = Instant.now(clock);
     const changes = await this._store.changes(prefix, afterRevision, ownWaitMs, deadline);
     if (!changes.ok) return changes;
-    if (feed.apply(afterRevision, changes.value, this._context.clock.nowMs())) this._wakeFollowers();
-    return { ok: true, value: feed.after(afterRevision) ?? changes.value };
+    const asOf = watchedAsOf(clock, began, ownWaitMs, changes.value.events.length > 0);
+    const isNews = feed.apply(afterRevision, changes.value, { asOf, source: 'watch' }, clock.nowMs());
+    if (isNews) this._wakeFollowers();
+    return { ok: true, value: { ...(feed.after(afterRevision) ?? changes.value), view: feed.view() } };
   }
 
   private _feed(prefix: string): WatchFeed {
@@ -97,10 +109,11 @@
     const after = this._revisions();
     const request: FollowRequest = { after, waitMs: FOLLOW_WAIT_MS };
     const timeoutMs = FOLLOW_WAIT_MS + FOLLOW_SLACK_MS;
+    const began = Instant.now(this._context.clock);
     const reply = await this._hosts?.call(host.address, followCall, request, timeoutMs);
     if (reply?.ok && reply.value.kind === 'changes') {
       this._setSource(host.hostId, 'that host watches the store');
-      this._applyChanges(after, reply.value.changes);
+      this._applyChanges(after, reply.value.changes, began.plus(reply.value.heldMs ?? 0));
       return true;
     }
     this._directUntilMs = this._context.clock.nowMs() + DIRECT_WATCH_MS;
@@ -114,11 +127,19 @@
     return Object.fromEntries(feeds.map(([prefix, feed]) => [prefix, feed.revision]));
   }
 
-  private _applyChanges(after: Revisions, received: Readonly<Record<string, Changes>>): void {
+  /** `answered`: the earliest time at which the watching host can have answered. */
+  private _applyChanges(
+    after: Revisions,
+    received: Readonly<Record<string, FollowedChanges>>,
+    answered: Instant,
+  ): void {
     const nowMs = this._context.clock.nowMs();
     for (const [prefix, revision] of Object.entries(after)) {
       const changes = received[prefix];
-      if (changes) this._feeds.get(prefix)?.apply(revision, changes, nowMs);
+      const feed = this._feeds.get(prefix);
+      if (!changes || !feed) continue;
+      const ageMs = changes.ageMs ?? feed.watched.validMs;
+      feed.apply(revision, changes, { asOf: answered.plus(-ageMs), source: 'follow' }, nowMs);
     }
   }
 
@@ -148,20 +169,25 @@
 
   private async _serveFollower({ after, waitMs }: FollowRequest): Promise<FollowReply> {
     const { clock } = this._context;
-    const endMs = clock.nowMs() + waitMs;
+    const beganMs = clock.nowMs();
+    const endMs = beganMs + waitMs;
     while (this._freshForMs(after) > 0 && !this._hasChanges(after) && clock.nowMs() < endMs)
       await this._nextChange(Math.min(this._freshForMs(after), endMs - clock.nowMs()));
-    return this._freshForMs(after) > 0 ? this._replyOf(after) : { kind: 'not-watching' };
+    return this._freshForMs(after) > 0
+      ? this._replyOf(after, clock.nowMs() - beganMs)
+      : { kind: 'not-watching' };
   }
 
-  private _replyOf(after: Revisions): FollowReply {
-    const changes: Record<string, Changes> = {};
+  private _replyOf(after: Revisions, heldMs: number): FollowReply {
+    const changes: Record<string, FollowedChanges> = {};
     for (const [prefix, revision] of Object.entries(after)) {
-      const buffered = this._feeds.get(prefix)?.after(revision);
-      if (!buffered) return { kind: 'not-watching' };
-      changes[prefix] = buffered;
+      const feed = this._feeds.get(prefix);
+      const buffered = feed?.after(revision);
+      const ageMs = feed?.view()?.asOf.ageMs();
+      if (!buffered || ageMs === undefined) return { kind: 'not-watching' };
+      changes[prefix] = { ...buffered, ageMs };
     }
-    return { kind: 'changes', changes };
+    return { kind: 'changes', changes, heldMs };
   }
 
   private _hasChanges(after: Revisions): boolean {
--- a/packages/gateway/src/storeMirror.ts
+++ b/packages/gateway/src/storeMirror.ts
@@ -5,9 +5,10 @@
  * the store has compacted the changes since the last revision. The last view is retained while the store is
  * unreachable, so that an outage is not mistaken for an empty fleet.
  */
-import { Deadline, sleep } from '@fuchsiahitch/base';
-import type { RevisionedStore, StoredValue } from '@fuchsiahitch/clients';
+import { Deadline, Instant, sleep, type Result } from '@fuchsiahitch/base';
+import type { Changes, RevisionedStore, StoredValue, StoreError } from '@fuchsiahitch/clients';
 import type { GatewayContext } from './gatewayContext.js';
+import { watchedAsOf, type ChangeOrigin, type ViewState } from './storeView.js';
 
 export interface MirrorOptions {
   readonly prefix: string;
@@ -19,12 +20,27 @@
   readonly responseGraceMs?: number;
 }
 
-export type MirrorSource = Pick<RevisionedStore, 'snapshot' | 'changes'>;
+export type MirrorStore = Pick<RevisionedStore, 'snapshot' | 'changes'>;
+
+export interface MirrorChanges extends Changes {
+  /** The state of the store that these changes lead to; absent if it is known from the call alone. */
+  readonly view?: ViewState | undefined;
+}
+
+/** A store, or another host's watch of it. */
+export interface MirrorSource extends Pick<MirrorStore, 'snapshot'> {
+  changes(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    deadline: Deadline,
+  ): Promise<Result<MirrorChanges, StoreError | 'compacted'>>;
+}
 
 export interface MirrorListener {
   /** Called when a key was added or its value was written again. */
-  changed(value: StoredValue): void;
-  removed(key: string): void;
+  changed(value: StoredValue, origin: ChangeOrigin): void;
+  removed(key: string, origin: ChangeOrigin): void;
   /** Called after a complete read of the prefix. */
   synced?(): void;
 }
@@ -43,6 +59,7 @@
   private readonly _items = new Map<string, StoredValue>();
   private _revision: number | undefined;
   private _lastReplyMs = -Infinity;
+  private _asOf: Instant | undefined;
   private _lastFailureMs = -Infinity;
   private _isDisconnected = false;
 
@@ -72,6 +89,11 @@
     return this._context.clock.nowMs() - this._lastReplyMs;
   }
 
+  /** Milliseconds since the state of the store that the view shows; Infinity before the first read. */
+  viewAgeMs(): number {
+    return this._asOf?.ageMs() ?? Infinity;
+  }
+
   /** Milliseconds since the store last failed to answer. */
   sinceFailureMs(): number {
     return this._context.clock.nowMs() - this._lastFailureMs;
@@ -87,13 +109,18 @@
 
   private async _read(): Promise<boolean> {
     const deadline = Deadline.after(this._context.clock, SNAPSHOT_TIMEOUT_MS);
+    const began = Instant.now(this._context.clock);
     const snapshot = await this._store.snapshot(this._options.prefix, deadline);
     if (!snapshot.ok) return this._onFailure(snapshot.error);
     this._onReply();
-    const present = new Set(snapshot.value.items.map(item => item.key));
-    for (const item of snapshot.value.items) this._apply(item);
-    for (const key of [...this._items.keys()]) if (!present.has(key)) this._remove(key);
-    this._revision = snapshot.value.revision;
+    const { items, revision } = snapshot.value;
+    const maxDelayMs = this.viewAgeMs();
+    const present = new Set(items.map(item => item.key));
+    for (const item of items) this._apply(item, { source: 'read', revision: item.version, maxDelayMs });
+    for (const key of [...this._items.keys()])
+      if (!present.has(key)) this._remove(key, { source: 'read', revision, maxDelayMs });
+    this._revision = revision;
+    this._advance(began);
     this._listener.synced?.();
     return true;
   }
@@ -101,7 +128,9 @@
   private async _watch(after: number): Promise<boolean> {
     const { prefix, waitMs } = this._options;
     const responseGraceMs = this._options.responseGraceMs ?? RESPONSE_GRACE_MS;
-    const deadline = Deadline.after(this._context.clock, waitMs + responseGraceMs);
+    const { clock } = this._context;
+    const deadline = Deadline.after(clock, waitMs + responseGraceMs);
+    const began = Instant.now(clock);
     const changes = await this._store.changes(prefix, after, waitMs, deadline);
     if (!changes.ok) {
       if (changes.error !== 'compacted') return this._onFailure(changes.error);
@@ -113,23 +142,35 @@
       return true;
     }
     this._onReply();
-    for (const { key, value, version } of changes.value.events) {
-      if (value === undefined) this._remove(key);
-      else this._apply({ key, value, version });
+    const { events, revision, view } = changes.value;
+    const { asOf, source } = view ?? {
+      asOf: watchedAsOf(clock, began, waitMs, events.length > 0),
+      source: 'watch',
+    };
+    const maxDelayMs = this.viewAgeMs();
+    for (const { key, value, version } of events) {
+      const origin: ChangeOrigin = { source, revision: version, maxDelayMs };
+      if (value === undefined) this._remove(key, origin);
+      else this._apply({ key, value, version }, origin);
     }
-    this._revision = Math.max(after, changes.value.revision);
+    this._revision = Math.max(after, revision);
+    this._advance(asOf);
     return true;
   }
 
-  private _apply(value: StoredValue): void {
+  private _advance(asOf: Instant): void {
+    if (!this._asOf || asOf.isAfter(this._asOf)) this._asOf = asOf;
+  }
+
+  private _apply(value: StoredValue, origin: ChangeOrigin): void {
     const known = this._items.get(value.key);
     if (known && known.version >= value.version) return;
     this._items.set(value.key, value);
-    this._listener.changed(value);
+    this._listener.changed(value, origin);
   }
 
-  private _remove(key: string): void {
-    if (this._items.delete(key)) this._listener.removed(key);
+  private _remove(key: string, origin: ChangeOrigin): void {
+    if (this._items.delete(key)) this._listener.removed(key, origin);
   }
 
   private _onReply(): void {
--- a/packages/gateway/src/storeRelayMessages.ts
+++ b/packages/gateway/src/storeRelayMessages.ts
@@ -76,17 +76,25 @@
   .strictObject({ key: z.string(), value: z.string().optional(), version: nonNegativeInteger })
   .transform(event => ({ ...event, value: event.value }))
   .readonly();
+/** `ageMs`: time since the state that the watching host's view shows; absent from hosts of earlier versions. */
 const changesSchema = z
-  .strictObject({ events: z.array(watchEventSchema).readonly(), revision: nonNegativeInteger })
+  .object({
+    events: z.array(watchEventSchema).readonly(),
+    revision: nonNegativeInteger,
+    ageMs: z.number().min(0).optional(),
+  })
   .readonly();
+export type FollowedChanges = z.infer<typeof changesSchema>;
 
 /** `not-watching`: the host follows another host, its view is stale, or it no longer retains the requested changes. */
 export const followReplySchema = z.discriminatedUnion('kind', [
-  z.strictObject({
+  z.object({
     kind: z.literal('changes'),
     changes: z.record(z.string(), changesSchema).readonly(),
+    /** How long the watching host waited for changes before it answered; absent from hosts of earlier versions. */
+    heldMs: z.number().min(0).optional(),
   }),
-  z.strictObject({ kind: z.literal('not-watching') }),
+  z.object({ kind: z.literal('not-watching') }),
 ]);
 export type FollowReply = z.infer<typeof followReplySchema>;
 
--- a/packages/gateway/src/watchFeed.ts
+++ b/packages/gateway/src/watchFeed.ts
@@ -1,7 +1,9 @@
 /**
  * Buffer of recent changes under one store prefix, for the local mirror and for the followers of this host.
  */
+import type { Instant } from '@fuchsiahitch/base';
 import type { Changes, Snapshot, WatchEvent } from '@fuchsiahitch/clients';
+import type { ViewState } from './storeView.js';
 
 /** Holds several seconds of changes of a pool with hundreds of endpoints. */
 const MAX_EVENTS = 2000;
@@ -30,6 +32,7 @@
   private _revision = 0;
   private _lastAnswerMs = -Infinity;
   private _lastChangeMs = -Infinity;
+  private _view: ViewState | undefined;
 
   constructor(watched: WatchedPrefix) {
     this.watched = watched;
@@ -40,6 +43,11 @@
     return this._revision;
   }
 
+  /** The most recent state that the buffer is known to show; undefined before the first read. */
+  view(): ViewState | undefined {
+    return this._view;
+  }
+
   /** How long the buffer remains fresh; 0 or less if it is stale. */
   freshForMs(nowMs: number): number {
     return this._lastAnswerMs + this.watched.validMs - nowMs;
@@ -59,15 +67,16 @@
   }
 
   /** Resets the buffer after a complete read of the prefix. */
-  restart({ items, revision }: Snapshot, nowMs: number): void {
+  restart({ items, revision }: Snapshot, asOf: Instant, nowMs: number): void {
     this._significantParts.clear();
     for (const { key, value } of items) this._isSignificant(key, value);
     this._resetTo(revision);
     this._lastAnswerMs = nowMs;
+    this._advance({ asOf, source: 'read' });
   }
 
   /** Applies changes that follow a revision; returns true if any of them is significant. */
-  apply(afterRevision: number, changes: Changes, nowMs: number): boolean {
+  apply(afterRevision: number, changes: Changes, view: ViewState, nowMs: number): boolean {
     // Intermediate changes are missing: restart the buffer.
     if (afterRevision > this._revision) this._resetTo(afterRevision);
     const previous = this._revision;
@@ -80,6 +89,7 @@
     this._revision = Math.max(previous, changes.revision);
     this._lastAnswerMs = nowMs;
     if (changes.events.length > 0) this._lastChangeMs = nowMs;
+    this._advance(view);
     return significant.length > 0;
   }
 
@@ -94,6 +104,11 @@
     return (this._events.at(-1)?.version ?? 0) > revision;
   }
 
+  /** Answers may arrive out of order: the most recent state counts. */
+  private _advance(view: ViewState): void {
+    if (!this._view || view.asOf.isAfter(this._view.asOf)) this._view = view;
+  }
+
   private _resetTo(revision: number): void {
     this._events = [];
     this._fromRevision = revision;
--- a/tests/endpointSpeed.spec.ts
+++ b/tests/endpointSpeed.spec.ts
@@ -13,6 +13,7 @@
   type EndpointView,
   type PickRequest,
 } from '@fuchsiahitch/requests';
+import { ALWAYS_WRITES } from './gatewayFixtures.js';
 import { validResponse, WireServer } from './platformStandIns.js';
 
 const INFO: EndpointInfo = {
@@ -35,6 +36,7 @@
     server.answer = (request, socket) =>
       void socket.write(validResponse(request, '', '200 OK', [`Server-Load: ${header}`]));
     const call = {
+      guard: ALWAYS_WRITES,
       endpoint,
       accountName: undefined,
       method: 'POST',
@@ -65,6 +67,7 @@
     );
   const endpoint = { ...INFO, address: await server.listen() };
   const call = {
+    guard: ALWAYS_WRITES,
     endpoint,
     itemId: 'x',
     accountName: undefined,
--- a/tests/gatewayFixtures.ts
+++ b/tests/gatewayFixtures.ts
@@ -25,6 +25,7 @@
   type RecordDecoder,
   type RecordKeys,
   type WeightReport,
+  type WriteGuard,
 } from '@fuchsiahitch/gateway';
 import type { Route } from '@fuchsiahitch/rules';
 import { Tracing, type LogDetails, type Logger } from '@fuchsiahitch/telemetry';
@@ -78,6 +79,9 @@
   };
 }
 
+/** Never withholds a request. */
+export const ALWAYS_WRITES: WriteGuard = { mayWrite: () => true };
+
 /** A poison guard for a host without peers. */
 export function singleHostPoisonGuard(
   context: TestContext,
--- a/tests/platformWire.spec.ts
+++ b/tests/platformWire.spec.ts
@@ -7,7 +7,7 @@
 import { Retirement, type EndpointCall, type EndpointInfo, type ItemCall } from '@fuchsiahitch/gateway';
 import { PlatformEndpointClient, retirementRecord, StoreClient } from '@fuchsiahitch/platform';
 import { FakeStore } from './fakeStore.js';
-import { TestLog } from './gatewayFixtures.js';
+import { ALWAYS_WRITES, TestLog } from './gatewayFixtures.js';
 import {
   chunk,
   validResponse,
@@ -152,6 +152,7 @@
 
 function call(endpoint: EndpointInfo, overrides: Partial<EndpointCall> = {}): EndpointCall {
   return {
+    guard: ALWAYS_WRITES,
     endpoint,
     accountName: undefined,
     method: 'POST',
@@ -354,6 +355,7 @@
 
 function itemCall(endpoint: EndpointInfo, afterEvent = 0): ItemCall {
   return {
+    guard: ALWAYS_WRITES,
     endpoint,
     itemId: 'x',
     accountName: undefined,
--- a/tests/sharedWatch.spec.ts
+++ b/tests/sharedWatch.spec.ts
@@ -6,9 +6,10 @@
 import type { Owner } from '@fuchsiahitch/batches';
 import { EndpointDirectory, SharedWatch, watchedPrefixes, type Hosts } from '@fuchsiahitch/gateway';
 import { FakeStore, type FakeStoreClient } from './fakeStore.js';
-import { endpointRecord, keys, JsonRecordDecoder, testContext } from './gatewayFixtures.js';
+import { endpointRecord, keys, JsonRecordDecoder, testContext, type TestLog } from './gatewayFixtures.js';
 
 interface DomainHost {
+  readonly log: TestLog;
   readonly client: FakeStoreClient;
   readonly endpoints: EndpointDirectory;
 }
@@ -62,7 +63,7 @@
     watch.serve({ handle: (_call, handler) => void handlers.set(id, handler as never) });
     const endpoints = new EndpointDirectory(context, watch, keys, records, () => undefined);
     endpoints.start();
-    return { client, endpoints };
+    return { log: context.log, client, endpoints };
   });
   // 0: the record never changes.
   if (changeEveryMs > 0)
@@ -108,6 +109,26 @@
   },
 );
 
+await tap.test(
+  'should log how a host learned of a leaving endpoint, and for how long at most it was unknown',
+  async t => {
+    // Guards against incidents in which nobody can tell a late view from news that were not applied.
+    const { clock, store, hosts, end } = await startedHosts(['a', 'b']);
+    for (const host of hosts) t.ok(host.endpoints.viewAgeMs() <= 1000, `${host.endpoints.viewAgeMs()} ms`);
+    const changedMs = clock.nowMs();
+    store.put(`${keys.endpointPrefix}e1`, endpointRecord({ isLeaving: true }));
+    while (hosts.some(host => !host.endpoints.get('e1')?.isLeaving)) await clock.advance(10);
+    const tookMs = clock.nowMs() - changedMs;
+    for (const [i, source] of ['watch', 'follow'].entries()) {
+      const line = hosts[i]?.log.lines.find(({ details }) => details.change === 'leaving');
+      t.match(line?.details, { endpointId: 'e1', source });
+      const maxDelayMs = Number(line?.details.maxDelayMs);
+      t.ok(maxDelayMs >= tookMs - 20 && maxDelayMs <= tookMs + 1000, `${maxDelayMs} ms, took ${tookMs} ms`);
+    }
+    end();
+  },
+);
+
 await tap.test('should follow the watching host when endpoint records change rarely', async t => {
   // Guards against a watch whose wait and spacing together exceed the time for which its view counts as fresh.
   for (const changeEveryMs of [0, 2300, 3700]) {
