--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -69,8 +69,11 @@
   readonly body: AsyncIterable<Buffer>;
 }
 
-/** Why a request certainly did not run: no connection, no free slot, or another instance at the address. */
-export type NotRunReason = 'unreachable' | 'refused' | 'other-instance';
+/**
+ * Why a request certainly did not run: no connection, no free slot, another instance at the address, or withheld by its
+ * guard before it was written.
+ */
+export type NotRunReason = 'unreachable' | 'refused' | 'other-instance' | 'withheld';
 
 /**
  * The result of sending a request to an endpoint, up to the head of the answer. After `not-run` the request certainly
--- a/tests/gatewayFleet.ts
+++ b/tests/gatewayFleet.ts
@@ -44,6 +44,9 @@
   readonly dueMs: number;
 }
 
+/** How an endpoint leaves: reported by its record, or by the removal of the record alone. */
+export type LeavingKind = 'draining' | 'removed';
+
 /** One gateway process with counters of its calls, timers and decoded records. */
 export class FleetHost {
   readonly context: TestContext;
@@ -120,6 +123,10 @@
     this.calls.set(call.name, (this.calls.get(call.name) ?? 0) + 1);
     this.sentBytes += encodeFrame({ t: 'call', id: 1, name: call.name, body: request }).length;
     await sleep(clock, ONE_WAY_LATENCY_MS);
+    if (this._fleet.silentHosts.has(this.context.hostId) || this._fleet.silentHosts.has(address)) {
+      await sleep(clock, timeoutMs);
+      return err({ kind: 'timed-out' });
+    }
     const target = this._fleet.isPartitioned(this.context.hostId, address)
       ? undefined
       : this._fleet.hostAt(address);
@@ -164,7 +171,10 @@
   readonly duties = new DutyStandIn(this.clock, HANDOVER_MS);
   /** Hosts partitioned from all others. Calls between two isolated hosts still succeed. */
   readonly isolatedHosts = new Set<string>();
+  /** Hosts that answer no call and are answered none, without an error. */
+  readonly silentHosts = new Set<string>();
   private readonly _size: FleetSize;
+  private readonly _leftEndpoints = new Map<number, LeavingKind>();
   private _heartbeatCount = 0;
   private _isStopped = false;
 
@@ -222,6 +232,14 @@
     return next;
   }
 
+  /** An endpoint leaves: it reports so, or its record is removed without that. */
+  leave(endpoint: number, kind: LeavingKind): void {
+    this._leftEndpoints.set(endpoint, kind);
+    const key = `${keys.endpointPrefix}e${endpoint}`;
+    if (kind === 'removed') this.store.remove(key);
+    else this.store.put(key, this._recordOf(endpoint));
+  }
+
   hostAt(address: string): FleetHost | undefined {
     return this.hosts.find(host => host.context.hostId === address);
   }
@@ -233,21 +251,23 @@
 
   /** Writes the endpoint's record with an incremented heartbeat counter, and schedules the next heartbeat. */
   private _writeHeartbeat(i: number): void {
-    if (this._isStopped) return;
+    if (this._isStopped || this._leftEndpoints.get(i) === 'removed') return;
+    this.store.put(`${keys.endpointPrefix}e${i}`, this._recordOf(i));
+    if (this._size.isHeartbeatDisabled === true) return;
+    const spreadMs =
+      this._heartbeatCount <= this._size.endpoints ? (HEARTBEAT_MS * i) / this._size.endpoints : 0;
+    this.clock.after(HEARTBEAT_MS + spreadMs, () => this._writeHeartbeat(i));
+  }
+
+  private _recordOf(i: number): string {
     const record = JSON.parse(
       endpointRecord({
         address: `10.0.0.1:${i}`,
         domain: `domain-${i % this._size.domains}`,
+        isLeaving: this._leftEndpoints.has(i),
         ...(this._size.slots === undefined ? {} : { slots: this._size.slots }),
       }),
     ) as object;
-    this.store.put(
-      `${keys.endpointPrefix}e${i}`,
-      JSON.stringify({ ...record, beat: (this._heartbeatCount += 1) }),
-    );
-    if (this._size.isHeartbeatDisabled === true) return;
-    const spreadMs =
-      this._heartbeatCount <= this._size.endpoints ? (HEARTBEAT_MS * i) / this._size.endpoints : 0;
-    this.clock.after(HEARTBEAT_MS + spreadMs, () => this._writeHeartbeat(i));
+    return JSON.stringify({ ...record, beat: (this._heartbeatCount += 1) });
   }
 }
