Late view of leaving endpoints: a host asks the store itself before the age of its view eats the bound

Cause: no host knew how old its view was. A watch without an answer was given up after 4 s; a host that follows added its own request, the spacing of calls and, after dropped history, a wait for a request that could not be answered, to a view whose age it did not deduct. Each part had a limit, the sum had none.

Answers may overtake each other, so changes up to the known revision are applied once. Dropped history is read at once, the old view stays in force meanwhile (PoolBases asks isComplete). Changes that a later page of a complete read shows already were not passed on to followers; they are. The same holds for the configuration and, with a budget of its own, for lease keys.

--- a/packages/gateway/src/configurationService.ts
+++ b/packages/gateway/src/configurationService.ts
@@ -7,14 +7,10 @@
 import type { StoredValue } from '@fuchsiahitch/clients';
 import { RuleEvaluator, RuleHistory, type Decision, type Route } from '@fuchsiahitch/rules';
 import type { GatewayContext } from './gatewayContext.js';
+import { newsBudget, type NewsBudget } from './newsBudget.js';
 import type { CallerLimits, FleetConfiguration, RecordDecoder, RecordKeys } from './ports.js';
 import { StoreMirror, type MirrorSource } from './storeMirror.js';
 
-/**
- * An unresponsive watch is restarted early enough for a change to be in force within two seconds. A longer wait would
- * save calls, but callers would receive 404 for a new route for seconds after it was accepted.
- */
-const WATCH_TIMINGS = { waitMs: 1000, responseGraceMs: 600, spacingMs: 0 };
 /**
  * With an older view, access is `unsure` instead of denied, so that the caller may retry at another host; callers treat
  * a denial as final. A connected host receives a new configuration within about two seconds.
@@ -50,14 +46,20 @@
   private _accounts: AccountIndex | undefined;
   private _configuration: FleetConfiguration | undefined;
 
-  constructor(context: GatewayContext, store: MirrorSource, keys: RecordKeys, decoder: RecordDecoder) {
+  constructor(
+    context: GatewayContext,
+    store: MirrorSource,
+    keys: RecordKeys,
+    decoder: RecordDecoder,
+    budget: NewsBudget = newsBudget(),
+  ) {
     this._context = context;
     this._keys = keys;
     this._decoder = decoder;
     this._mirror = new StoreMirror(
       context,
       store,
-      { prefix: keys.operatorPrefix, ...WATCH_TIMINGS },
+      { prefix: keys.operatorPrefix, budget, spacingMs: 0 },
       { changed: item => this._recordChanged(item), removed: () => undefined },
     );
   }
@@ -98,9 +100,14 @@
     return this._namedVersions.has(model);
   }
 
-  /** Time since the view was last known to be current. */
+  /** Milliseconds since the state of the store that the view shows. */
   ageMs(): number {
-    return this._mirror.ageMs();
+    return this._mirror.viewAgeMs();
+  }
+
+  /** Resolves once the configuration may be applied to a request; soon also if the store does not answer. */
+  async whenCurrent(): Promise<void> {
+    return this._mirror.whenCurrent();
   }
 
   route(host: string, path: string): RouteResult {
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -9,6 +9,7 @@
 import type { StoredValue } from '@fuchsiahitch/clients';
 import { Endpoint } from './endpoint.js';
 import type { GatewayContext } from './gatewayContext.js';
+import { newsBudget, type NewsBudget } from './newsBudget.js';
 import type { EndpointInfo, RecordDecoder, RecordKeys } from './ports.js';
 import { StoreMirror, type MirrorSource } from './storeMirror.js';
 import type { ChangeOrigin } from './storeView.js';
@@ -17,7 +18,6 @@
 const REMOVAL_GRACE_MS = 2300;
 /** A removal this soon after a failed store call may be caused by the outage and not by the endpoint. */
 const OUTAGE_WINDOW_MS = 2500;
-const WATCH_WAIT_MS = 2500;
 /** Start times remembered for removed endpoints, so that a late record does not restore an earlier instance. */
 const MAX_REMEMBERED_STARTS = 4000;
 
@@ -38,6 +38,7 @@
     keys: RecordKeys,
     decoder: RecordDecoder,
     onRestarted: (address: string) => void,
+    budget: NewsBudget = newsBudget(),
   ) {
     this._onRestarted = onRestarted;
     this._context = context;
@@ -46,7 +47,7 @@
     this._mirror = new StoreMirror(
       context,
       store,
-      { prefix: keys.endpointPrefix, waitMs: WATCH_WAIT_MS, spacingMs: 0 },
+      { prefix: keys.endpointPrefix, budget, spacingMs: 0 },
       {
         changed: (item, origin) => this._recordChanged(item, origin),
         removed: (key, origin) => this._recordRemoved(key, origin),
@@ -62,9 +63,9 @@
     return this._mirror.isSynced();
   }
 
-  /** Time since the view was last known to be current. */
-  ageMs(): number {
-    return this._mirror.ageMs();
+  /** Returns false while changes may be missing that were made long before. */
+  isComplete(): boolean {
+    return this._mirror.isComplete();
   }
 
   /** Milliseconds since the state of the store that the view shows; Infinity before the first read. */
@@ -72,7 +73,15 @@
     return this._mirror.viewAgeMs();
   }
 
-  /** Time since the store last failed to answer; records may have expired meanwhile. */
+  isCurrent(): boolean {
+    return this._mirror.isCurrent();
+  }
+
+  async whenCurrent(): Promise<void> {
+    return this._mirror.whenCurrent();
+  }
+
+  /** Time since a call to the store last failed; records may have expired meanwhile. */
   sinceFailureMs(): number {
     return this._mirror.sinceFailureMs();
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { ReachabilityMonitor } from './reachabilityMonitor.js';
 import { OrphanRecovery } from './orphanRecovery.js';
 import { PoisonGuard } from './poisonGuard.js';
+import { newsBudget } from './newsBudget.js';
 import { RelayedStore } from './relayedStore.js';
 import { ShareMonitor } from './shareMonitor.js';
 import { SharedWatch } from './sharedWatch.js';
@@ -45,6 +46,8 @@
   readonly batchReadableMs: number;
   /** How long after a batch's end was confirmed its items may still reach endpoints. */
   readonly batchEndMs: number;
+  /** From the store's acknowledgement of a leaving endpoint or a configuration until it must be in effect. */
+  readonly newsBoundMs: number;
 }
 
 const IN_FLIGHT_POLL_MS = 100;
@@ -79,15 +82,15 @@
       new CountedStore(store, component, context.metrics);
     this._context = context;
     this._store = store;
-    this._watch = new SharedWatch(context, storeOf('watch'), watchedPrefixes(keys, decoder));
-    this.configuration = new ConfigurationService(context, this._watch, keys, decoder);
+    const budget = newsBudget(options.newsBoundMs);
+    this._watch = new SharedWatch(context, storeOf('watch'), watchedPrefixes(keys, decoder, budget));
+    this.configuration = new ConfigurationService(context, this._watch, keys, decoder, budget);
     this.hosts = new HostDirectory(context, storeOf('host-lease'), this._watch, options.hosts, () =>
       this._orphanRecovery.hostRemoved(),
     );
     this._watch.setHosts(this.hosts);
-    this.endpoints = new EndpointDirectory(context, this._watch, keys, decoder, address =>
-      client.dropConnections(address),
-    );
+    const onRestarted = (address: string): void => client.dropConnections(address);
+    this.endpoints = new EndpointDirectory(context, this._watch, keys, decoder, onRestarted, budget);
     const { hosts: peers } = this;
     store.setPeers({
       addresses: () => peers.peers().map(peer => peer.address),
--- a/packages/gateway/src/hostDirectory.ts
+++ b/packages/gateway/src/hostDirectory.ts
@@ -9,6 +9,7 @@
 import * as z from 'zod';
 import type { GatewayContext } from './gatewayContext.js';
 import { HostChangeLog } from './hostChangeLog.js';
+import { LIVE_BUDGET } from './newsBudget.js';
 import type { PeerCaller } from './peerCaller.js';
 import { StoreLease } from './storeLease.js';
 import { StoreMirror, type MirrorSource } from './storeMirror.js';
@@ -31,7 +32,7 @@
 const HOST_LEASE = { ttlMs: 2000, renewMs: 600 };
 /** More than the restarts per day of a fleet of several hundred hosts. */
 const MAX_TERMINATED_PROCESSES = 1000;
-const MIRROR_OPTIONS = { prefix: LIVE_PREFIX, waitMs: 4000, spacingMs: 0 };
+const MIRROR_OPTIONS = { prefix: LIVE_PREFIX, budget: LIVE_BUDGET, spacingMs: 0 };
 
 export interface HostDirectoryOptions {
   readonly peers: PeerCaller;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,7 @@
 export * from './itemAttempt.js';
 export * from './itemScoring.js';
 export * from './eventLoopMonitor.js';
+export * from './newsBudget.js';
 export * from './orphanRecovery.js';
 export * from './peerCaller.js';
 export * from './modelShares.js';
--- a/packages/gateway/src/poolBases.ts
+++ b/packages/gateway/src/poolBases.ts
@@ -16,7 +16,7 @@
 const OUTAGE_QUIET_MS = 5000;
 const RETRY_MS = 1000;
 
-export type BaseEndpoints = Pick<EndpointDirectory, 'inPool' | 'isSynced' | 'ageMs' | 'sinceFailureMs'>;
+export type BaseEndpoints = Pick<EndpointDirectory, 'inPool' | 'isComplete' | 'viewAgeMs' | 'sinceFailureMs'>;
 
 /** Used for one tenure of the duty. */
 export class PoolBases {
@@ -61,7 +61,7 @@
   /** Returns false if endpoints that serve may be missing from the view. */
   isViewReliable(): boolean {
     const endpoints = this._endpoints;
-    if (!endpoints.isSynced() || endpoints.ageMs() > MAX_VIEW_AGE_MS) return false;
+    if (!endpoints.isComplete() || endpoints.viewAgeMs() > MAX_VIEW_AGE_MS) return false;
     return endpoints.sinceFailureMs() >= OUTAGE_QUIET_MS;
   }
 
--- a/packages/gateway/src/storeMirror.ts
+++ b/packages/gateway/src/storeMirror.ts
@@ -1,23 +1,22 @@
 /**
  * Local copy of one prefix of the store, updated by a watch.
  *
- * Every watch has a timeout, since a watch may become unresponsive without an error. The prefix is read completely if
- * the store has compacted the changes since the last revision. The last view is retained while the store is
- * unreachable, so that an outage is not mistaken for an empty fleet.
+ * A watch may become unresponsive without an error, and so may the host that is followed instead. The mirror therefore asks
+ * the store itself once its view reaches the age that the news budget allows. The prefix is read completely if the store
+ * has compacted the changes since the last revision. The last view is retained while the store is unreachable, so that an
+ * outage is not mistaken for an empty fleet.
  */
-import { Deadline, Instant, sleep, type Result } from '@fuchsiahitch/base';
-import type { Changes, RevisionedStore, StoredValue, StoreError } from '@fuchsiahitch/clients';
+import { afterPendingIo, Deadline, Instant, sleep, type Result } from '@fuchsiahitch/base';
+import type { Changes, RevisionedStore, Snapshot, StoredValue, StoreError } from '@fuchsiahitch/clients';
 import type { GatewayContext } from './gatewayContext.js';
+import type { NewsBudget } from './newsBudget.js';
 import { watchedAsOf, type ChangeOrigin, type ViewState } from './storeView.js';
 
 export interface MirrorOptions {
   readonly prefix: string;
-  /** Maximum time that one watch waits for a change. */
-  readonly waitMs: number;
+  readonly budget: NewsBudget;
   /** Minimum pause between two watches, so that close changes are read in one call. */
   readonly spacingMs: number;
-  /** Timeout of a watch in addition to its wait. */
-  readonly responseGraceMs?: number;
 }
 
 export type MirrorStore = Pick<RevisionedStore, 'snapshot' | 'changes'>;
@@ -29,6 +28,7 @@
 
 /** A store, or another host's watch of it. */
 export interface MirrorSource extends Pick<MirrorStore, 'snapshot'> {
+  /** With a `waitMs` of 0 the store itself is asked, at once. */
   changes(
     prefix: string,
     afterRevision: number,
@@ -45,12 +45,17 @@
   synced?(): void;
 }
 
-/** Allows for a round trip to a slow store. */
-const RESPONSE_GRACE_MS = 1500;
+/** Timeout of a watch in addition to its wait. */
+export const RESPONSE_GRACE_MS = 600;
 const SNAPSHOT_TIMEOUT_MS = 1500;
 /** Short compared with the seconds within which changes must be known. */
 const RETRY_MS = 250;
-
+/** Timeout of a question, in multiples of the time after which it is asked again. Enough for one through a peer. */
+const QUESTION_TIMEOUT_FACTOR = 3;
+/** Failed questions in a row from which on the store counts as unreachable. */
+const MAX_FAILED_QUESTIONS = 2;
+/** Interval of questions while the store is unreachable. */
+const UNREACHABLE_ASK_INTERVAL_MS = 1000;
 export class StoreMirror {
   private readonly _context: GatewayContext;
   private readonly _store: MirrorSource;
@@ -58,10 +63,14 @@
   private readonly _listener: MirrorListener;
   private readonly _items = new Map<string, StoredValue>();
   private _revision: number | undefined;
-  private _lastReplyMs = -Infinity;
+  private _isHistoryLost = false;
   private _asOf: Instant | undefined;
   private _lastFailureMs = -Infinity;
   private _isDisconnected = false;
+  private _lastQuestion: Instant | undefined;
+  /** Questions that failed since the view was last current. */
+  private _failedQuestions = 0;
+  private _waiters: (() => void)[] = [];
 
   constructor(
     context: GatewayContext,
@@ -77,16 +86,17 @@
 
   start(): void {
     void this._run();
+    void this._keepCurrent();
   }
 
-  /** Returns true if a complete read of the prefix is current. */
+  /** Returns true once the prefix was read completely. */
   isSynced(): boolean {
     return this._revision !== undefined;
   }
 
-  /** Milliseconds since the store last answered. */
-  ageMs(): number {
-    return this._context.clock.nowMs() - this._lastReplyMs;
+  /** Returns false while changes are missing that only another complete read can show. */
+  isComplete(): boolean {
+    return this.isSynced() && !this._isHistoryLost;
   }
 
   /** Milliseconds since the state of the store that the view shows; Infinity before the first read. */
@@ -94,72 +104,137 @@
     return this._asOf?.ageMs() ?? Infinity;
   }
 
-  /** Milliseconds since the store last failed to answer. */
+  /**
+   * Returns false while the view may miss a change that must be in effect, and the store may still answer. A host that
+   * does not reach the store goes on with the view that it has.
+   */
+  isCurrent(): boolean {
+    const isUnreachable = this._failedQuestions >= MAX_FAILED_QUESTIONS;
+    return isUnreachable || !this.isSynced() || this.viewAgeMs() <= this._options.budget.maxAgeMs;
+  }
+
+  /** Resolves when the view is current, or at the time when a question would be asked again. */
+  async whenCurrent(): Promise<void> {
+    if (this.isCurrent()) return;
+    const { questionMs } = this._options.budget;
+    await new Promise<void>(resolve => {
+      const cancel = afterPendingIo(this._context.clock, questionMs, resolve);
+      this._waiters.push(() => {
+        cancel();
+        resolve();
+      });
+      this._askIfDue();
+    });
+  }
+
+  /** Milliseconds since a call to the store last failed. */
   sinceFailureMs(): number {
     return this._context.clock.nowMs() - this._lastFailureMs;
   }
 
   private async _run(): Promise<void> {
     const { stopped, clock } = this._context;
+    const { waitMs, timeoutMs } = this._watchTimes();
     while (!stopped.aborted) {
-      const isSuccess = this._revision === undefined ? await this._read() : await this._watch(this._revision);
+      const isSuccess =
+        this._revision === undefined
+          ? await this._read()
+          : await this._watch(this._revision, waitMs, Deadline.after(clock, timeoutMs));
       await sleep(clock, isSuccess ? this._options.spacingMs : RETRY_MS, stopped);
     }
   }
 
+  private _watchTimes(): { readonly waitMs: number; readonly timeoutMs: number } {
+    const waitMs = this._options.budget.intervalMs;
+    return { waitMs, timeoutMs: waitMs + RESPONSE_GRACE_MS };
+  }
+
+  /** Asks the store itself whenever the view gets too old, whatever the watch is doing. */
+  private async _keepCurrent(): Promise<void> {
+    const { stopped, clock } = this._context;
+    const { askAgeMs } = this._options.budget;
+    while (!stopped.aborted) {
+      const leftMs = askAgeMs - this.viewAgeMs();
+      if (this.isSynced() && leftMs <= 0) this._askIfDue();
+      const isDue = !this.isSynced() || leftMs <= 0;
+      await sleep(clock, isDue ? this._askIntervalMs() : Math.max(1, leftMs), stopped);
+    }
+  }
+
+  private _askIntervalMs(): number {
+    const isUnreachable = this._failedQuestions >= MAX_FAILED_QUESTIONS;
+    return isUnreachable ? UNREACHABLE_ASK_INTERVAL_MS : this._options.budget.questionMs;
+  }
+
+  /** Asks again while an earlier question is unanswered: its connection may be unresponsive. */
+  private _askIfDue(): void {
+    if (this._revision === undefined) return;
+    if (this._lastQuestion && this._lastQuestion.ageMs() < this._askIntervalMs()) return;
+    const { clock } = this._context;
+    this._lastQuestion = Instant.now(clock);
+    const timeoutMs = this._options.budget.questionMs * QUESTION_TIMEOUT_FACTOR;
+    void this._watch(this._revision, 0, Deadline.after(clock, timeoutMs)).then(isSuccess => {
+      if (!isSuccess) this._failedQuestions += 1;
+      if (this.isCurrent()) this._wakeWaiters();
+    });
+  }
+
   private async _read(): Promise<boolean> {
     const deadline = Deadline.after(this._context.clock, SNAPSHOT_TIMEOUT_MS);
     const began = Instant.now(this._context.clock);
     const snapshot = await this._store.snapshot(this._options.prefix, deadline);
     if (!snapshot.ok) return this._onFailure(snapshot.error);
-    this._onReply();
-    const { items, revision } = snapshot.value;
+    // An answer that was overtaken by a later one.
+    if (snapshot.value.revision < (this._revision ?? 0)) return true;
+    this._replaceAll(snapshot.value);
+    this._advance(began);
+    this._listener.synced?.();
+    return true;
+  }
+
+  private _replaceAll({ items, revision }: Snapshot): void {
     const maxDelayMs = this.viewAgeMs();
     const present = new Set(items.map(item => item.key));
     for (const item of items) this._apply(item, { source: 'read', revision: item.version, maxDelayMs });
-    for (const key of [...this._items.keys()])
-      if (!present.has(key)) this._remove(key, { source: 'read', revision, maxDelayMs });
+    for (const { key, version } of [...this._items.values()])
+      if (!present.has(key) && version <= revision)
+        this._remove(key, { source: 'read', revision, maxDelayMs });
     this._revision = revision;
-    this._advance(began);
-    this._listener.synced?.();
-    return true;
+    this._isHistoryLost = false;
   }
 
-  private async _watch(after: number): Promise<boolean> {
-    const { prefix, waitMs } = this._options;
-    const responseGraceMs = this._options.responseGraceMs ?? RESPONSE_GRACE_MS;
-    const { clock } = this._context;
-    const deadline = Deadline.after(clock, waitMs + responseGraceMs);
+  private async _watch(after: number, waitMs: number, deadline: Deadline): Promise<boolean> {
+    const { prefix } = this._options;
+    const { clock, log } = this._context;
     const began = Instant.now(clock);
     const changes = await this._store.changes(prefix, after, waitMs, deadline);
     if (!changes.ok) {
       if (changes.error !== 'compacted') return this._onFailure(changes.error);
-      this._context.log.info('store history was compacted, reading the prefix again', {
-        prefix,
-        afterRevision: after,
-      });
-      this._revision = undefined;
-      return true;
+      log.info('store history was compacted, reading the prefix again', { prefix, afterRevision: after });
+      this._isHistoryLost = true;
+      return this._read();
     }
-    this._onReply();
     const { events, revision, view } = changes.value;
     const { asOf, source } = view ?? {
       asOf: watchedAsOf(clock, began, waitMs, events.length > 0),
       source: 'watch',
     };
+    this._applyAll({ events, revision }, source);
+    this._advance(asOf);
+    return true;
+  }
+
+  /** Answers may overtake each other: changes up to the known revision were applied before. */
+  private _applyAll({ events, revision }: Changes, source: ChangeOrigin['source']): void {
+    const known = this._revision ?? 0;
     const maxDelayMs = this.viewAgeMs();
     for (const { key, value, version } of events) {
+      if (version <= known) continue;
       const origin: ChangeOrigin = { source, revision: version, maxDelayMs };
       if (value === undefined) this._remove(key, origin);
       else this._apply({ key, value, version }, origin);
     }
-    this._revision = Math.max(after, revision);
-    this._advance(asOf);
-    return true;
-  }
-
-  private _advance(asOf: Instant): void {
-    if (!this._asOf || asOf.isAfter(this._asOf)) this._asOf = asOf;
+    this._revision = Math.max(known, revision);
   }
 
   private _apply(value: StoredValue, origin: ChangeOrigin): void {
@@ -173,13 +248,22 @@
     if (this._items.delete(key)) this._listener.removed(key, origin);
   }
 
-  private _onReply(): void {
-    this._lastReplyMs = this._context.clock.nowMs();
+  private _advance(asOf: Instant): void {
+    if (!this._asOf || asOf.isAfter(this._asOf)) this._asOf = asOf;
+    if (this.viewAgeMs() <= this._options.budget.maxAgeMs) this._failedQuestions = 0;
+    this._wakeWaiters();
     if (!this._isDisconnected) return;
     this._isDisconnected = false;
     this._context.log.info('dependency regained', { dependency: 'store', prefix: this._options.prefix });
   }
 
+  private _wakeWaiters(): void {
+    if (!this.isCurrent()) return;
+    const waiters = this._waiters;
+    this._waiters = [];
+    for (const wake of waiters) wake();
+  }
+
   private _onFailure(error: string): false {
     this._lastFailureMs = this._context.clock.nowMs();
     if (!this._isDisconnected) {
--- a/packages/gateway/src/storeView.ts
+++ b/packages/gateway/src/storeView.ts
@@ -31,6 +31,7 @@
  * view is current up to the end of the wait.
  */
 export function watchedAsOf(clock: Clock, began: Instant, waitMs: number, hasChanges: boolean): Instant {
-  const waitedMs = Instant.now(clock).isAfter(began.plus(waitMs)) ? waitMs : 0;
-  return hasChanges ? began : began.plus(waitedMs);
+  const waitEnd = began.plus(waitMs);
+  const hasWaited = !waitEnd.isAfter(Instant.now(clock));
+  return hasWaited && !hasChanges ? waitEnd : began;
 }
--- a/packages/gateway/src/watchFeed.ts
+++ b/packages/gateway/src/watchFeed.ts
@@ -3,21 +3,22 @@
  */
 import type { Instant } from '@fuchsiahitch/base';
 import type { Changes, Snapshot, WatchEvent } from '@fuchsiahitch/clients';
+import type { NewsBudget } from './newsBudget.js';
 import type { ViewState } from './storeView.js';
 
 /** Holds several seconds of changes of a pool with hundreds of endpoints. */
 const MAX_EVENTS = 2000;
-/** A shorter watch would only check that the store is available. */
-const MIN_WAIT_MS = 100;
+/** Time for an answer of the watching host. */
+const FOLLOW_MARGIN_MS = 50;
+const MIN_WATCH_WAIT_MS = 20;
+/** A shorter wait would only check that the watching host responds. */
+const MIN_FOLLOW_WAIT_MS = 100;
 
 export interface WatchedPrefix {
   readonly prefix: string;
-  /** Minimum time after a change before the next call, so that close changes are read together. */
+  readonly budget: NewsBudget;
+  /** Minimum time after a call that returned changes until the next one, so that close changes are read together. */
   readonly spacingMs: number;
-  /** Maximum time between two answers of the store if nothing changes. */
-  readonly waitMs: number;
-  /** Age of the last answer above which the buffer is not served to followers. */
-  readonly validMs: number;
   /** Extracts the significant part of a value; writes that don't change it are dropped. Default: the complete value. */
   readonly significantPart?: (value: string) => string;
 }
@@ -30,8 +31,7 @@
   /** `_events` holds all significant changes after `_fromRevision` up to `_revision`. */
   private _fromRevision = Infinity;
   private _revision = 0;
-  private _lastAnswerMs = -Infinity;
-  private _lastChangeMs = -Infinity;
+  private _hadChanges = false;
   private _view: ViewState | undefined;
 
   constructor(watched: WatchedPrefix) {
@@ -49,34 +49,40 @@
   }
 
   /** How long the buffer remains fresh; 0 or less if it is stale. */
-  freshForMs(nowMs: number): number {
-    return this._lastAnswerMs + this.watched.validMs - nowMs;
+  freshForMs(): number {
+    const { askAgeMs, questionMs } = this.watched.budget;
+    return askAgeMs + questionMs - this._ageMs();
   }
 
   /**
-   * How long the next watch may wait for a change. The time since the last answer is deducted, so that the buffer does
-   * not become stale meanwhile.
+   * How long the next watch may wait for a change. The age of the buffer is deducted, so that it does not become stale
+   * meanwhile.
    */
-  waitMs(nowMs: number): number {
-    return Math.max(MIN_WAIT_MS, this.watched.waitMs - Math.max(0, nowMs - this._lastAnswerMs));
+  waitMs(): number {
+    return Math.max(MIN_WATCH_WAIT_MS, this.watched.budget.intervalMs - this._ageMs());
+  }
+
+  /** How long a request to the watching host may wait before this buffer needs a newer state. */
+  followWaitMs(): number {
+    return Math.max(MIN_FOLLOW_WAIT_MS, this.watched.budget.askAgeMs - FOLLOW_MARGIN_MS - this._ageMs());
   }
 
   /** Remaining delay before the next call to the store. */
-  spacingLeftMs(nowMs: number): number {
-    return this._lastChangeMs + this.watched.spacingMs - nowMs;
+  spacingLeftMs(): number {
+    return this._hadChanges ? this.watched.spacingMs - this._ageMs() : 0;
   }
 
   /** Resets the buffer after a complete read of the prefix. */
-  restart({ items, revision }: Snapshot, asOf: Instant, nowMs: number): void {
+  restart({ items, revision }: Snapshot, asOf: Instant): void {
     this._significantParts.clear();
-    for (const { key, value } of items) this._isSignificant(key, value);
+    // Later pages may show newer values, whose changes must still be passed on.
+    for (const { key, value, version } of items) if (version <= revision) this._isSignificant(key, value);
     this._resetTo(revision);
-    this._lastAnswerMs = nowMs;
     this._advance({ asOf, source: 'read' });
   }
 
   /** Applies changes that follow a revision; returns true if any of them is significant. */
-  apply(afterRevision: number, changes: Changes, view: ViewState, nowMs: number): boolean {
+  apply(afterRevision: number, changes: Changes, view: ViewState): boolean {
     // Intermediate changes are missing: restart the buffer.
     if (afterRevision > this._revision) this._resetTo(afterRevision);
     const previous = this._revision;
@@ -87,23 +93,31 @@
     const surplus = this._events.splice(0, Math.max(0, this._events.length - MAX_EVENTS));
     this._fromRevision = surplus.at(-1)?.version ?? this._fromRevision;
     this._revision = Math.max(previous, changes.revision);
-    this._lastAnswerMs = nowMs;
-    if (changes.events.length > 0) this._lastChangeMs = nowMs;
+    this._hadChanges = changes.events.length > 0;
     this._advance(view);
     return significant.length > 0;
   }
 
   /** Returns the significant changes after a revision, or undefined if they are no longer retained. */
   after(revision: number): Changes | undefined {
-    if (revision < this._fromRevision) return undefined;
+    if (!this.retains(revision)) return undefined;
     const events = this._events.filter(event => event.version > revision);
     return { events, revision: Math.max(this._revision, revision) };
   }
 
+  /** True if all significant changes after the revision are retained. */
+  retains(revision: number): boolean {
+    return revision >= this._fromRevision;
+  }
+
   hasChangesAfter(revision: number): boolean {
     return (this._events.at(-1)?.version ?? 0) > revision;
   }
 
+  private _ageMs(): number {
+    return this._view?.asOf.ageMs() ?? Infinity;
+  }
+
   /** Answers may arrive out of order: the most recent state counts. */
   private _advance(view: ViewState): void {
     if (!this._view || view.asOf.isAfter(this._view.asOf)) this._view = view;
--- a/tests/gateway.spec.ts
+++ b/tests/gateway.spec.ts
@@ -13,6 +13,7 @@
   ReachabilityMonitor,
   RelayedStore,
   StoreLease,
+  newsBudget,
   StoreMirror,
   WeightOrders,
   type CallRegistry,
@@ -47,7 +48,7 @@
   const mirror = new StoreMirror(
     context,
     client,
-    { prefix: 'p/', waitMs: 2000, spacingMs: 100 },
+    { prefix: 'p/', budget: newsBudget(), spacingMs: 100 },
     {
       changed: (value: StoredValue) => seen.set(value.key, value.value),
       removed: key => seen.delete(key),
--- a/tests/gatewayFleet.ts
+++ b/tests/gatewayFleet.ts
@@ -82,6 +82,7 @@
       domains: fleet.domains,
       batchReadableMs: 120_000,
       batchEndMs: 3000,
+      newsBoundMs: 2000,
       usage: fleet.usageOf(hostId),
       capacity: fleet.capacityOf(hostId),
     });
--- a/tests/platformHost.ts
+++ b/tests/platformHost.ts
@@ -84,6 +84,7 @@
       domains: ['tekapo'],
       batchReadableMs: 120_000,
       batchEndMs: 3000,
+      newsBoundMs: 2000,
     });
     const callers = new CallerServer({ address: '127.0.0.1:0', gateway, clock, log: context.log, metrics });
     const address = await callers.listen();
--- a/tests/restoreCapacityFleet.spec.ts
+++ b/tests/restoreCapacityFleet.spec.ts
@@ -377,7 +377,12 @@
   const deployment = await deploy();
   const { fleet, platform } = deployment;
   const context = testContext(fleet.clock, 'host-x');
-  const endpoints = { inPool: () => [], isSynced: () => true, ageMs: () => 0, sinceFailureMs: () => 60_000 };
+  const endpoints = {
+    inPool: () => [],
+    isComplete: () => true,
+    viewAgeMs: () => 0,
+    sinceFailureMs: () => 60_000,
+  };
   const store = fleet.store.client();
   const bases = new PoolBases(context, store, endpoints);
   bases.observe('gen-pool', 4000);
--- a/tests/sharedWatch.spec.ts
+++ b/tests/sharedWatch.spec.ts
@@ -4,7 +4,13 @@
 import tap from 'tap';
 import { err, every, ok, sleep, VirtualClock } from '@fuchsiahitch/base';
 import type { Owner } from '@fuchsiahitch/batches';
-import { EndpointDirectory, SharedWatch, watchedPrefixes, type Hosts } from '@fuchsiahitch/gateway';
+import {
+  EndpointDirectory,
+  newsBudget,
+  SharedWatch,
+  watchedPrefixes,
+  type Hosts,
+} from '@fuchsiahitch/gateway';
 import { FakeStore, type FakeStoreClient } from './fakeStore.js';
 import { endpointRecord, keys, JsonRecordDecoder, testContext, type TestLog } from './gatewayFixtures.js';
 
@@ -57,7 +63,9 @@
       },
     };
     const records = new JsonRecordDecoder();
-    const prefixes = watchedPrefixes(keys, records).filter(({ prefix }) => prefix === keys.endpointPrefix);
+    const prefixes = watchedPrefixes(keys, records, newsBudget()).filter(
+      ({ prefix }) => prefix === keys.endpointPrefix,
+    );
     const watch = new SharedWatch(context, client, prefixes);
     watch.setHosts(directory);
     watch.serve({ handle: (_call, handler) => void handlers.set(id, handler as never) });
