A removal without notice takes effect at once, unless a real outage can have let the record expire

Cause: a removal was put down to an outage, and delayed by 2.3 s, if any call of the watch had failed in the 2.5 s before it. One lost answer, one reset connection or one refused call was enough. The delay alone exceeds the bound of 2 s, and it began at the removal, not at the end of the outage.

Change: only an outage of at least 2 s, from the time at which the first failed call should have been answered to the next answer, can let a record expire (three heartbeats of 1.2 s). After it removals are held for 2.3 s from its end, as the platform allows for records to come back, not from the removal. A host whose peers are all paused probes the store every 0.5 s (1 s before), so that it does not take its own pause for a longer outage.

'should retain endpoints whose records expired in a store outage' holds unchanged.

--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -14,10 +14,8 @@
 import { StoreMirror, type MirrorSource } from './storeMirror.js';
 import type { ChangeOrigin } from './storeView.js';
 
-/** Delay of a removal after a store outage: records that expired during it return about two seconds later. */
-const REMOVAL_GRACE_MS = 2300;
-/** A removal this soon after a failed store call may be caused by the outage and not by the endpoint. */
-const OUTAGE_WINDOW_MS = 2500;
+/** After an outage of the store, records that expired during it are written again within about two seconds. */
+const OUTAGE_RECOVERY_MS = 2300;
 /** Start times remembered for removed endpoints, so that a late record does not restore an earlier instance. */
 const MAX_REMEMBERED_STARTS = 4000;
 
@@ -157,9 +155,11 @@
     const id = key.slice(this._keys.endpointPrefix.length);
     const endpoint = this._endpoints.get(id);
     if (!endpoint || this._pendingRemovals.has(id)) return;
-    if (this._mirror.sinceFailureMs() > OUTAGE_WINDOW_MS) return this._remove(endpoint, origin);
-    const heldOrigin = { ...origin, maxDelayMs: origin.maxDelayMs + REMOVAL_GRACE_MS };
-    const cancel = this._context.clock.after(REMOVAL_GRACE_MS, () => this._remove(endpoint, heldOrigin));
+    // Counted from the end of the outage, so that a removal long after it takes effect at once.
+    const graceMs = OUTAGE_RECOVERY_MS - this._mirror.sinceOutageMs();
+    if (graceMs <= 0) return this._remove(endpoint, origin);
+    const heldOrigin = { ...origin, maxDelayMs: origin.maxDelayMs + graceMs };
+    const cancel = this._context.clock.after(graceMs, () => this._remove(endpoint, heldOrigin));
     this._pendingRemovals.set(id, cancel);
   }
 
--- a/packages/gateway/src/relayedStore.ts
+++ b/packages/gateway/src/relayedStore.ts
@@ -25,6 +25,8 @@
 
 /** Interval of direct probes while calls are relayed. */
 const PROBE_INTERVAL_MS = 1000;
+/** The same while no peer can relay calls, so that the end of an outage is noticed soon. */
+const ALONE_PROBE_INTERVAL_MS = PROBE_INTERVAL_MS / 2;
 const PROBE_TIMEOUT_MS = 800;
 const PROBE_KEY = 'fuchsiahitch/probe';
 /** Additional time for the hop through the peer. */
@@ -192,11 +194,15 @@
     return err(reply.value.error as StoreError);
   }
 
-  private _choosePeer(): string | undefined {
+  private _availablePeers(): readonly string[] {
     const nowMs = this._context.clock.nowMs();
-    const available = (this._peers?.addresses() ?? []).filter(
+    return (this._peers?.addresses() ?? []).filter(
       address => (this._pausedUntilMs.get(address) ?? -Infinity) <= nowMs,
     );
+  }
+
+  private _choosePeer(): string | undefined {
+    const available = this._availablePeers();
     return available[this._context.random.below(Math.max(1, available.length))];
   }
 
@@ -211,10 +217,12 @@
     this._probe();
   }
 
-  private _probe(): void {
+  private _probe(sincePreviousMs = 0): void {
     const { clock, stopped } = this._context;
-    clock.after(PROBE_INTERVAL_MS, () => {
+    clock.after(ALONE_PROBE_INTERVAL_MS, () => {
       if (stopped.aborted) return;
+      const sinceMs = sincePreviousMs + ALONE_PROBE_INTERVAL_MS;
+      if (sinceMs < PROBE_INTERVAL_MS && this._availablePeers().length > 0) return this._probe(sinceMs);
       void this._direct.get(PROBE_KEY, Deadline.after(clock, PROBE_TIMEOUT_MS)).then(result => {
         if (!result.ok) return this._probe();
         this._isRelaying = false;
--- a/packages/gateway/src/storeMirror.ts
+++ b/packages/gateway/src/storeMirror.ts
@@ -56,6 +56,9 @@
 const MAX_FAILED_QUESTIONS = 2;
 /** Interval of questions while the store is unreachable. */
 const UNREACHABLE_ASK_INTERVAL_MS = 1000;
+/** A record expires after three heartbeats of about 1.2 s without a write; a shorter outage prevents two at most. */
+const MIN_OUTAGE_MS = 2000;
+
 export class StoreMirror {
   private readonly _context: GatewayContext;
   private readonly _store: MirrorSource;
@@ -65,8 +68,10 @@
   private _revision: number | undefined;
   private _isHistoryLost = false;
   private _asOf: Instant | undefined;
+  private _outageEnd: Instant | undefined;
   private _lastFailureMs = -Infinity;
-  private _isDisconnected = false;
+  /** When the first of the calls that failed since the last answer should have been answered. */
+  private _unansweredSince: Instant | undefined;
   private _lastQuestion: Instant | undefined;
   /** Questions that failed since the view was last current. */
   private _failedQuestions = 0;
@@ -132,6 +137,11 @@
     return this._context.clock.nowMs() - this._lastFailureMs;
   }
 
+  /** Milliseconds since the store answered again after an outage in which records may have expired. */
+  sinceOutageMs(): number {
+    return this._outageEnd?.ageMs() ?? Infinity;
+  }
+
   private async _run(): Promise<void> {
     const { stopped, clock } = this._context;
     const { waitMs, timeoutMs } = this._watchTimes();
@@ -183,9 +193,10 @@
     const deadline = Deadline.after(this._context.clock, SNAPSHOT_TIMEOUT_MS);
     const began = Instant.now(this._context.clock);
     const snapshot = await this._store.snapshot(this._options.prefix, deadline);
-    if (!snapshot.ok) return this._onFailure(snapshot.error);
+    if (!snapshot.ok) return this._onFailure(snapshot.error, began);
     // An answer that was overtaken by a later one.
     if (snapshot.value.revision < (this._revision ?? 0)) return true;
+    this._endOutage();
     this._replaceAll(snapshot.value);
     this._advance(began);
     this._listener.synced?.();
@@ -209,7 +220,7 @@
     const began = Instant.now(clock);
     const changes = await this._store.changes(prefix, after, waitMs, deadline);
     if (!changes.ok) {
-      if (changes.error !== 'compacted') return this._onFailure(changes.error);
+      if (changes.error !== 'compacted') return this._onFailure(changes.error, began);
       log.info('store history was compacted, reading the prefix again', { prefix, afterRevision: after });
       this._isHistoryLost = true;
       return this._read();
@@ -219,6 +230,7 @@
       asOf: watchedAsOf(clock, began, waitMs, events.length > 0),
       source: 'watch',
     };
+    this._endOutage();
     this._applyAll({ events, revision }, source);
     this._advance(asOf);
     return true;
@@ -248,12 +260,18 @@
     if (this._items.delete(key)) this._listener.removed(key, origin);
   }
 
+  /** Called before changes are applied, since they may include records that expired in the outage. */
+  private _endOutage(): void {
+    const outageMs = this._unansweredSince?.ageMs() ?? 0;
+    if (outageMs >= MIN_OUTAGE_MS) this._outageEnd = Instant.now(this._context.clock);
+  }
+
   private _advance(asOf: Instant): void {
     if (!this._asOf || asOf.isAfter(this._asOf)) this._asOf = asOf;
     if (this.viewAgeMs() <= this._options.budget.maxAgeMs) this._failedQuestions = 0;
     this._wakeWaiters();
-    if (!this._isDisconnected) return;
-    this._isDisconnected = false;
+    if (!this._unansweredSince) return;
+    this._unansweredSince = undefined;
     this._context.log.info('dependency regained', { dependency: 'store', prefix: this._options.prefix });
   }
 
@@ -264,13 +282,14 @@
     for (const wake of waiters) wake();
   }
 
-  private _onFailure(error: string): false {
-    this._lastFailureMs = this._context.clock.nowMs();
-    if (!this._isDisconnected) {
-      this._isDisconnected = true;
-      const { prefix } = this._options;
-      this._context.log.warn('dependency lost', { dependency: 'store', prefix, error });
-    }
+  private _onFailure(error: StoreError, began: Instant): false {
+    const { clock, log } = this._context;
+    this._lastFailureMs = clock.nowMs();
+    if (this._unansweredSince) return false;
+    // A refusal comes at once; a call without an answer should have had one before its timeout.
+    const overdueMs = error === 'unknown' ? Math.min(began.ageMs(), RESPONSE_GRACE_MS) : 0;
+    this._unansweredSince = Instant.now(clock).plus(-overdueMs);
+    log.warn('dependency lost', { dependency: 'store', prefix: this._options.prefix, error });
     return false;
   }
 }
