Requests are withheld right before they are written if their endpoint is found to leave, or the view is too old

Cause: between the choice of an endpoint and the first byte a request may wait for a connection (0.6 s), for its turn, or in a paused process, and nobody asked again. That time came on top of the age of the view.

A withheld request has certainly not run: it counts as no attempt, and is sent elsewhere. The guard also asks whether the sender may still send: the key revoked meanwhile, the batch ended or its claim's lease expired. 'request attempt' and 'item attempt' have 'withheld'; fuchsiahitch_withheld_sends_total counts. failedSend moves from the adapter to the gateway.

--- a/packages/clients/src/httpTools.ts
+++ b/packages/clients/src/httpTools.ts
@@ -23,6 +23,12 @@
   return NOT_SENT_CODES.has(errorCode(thrown));
 }
 
+/** Why a request was certainly not sent; undefined if it may have been. */
+export function notSentReason(thrown: unknown): 'unreachable' | 'withheld' | undefined {
+  if (!isNotSentError(thrown)) return undefined;
+  return errorCode(thrown) === WITHHELD_CODE ? 'withheld' : 'unreachable';
+}
+
 /** Returns an agent for endpoints. Without pipelining, a connection reset affects at most one request. */
 export function endpointAgent(): Dispatcher {
   return new Agent({
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -11,7 +11,7 @@
 import type { DemandUpdates } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import type { SendDetails } from './endpointSend.js';
+import { EndpointSend, type SendDetails } from './endpointSend.js';
 import type { Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { Hosts } from './hostDirectory.js';
@@ -301,8 +301,10 @@
     if (!this._poisonFilter.isSuspectItem(item)) this._placer.recordStart(item, endpoint);
     const canMove = (current: ItemAttempt): boolean =>
       this.maySend() && this._placer.hasFreeSlotElsewhere(item, current);
-    const { client, endpoints } = this._ports;
-    const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, endpoints, canMove);
+    const { client, endpoints: authority } = this._ports;
+    const isWanted = (): boolean => this.maySend();
+    const send = new EndpointSend(this._context, { kind: 'item', endpoint, authority, isWanted });
+    const attempt = new ItemAttempt(this._context, client, this.ledger, item, endpoint, send, canMove);
     this._attempts.set(item.id, attempt);
     this._placer.attemptStarted(item, endpoint);
     const startedMs = this._context.clock.nowMs();
@@ -312,8 +314,8 @@
     const tookMs = this._context.clock.nowMs() - startedMs;
     await this._poisonFilter.ended(item, endpoint, end);
     this._attempts.delete(item.id);
-    const send = attempt.sendDetails();
-    this._logAttempt(item, endpoint, { number, tookMs, claimRevision, claimAgeMs, send }, end);
+    const details = { number, tookMs, claimRevision, claimAgeMs, send: send.details() };
+    this._logAttempt(item, endpoint, details, end);
     if (this._isStopped) return;
     this._applyEnd(item, endpoint, end);
     this._placer.attemptEnded({ itemId: item.id, isAnswered: attempt.isAnswered() }, end.kind);
@@ -333,8 +335,10 @@
         this.ledger.impossible(item.id);
         break;
       case 'not-run':
-        this._placer.avoid(item, endpoint);
-        endpoint.suspendItemsFor(REFUSAL_PAUSE_MS);
+        if (end.reason !== 'withheld') {
+          this._placer.avoid(item, endpoint);
+          endpoint.suspendItemsFor(REFUSAL_PAUSE_MS);
+        }
         this.ledger.interrupted(item.id);
         break;
       case 'broken':
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -8,6 +8,7 @@
 import type { CancelTimer } from '@fuchsiahitch/base';
 import type { StoredValue } from '@fuchsiahitch/clients';
 import { Endpoint } from './endpoint.js';
+import type { SendAuthority } from './endpointSend.js';
 import type { GatewayContext } from './gatewayContext.js';
 import { newsBudget, type NewsBudget } from './newsBudget.js';
 import type { EndpointInfo, RecordDecoder, RecordKeys } from './ports.js';
@@ -19,7 +20,7 @@
 /** Start times remembered for removed endpoints, so that a late record does not restore an earlier instance. */
 const MAX_REMEMBERED_STARTS = 4000;
 
-export class EndpointDirectory {
+export class EndpointDirectory implements SendAuthority {
   private readonly _context: GatewayContext;
   private readonly _keys: RecordKeys;
   private readonly _decoder: RecordDecoder;
--- /dev/null
+++ b/packages/gateway/src/failedSend.ts
@@ -0,0 +1,17 @@
+/**
+ * Classification of sends that failed before the head of an answer.
+ */
+import { messageOf } from '@fuchsiahitch/base';
+import { notSentReason } from '@fuchsiahitch/clients';
+import type { EndpointReply } from './ports.js';
+
+/** `signal`: of the caller, which has cancelled the send if it is aborted. */
+export function failedSend(
+  thrown: unknown,
+  signal: AbortSignal,
+): Exclude<EndpointReply, { readonly kind: 'answered' }> {
+  const reason = notSentReason(thrown);
+  if (reason) return { kind: 'not-run', reason, load: undefined };
+  if (signal.aborted) return { kind: 'cancelled' };
+  return { kind: 'broken', text: messageOf(thrown) };
+}
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -12,7 +12,7 @@
   type CompleteAnswer,
 } from './callerRequest.js';
 import type { Endpoint } from './endpoint.js';
-import { isSendAllowed, type Forwarder } from './forwarder.js';
+import { isSendAllowed, isUnsent, type Forwarder } from './forwarder.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { PoisonGuard } from './poisonGuard.js';
 
@@ -35,7 +35,7 @@
   private _wake: (() => void) | undefined;
   private _runningCount = 0;
   private _sentCount = 0;
-  /** Attempts for which no connection was established. */
+  /** Attempts that no endpoint received. */
   private _unconnectedCount = 0;
   private _mayHaveRun = false;
   private _failureAnswer: CompleteAnswer | undefined;
@@ -118,12 +118,14 @@
     const attempt = this._sentCount;
     const leftMs = this._deadline.remainingMs();
     const startedMs = this._context.clock.nowMs();
-    const send = this._forwarder.decideSend('request');
+    const send = this._forwarder.decideSend('request', this._request, endpoint);
     const { signal } = this._abortController;
     const end = await this._forwarder.attempt(this._request, endpoint, send, leftMs, signal);
     const tookMs = this._context.clock.nowMs() - startedMs;
     if (end.kind === 'broken') await this._poison.recordBroken(this._request, endpoint);
     if (end.kind === 'answered') this._poison.answered(this._request);
+    // The endpoint may still be the right one: if it is leaving, it is not chosen again.
+    if (end.kind === 'not-run' && end.reason === 'withheld') this._triedEndpointIds.delete(endpoint.id);
     this._runningCount -= 1;
     this._pendingAttemptEnds.push(end);
     this._wake?.();
@@ -136,7 +138,7 @@
     if (end.kind === 'answered' && !(end.isFailure && isRetryable)) return this._toAnswered(end.answer);
     if (end.kind === 'answered') this._failureAnswer = end.answer;
     if (end.kind !== 'not-run') this._mayHaveRun = true;
-    else if (end.reason === 'unreachable') this._unconnectedCount += 1;
+    else if (isUnsent(end.reason)) this._unconnectedCount += 1;
     if (end.kind === 'not-run' || isRetryable) this._startAttempt();
     if (this._runningCount > 0 || this._pendingAttemptEnds.length > 0) return undefined;
     if (this._failureAnswer) return this._toAnswered(this._failureAnswer);
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -222,7 +222,9 @@
       );
       span.end({ requestId: request.id, endpointId: endpoint.id, end: end.kind });
       if (end.kind !== 'not-sent') return end;
-      if (end.reason === 'unreachable') unconnectedCount += 1;
+      if (isUnsent(end.reason)) unconnectedCount += 1;
+      // The endpoint may still be the right one: if it is leaving, it is not chosen again.
+      if (end.reason === 'withheld') tried.delete(endpoint.id);
     }
     return { kind: 'not-run', reason: 'no endpoint accepted it', retryAfterMs: RETRY_AFTER_MS };
   }
@@ -253,9 +255,10 @@
     return fastest(endpoints.filter(endpoint => !endpoint.isLeaving && !tried.has(endpoint.id)));
   }
 
-  /** Called when an endpoint was chosen for a send, to record the view on which it was chosen. */
-  decideSend(kind: SendKind): EndpointSend {
-    return new EndpointSend(this._context, this._endpoints, kind);
+  /** Called when an endpoint was chosen for a send. */
+  decideSend(kind: SendKind, request: CallerRequest, endpoint: Endpoint): EndpointSend {
+    const isWanted = (): boolean => isSendAllowed(request);
+    return new EndpointSend(this._context, { kind, endpoint, authority: this._endpoints, isWanted });
   }
 
   /** Runs one attempt until its answer is complete. */
@@ -271,7 +274,8 @@
     endpoint.limit.recordUsage(endpoint.stats.inFlight());
     const span = this._context.tracing.startSpan('endpoint', request.trace);
     const metered = this._startMetering(request);
-    const end = await this._exchange(toCall(request, endpoint, send, leftMs), endpoint, signal);
+    const call = toCall(request, endpoint, send, leftMs);
+    const end = await send.attempt(() => this._exchange(call, endpoint, signal));
     metered?.ended(end.kind !== 'not-run');
     span.end({ requestId: request.id, endpointId: endpoint.id, end: end.kind });
     const isFailure = end.kind === 'broken' || (end.kind === 'answered' && end.isFailure);
@@ -309,8 +313,7 @@
   ): Promise<RequestAttemptEnd> {
     const reply = await this._client.send(call, signal);
     if (reply.kind === 'not-run') {
-      if (reply.reason === 'refused') endpoint.limit.refused();
-      else endpoint.markUnreachable();
+      recordNotSent(endpoint, reply.reason);
       if (reply.load) endpoint.recordLoad(reply.load);
       return { kind: 'not-run', reason: reply.reason };
     }
@@ -352,15 +355,19 @@
     const startedMs = this._context.clock.nowMs();
     const leftMs = deadline.remainingMs();
     const metered = this._startMetering(request);
-    const send = this.decideSend('stream');
-    const reply = await this._client.send(toCall(request, endpoint, send, leftMs), disconnected);
+    const send = this.decideSend('stream', request, endpoint);
+    const call = toCall(request, endpoint, send, leftMs);
+    const reply = await send.attempt(() => this._client.send(call, disconnected));
     metered?.ended(reply.kind !== 'not-run');
     const tookMs = this._context.clock.nowMs() - startedMs;
     this.logAttempt(request, endpoint, reply, { number, tookMs, leftMs, send });
     if (reply.kind === 'broken') await this._poison.recordBroken(request, endpoint);
     if (reply.kind !== 'answered') {
       endpoint.stats.ended(false, reply.kind === 'broken');
-      if (reply.kind === 'not-run') return recordNotSent(endpoint, reply.reason);
+      if (reply.kind === 'not-run') {
+        if (reply.reason !== 'refused') recordNotSent(endpoint, reply.reason);
+        return { kind: 'not-sent', reason: reply.reason };
+      }
       return reply.kind === 'cancelled' ? { kind: 'caller-left' } : { kind: 'unknown', reason: 'broken' };
     }
     recordAnswer(endpoint, reply.answer);
@@ -411,9 +418,14 @@
   return { guard, endpoint: endpoint.info(), accountName, method, target, headers, body, leftMs };
 }
 
-function recordNotSent(endpoint: Endpoint, reason: NotRunReason): StreamEnd {
-  if (reason !== 'refused') endpoint.markUnreachable();
-  return { kind: 'not-sent', reason };
+function recordNotSent(endpoint: Endpoint, reason: NotRunReason): void {
+  if (reason === 'refused') endpoint.limit.refused();
+  else if (reason !== 'withheld') endpoint.markUnreachable();
+}
+
+/** True if no endpoint received the attempt, so that it does not count against the route's limit. */
+export function isUnsent(reason: NotRunReason): boolean {
+  return reason === 'unreachable' || reason === 'withheld';
 }
 
 function recordAnswer(endpoint: Endpoint, answer: EndpointAnswer): void {
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -27,6 +27,11 @@
     LATENCY_BUCKETS_SECONDS,
     ['change', 'source'],
   );
+  readonly withheldSends = this.counter(
+    'fuchsiahitch_withheld_sends_total',
+    'Sends that were decided and not written, by reason',
+    ['kind', 'reason'],
+  );
   readonly decisionAge = this.histogram(
     'fuchsiahitch_endpoint_decision_age_seconds',
     'Age of the view of the endpoints on which a send was decided',
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 export * from './endpoint.js';
 export * from './endpointDirectory.js';
 export * from './endpointSend.js';
+export * from './failedSend.js';
 export * from './forwarder.js';
 export * from './gateway.js';
 export * from './gatewayContext.js';
--- a/packages/gateway/src/itemAttempt.ts
+++ b/packages/gateway/src/itemAttempt.ts
@@ -4,7 +4,7 @@
 import { idleTimeouts, type BatchItem, type BatchLedger, type GeneratedEvent } from '@fuchsiahitch/batches';
 import type { CancelTimer } from '@fuchsiahitch/base';
 import type { Endpoint } from './endpoint.js';
-import { EndpointSend, type EndpointFreshness, type SendDetails } from './endpointSend.js';
+import type { EndpointSend } from './endpointSend.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { EndpointClient, EndpointLoad, ItemEnd, ItemProgressListener } from './ports.js';
 
@@ -41,11 +41,11 @@
     ledger: BatchLedger,
     item: BatchItem,
     endpoint: Endpoint,
-    view: EndpointFreshness,
+    send: EndpointSend,
     canMove: (attempt: ItemAttempt) => boolean,
   ) {
     this._canMove = canMove;
-    this._send = new EndpointSend(context, view, 'item');
+    this._send = send;
     this._context = context;
     this._client = client;
     this._ledger = ledger;
@@ -70,10 +70,6 @@
     return this._isAnswered;
   }
 
-  sendDetails(): SendDetails {
-    return this._send.details();
-  }
-
   elapsedMs(): number {
     return this._context.clock.nowMs() - this._startedMs;
   }
@@ -85,7 +81,7 @@
     const span = this._context.tracing.startSpan('endpoint', undefined);
     const onReplaced = (): void => this._endpointRestarted();
     this.endpoint.replaced.addEventListener('abort', onReplaced);
-    const end = await this._client.runItem(this._call(), this, this._abort.signal);
+    const end = await this._send.attempt(() => this._client.runItem(this._call(), this, this._abort.signal));
     this.endpoint.replaced.removeEventListener('abort', onReplaced);
     this._stallTimer?.();
     const outcome = this._endOverride ?? this._treatEmptyAsBroken(end);
