The first request after a pause is decided on the configuration in force

Cause: the same class as the endpoints' late view. A host that was stopped for seconds reads callers' requests from its sockets before the store's answer, and applied the configuration from before the pause to them.

The tests' pause loses pending calls to the store and gives it a latency of 5 ms, so that requests are read first.

Evidence: leavingEndpoints.spec.ts 'should decide the first request after a pause on the configuration in force' answers by revision 1 without the change and by revision 2 with it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -160,10 +160,11 @@
     return !this._isLeaving && this.configuration.hasConfiguration() && this.endpoints.isSynced();
   }
 
-  /** Counts a caller's request as in flight while `run` executes. */
-  async countInFlight<T>(run: () => Promise<T>): Promise<T> {
+  /** Runs a caller's request on a current configuration, and counts it as in flight meanwhile. */
+  async serve<T>(run: () => Promise<T>): Promise<T> {
     this._inFlight += 1;
     try {
+      await this.configuration.whenCurrent();
       return await run();
     } finally {
       this._inFlight -= 1;
--- a/tests/leavingEndpoints.spec.ts
+++ b/tests/leavingEndpoints.spec.ts
@@ -95,3 +95,26 @@
     world.stop();
   },
 );
+
+await tap.test('should decide the first request after a pause on the configuration in force', async t => {
+  // Guards against a host that was stopped and applies the configuration from before to what waits in its sockets.
+  const world = new LeavingFleet(1);
+  await world.start();
+  const [host] = world.hosts;
+  if (!host) return;
+  t.match(host.gateway.configuration.route('quests', '/run/1'), { kind: 'routed', revision: 1 });
+  const revisions: unknown[] = [];
+  await world.pauseDuring(
+    () => world.configure(2),
+    ({ gateway }) => {
+      void gateway.serve(() => {
+        const routed = gateway.configuration.route('quests', '/run/1');
+        revisions.push(routed.kind === 'routed' ? routed.revision : routed.kind);
+        return Promise.resolve();
+      });
+    },
+  );
+  await world.run(1000);
+  t.same(revisions, [2]);
+  world.stop();
+});
--- a/tests/leavingFleet.ts
+++ b/tests/leavingFleet.ts
@@ -1,16 +1,18 @@
 /**
  * A failure domain of complete gateways that send requests without a pause, and what their endpoints see.
  */
-import { SeededRandom, sleep, VirtualClock } from '@fuchsiahitch/base';
+import { SeededRandom, settle, sleep, VirtualClock } from '@fuchsiahitch/base';
 import type { EndpointCall, EndpointReply } from '@fuchsiahitch/gateway';
 import { GatewayFleet, type FleetHost, type LeavingKind } from './gatewayFleet.js';
-import { answer, route, ScriptedClient } from './gatewayFixtures.js';
+import { answer, keys, route, ScriptedClient } from './gatewayFixtures.js';
 
 /** Time from the store's acknowledgement of a leaving until the last request may arrive: the platform's bound. */
 export const DRAIN_MS = 2000;
 const ENDPOINTS = 4;
 const SEND_INTERVAL_MS = 45;
 const ROUTE = route({ run: 'idempotent', maxAttempts: 3, targetMs: 200, timeoutMs: 3000 });
+/** After a pause, callers' requests are read before the store has answered. */
+const STORE_LATENCY_MS = 5;
 const NEVER_ABORTED = new AbortController().signal;
 
 export interface Arrival {
@@ -110,6 +112,31 @@
     };
   }
 
+  /**
+   * Makes a change while all hosts are paused for 3 s. Their pending calls to the store are lost, and they read the callers'
+   * requests first.
+   */
+  async pauseDuring<T>(change: () => T, readRequests: (host: FleetHost) => void): Promise<T> {
+    for (const host of this.hosts) host.storeClient.mode = 'silent';
+    const result = change();
+    await settle();
+    for (const { storeClient } of this.hosts) {
+      storeClient.mode = 'available';
+      storeClient.callDelayMs = STORE_LATENCY_MS;
+    }
+    await this.clock.blockEventLoop(3000, () => {
+      for (const host of this.hosts) readRequests(host);
+    });
+    return result;
+  }
+
+  /** The operators store a revision of the configuration. */
+  configure(revision: number): void {
+    const { store } = this.fleet;
+    const current = JSON.parse(store.value(keys.configurationKey) ?? '') as object;
+    store.put(keys.configurationKey, JSON.stringify({ ...current, revision }));
+  }
+
   stop(): void {
     this.fleet.stop();
   }
