--- a/tests/endpointStarts.spec.ts
+++ b/tests/endpointStarts.spec.ts
@@ -114,6 +114,16 @@
   stop.abort();
 });
 
+await tap.test('should not take a report for a restart if the record names no start', async t => {
+  // Guards against a leaving endpoint that is used again because its own report names a start time and its record none.
+  const { clock, store, endpoints, stop } = await directory();
+  store.put(`${keys.endpointPrefix}e2`, endpointRecord({ startWallMs: 0, isLeaving: true }));
+  await clock.advance(1500);
+  endpoints.recordRestart('e2', 1_700_000_000_000, new Map());
+  t.ok(endpoints.get('e2')?.isLeaving);
+  stop.abort();
+});
+
 await tap.test('should apply versions reported by hosts only to the instance that they name', async t => {
   const { endpoints, stop } = await directory();
   const handlers = new Map<string, (update: never) => unknown>();
--- a/tests/platformWire.spec.ts
+++ b/tests/platformWire.spec.ts
@@ -353,6 +353,22 @@
   }),
 );
 
+await tap.test('should write no byte of a request that its guard withholds', t =>
+  withServer(async (server, endpoint, client) => {
+    // Guards against a request that reaches an endpoint which was found to leave while the connection was opened.
+    const { signal } = new AbortController();
+    const withheld = { kind: 'not-run', reason: 'withheld' };
+    const guard = { mayWrite: () => false };
+    t.match(await client.send(call(endpoint, { guard }), signal), withheld);
+    const listener = { began: () => true, event: () => true };
+    t.match(await client.runItem({ ...itemCall(endpoint), guard }, listener, signal), withheld);
+    t.equal(server.requests.length, 0);
+    const reply = await client.send(call(endpoint), signal);
+    t.ok(reply.kind === 'answered' && (await read(reply.answer.body)) === 'whole');
+    t.equal(server.requests.length, 1);
+  }),
+);
+
 function itemCall(endpoint: EndpointInfo, afterEvent = 0): ItemCall {
   return {
     guard: ALWAYS_WRITES,
--- a/tests/sharedWatch.spec.ts
+++ b/tests/sharedWatch.spec.ts
@@ -2,12 +2,13 @@
  * Store watch that is shared by the hosts of a failure domain.
  */
 import tap from 'tap';
-import { err, every, ok, sleep, VirtualClock } from '@fuchsiahitch/base';
+import { err, every, Instant, ok, sleep, VirtualClock } from '@fuchsiahitch/base';
 import type { Owner } from '@fuchsiahitch/batches';
 import {
   EndpointDirectory,
   newsBudget,
   SharedWatch,
+  WatchFeed,
   watchedPrefixes,
   type Hosts,
 } from '@fuchsiahitch/gateway';
@@ -149,3 +150,19 @@
     end();
   }
 });
+
+await tap.test('should pass on a change that a later page of a complete read shows already', t => {
+  // Guards against followers that never learn of an endpoint which left between two pages of the watching host's read.
+  const records = new JsonRecordDecoder();
+  const watched = watchedPrefixes(keys, records, newsBudget()).find(
+    ({ prefix }) => prefix === keys.endpointPrefix,
+  );
+  if (!watched) throw new Error('the endpoints are watched');
+  const feed = new WatchFeed(watched);
+  const asOf = Instant.now(new VirtualClock());
+  const left = { key: `${keys.endpointPrefix}e1`, value: endpointRecord({ isLeaving: true }), version: 101 };
+  feed.restart({ items: [left], revision: 100 }, asOf);
+  feed.apply(100, { events: [left], revision: 101 }, { asOf, source: 'watch' });
+  t.same(feed.after(100)?.events, [left]);
+  t.end();
+});
--- a/utils/runTests.mjs
+++ b/utils/runTests.mjs
@@ -1,8 +1,14 @@
-// Runs the compiled tests with tap, or those whose file names contain an argument. Prints 'N passed, N failed' last.
+// Runs the compiled tests with tap and then a short fault soak, or the tests whose file names contain an argument. Prints
+// 'N passed, N failed' last.
 import fs from 'node:fs';
 import { spawnSync } from 'node:child_process';
+import { runSoak } from './soak.mjs';
 import { readKnownRed, verdictOf } from './testVerdict.mjs';
 
+/** Seeds that have failed once stay in it. */
+const SHORT_SOAK = { seed: 1, seeds: 3, seconds: 15, jobs: 3 };
+const NO_SOAK = { passed: 0, failed: 0 };
+
 const folder = 'dist/tests';
 const named = process.argv.slice(2);
 const files = fs
@@ -22,5 +28,8 @@
   console.error(run.stderr);
 }
 for (const note of verdict.notes) console.log(note);
-console.log(`${verdict.passed} passed, ${verdict.failed} failed`);
-process.exit(verdict.failed === 0 && verdict.passed > 0 ? 0 : 1);
+const soak = named.length === 0 ? await runSoak(SHORT_SOAK) : NO_SOAK;
+const passed = verdict.passed + soak.passed;
+const failed = verdict.failed + soak.failed;
+console.log(`${passed} passed, ${failed} failed`);
+process.exit(failed === 0 && passed > 0 ? 0 : 1);
