Test: a paused host's check of leaving endpoints fails without the decision at the send

Cause: in the pause of 'should not write a request that was decided before the news that its endpoint leaves' the store answered before the callers' requests were read, so that its last check passed also without EndpointSend's wait.

Change: it uses the pause of the test of the configuration, which loses pending calls and gives the store a latency.

Evidence: on a copy without the wait and the check of the view's age, 'a paused host asks the store before it decides' fails; with them it passes.

--- a/tests/leavingEndpoints.spec.ts
+++ b/tests/leavingEndpoints.spec.ts
@@ -86,10 +86,12 @@
     t.equal(world.outcomes.get('not-run') ?? 0, 0);
     world.connectMs = 0;
     await world.run(1000);
-    const pausedArrivedMs = world.leave(2, 'draining');
-    await world.clock.blockEventLoop(3000, () => {
-      for (let i = 0; i < 20; i++) for (const host of world.hosts) world.send(host);
-    });
+    const pausedArrivedMs = await world.pauseDuring(
+      () => world.leave(2, 'draining'),
+      host => {
+        for (let i = 0; i < 20; i++) world.send(host);
+      },
+    );
     await world.run(2000);
     t.equal(pausedArrivedMs(), 0, 'a paused host asks the store before it decides');
     world.stop();
