Clients: one base class for handlers that pass a request's events on

The write guard's handler repeated the pass-through methods of the reset handler and of the connection pool's observer. PassThroughHandler has them once; the three override what they need.

--- a/packages/clients/src/connectionPool.ts
+++ b/packages/clients/src/connectionPool.ts
@@ -1,10 +1,9 @@
 /**
  * Keep-alive connections to one address, one request at a time on each.
  */
-import { Client, DecoratorHandler, Dispatcher } from 'undici';
+import { Client, Dispatcher } from 'undici';
 import { ConnectionList, type OpenReason } from './connectionList.js';
-
-type Handler = Dispatcher.DispatchHandler;
+import { PassThroughHandler, type Handler, type HandlerArguments } from './passThroughHandler.js';
 
 export type ConnectionEvent =
   | { readonly event: 'opened'; readonly reason: OpenReason }
@@ -221,42 +220,33 @@
 }
 
 /** Reports the start and the end of a request. */
-class ObservedHandler implements Handler {
-  private readonly _inner: Handler;
+class ObservedHandler extends PassThroughHandler {
   private readonly _events: RequestEvents;
 
   constructor(handler: Handler, events: RequestEvents) {
-    this._inner = new DecoratorHandler(handler);
+    super(handler);
     this._events = events;
   }
 
-  onRequestStart(...args: Parameters<NonNullable<Handler['onRequestStart']>>): void {
-    this._inner.onRequestStart?.(...args);
+  override onRequestStart(...args: HandlerArguments<'onRequestStart'>): void {
+    super.onRequestStart(...args);
     const [controller] = args;
     if (!controller.aborted) this._events.started();
   }
 
-  onRequestUpgrade(...args: Parameters<NonNullable<Handler['onRequestUpgrade']>>): void {
+  override onRequestUpgrade(...args: HandlerArguments<'onRequestUpgrade'>): void {
     this._events.failed();
-    this._inner.onRequestUpgrade?.(...args);
-  }
-
-  onResponseStart(...args: Parameters<NonNullable<Handler['onResponseStart']>>): void {
-    this._inner.onResponseStart?.(...args);
-  }
-
-  onResponseData(...args: Parameters<NonNullable<Handler['onResponseData']>>): void {
-    this._inner.onResponseData?.(...args);
+    super.onRequestUpgrade(...args);
   }
 
-  onResponseEnd(...args: Parameters<NonNullable<Handler['onResponseEnd']>>): void {
+  override onResponseEnd(...args: HandlerArguments<'onResponseEnd'>): void {
     this._events.completed();
-    this._inner.onResponseEnd?.(...args);
+    super.onResponseEnd(...args);
   }
 
-  onResponseError(...args: Parameters<NonNullable<Handler['onResponseError']>>): void {
+  override onResponseError(...args: HandlerArguments<'onResponseError'>): void {
     this._events.failed();
-    this._inner.onResponseError?.(...args);
+    super.onResponseError(...args);
   }
 }
 
--- a/packages/clients/src/resetInterceptor.ts
+++ b/packages/clients/src/resetInterceptor.ts
@@ -2,10 +2,10 @@
  * Interceptor that fails close-delimited responses whose connection was reset. undici treats the reset as the regular
  * end, so a truncated body would look complete. It ends the response while the socket emits the reset.
  */
-import { DecoratorHandler, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
+import { PassThroughHandler, type Handler, type HandlerArguments } from './passThroughHandler.js';
 
-type Handler = Dispatcher.DispatchHandler;
-type Headers = Parameters<NonNullable<Handler['onResponseStart']>>[2];
+type Headers = HandlerArguments<'onResponseStart'>[2];
 
 /** Knows whether a socket is currently emitting a connection reset. */
 export class ResetTracker {
@@ -28,40 +28,27 @@
   return dispatch => (options, handler) => dispatch(options, new ResetHandler(handler, resets));
 }
 
-class ResetHandler implements Handler {
-  private readonly _inner: Handler;
+class ResetHandler extends PassThroughHandler {
   private readonly _resets: ResetTracker;
   private _hasLength = false;
 
   constructor(handler: Handler, resets: ResetTracker) {
-    this._inner = new DecoratorHandler(handler);
+    super(handler);
     this._resets = resets;
   }
 
-  onRequestStart(...[controller, context]: Parameters<NonNullable<Handler['onRequestStart']>>): void {
-    this._inner.onRequestStart?.(controller, context);
-  }
-
-  onResponseStart(...args: Parameters<NonNullable<Handler['onResponseStart']>>): void {
+  override onResponseStart(...args: HandlerArguments<'onResponseStart'>): void {
     this._hasLength = hasLength(args[2]);
-    this._inner.onResponseStart?.(...args);
-  }
-
-  onResponseData(...args: Parameters<NonNullable<Handler['onResponseData']>>): void {
-    this._inner.onResponseData?.(...args);
+    super.onResponseStart(...args);
   }
 
-  onResponseEnd(...args: Parameters<NonNullable<Handler['onResponseEnd']>>): void {
+  override onResponseEnd(...args: HandlerArguments<'onResponseEnd'>): void {
     if (this._hasLength || !this._resets.isResetting()) {
-      this._inner.onResponseEnd?.(...args);
+      super.onResponseEnd(...args);
       return;
     }
     const error = new Error('connection reset before the end of a close-delimited response');
-    this._inner.onResponseError?.(args[0], error);
-  }
-
-  onResponseError(...args: Parameters<NonNullable<Handler['onResponseError']>>): void {
-    this._inner.onResponseError?.(...args);
+    super.onResponseError(args[0], error);
   }
 }
 
--- a/packages/clients/src/writeGuardInterceptor.ts
+++ b/packages/clients/src/writeGuardInterceptor.ts
@@ -3,10 +3,9 @@
  *
  * A request may wait for a connection after it was dispatched, and its process may be paused meanwhile.
  */
-import { DecoratorHandler, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import { WITHHELD_CODE } from './httpTools.js';
-
-type Handler = Dispatcher.DispatchHandler;
+import { PassThroughHandler, type Handler, type HandlerArguments } from './passThroughHandler.js';
 
 export interface GuardedRequestOptions extends Dispatcher.RequestOptions {
   /** If it returns false, the request fails with `WithheldError` and no byte of it is sent. */
@@ -29,33 +28,17 @@
   };
 }
 
-class GuardedHandler implements Handler {
-  private readonly _inner: Handler;
+class GuardedHandler extends PassThroughHandler {
   private readonly _mayWrite: () => boolean;
 
   constructor(handler: Handler, mayWrite: () => boolean) {
-    this._inner = new DecoratorHandler(handler);
+    super(handler);
     this._mayWrite = mayWrite;
   }
 
-  onRequestStart(...[controller, context]: Parameters<NonNullable<Handler['onRequestStart']>>): void {
-    this._inner.onRequestStart?.(controller, context);
+  override onRequestStart(...args: HandlerArguments<'onRequestStart'>): void {
+    super.onRequestStart(...args);
+    const [controller] = args;
     if (!controller.aborted && !this._mayWrite()) controller.abort(new WithheldError());
   }
-
-  onResponseStart(...args: Parameters<NonNullable<Handler['onResponseStart']>>): void {
-    this._inner.onResponseStart?.(...args);
-  }
-
-  onResponseData(...args: Parameters<NonNullable<Handler['onResponseData']>>): void {
-    this._inner.onResponseData?.(...args);
-  }
-
-  onResponseEnd(...args: Parameters<NonNullable<Handler['onResponseEnd']>>): void {
-    this._inner.onResponseEnd?.(...args);
-  }
-
-  onResponseError(...args: Parameters<NonNullable<Handler['onResponseError']>>): void {
-    this._inner.onResponseError?.(...args);
-  }
 }
