Gateway: the mirror's states and the start of an endpoint are each decided in one place

leaving, sharedWatch, gateway, forwarder, endpointStarts, orders, capacity and fleetCost specs: 119 passed, 0 failed.

--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -117,6 +117,12 @@
     return `${this._info.id}@${this._info.startWallMs}`;
   }
 
+  /** True if a reported start time is not this instance's; false if its record names none. */
+  isOtherStart(startWallMs: number): boolean {
+    const ownMs = this._info.startWallMs;
+    return ownMs !== 0 && startWallMs !== ownMs;
+  }
+
   /** Aborted when another instance has replaced this one. */
   get replaced(): AbortSignal {
     return this._replaced.signal;
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -98,14 +98,10 @@
     return this._endpoints.get(id);
   }
 
-  /**
-   * Records a restart that the endpoint itself reported, before its record in the store shows it. A record without a start
-   * time can't be compared with the report.
-   */
+  /** Records a restart that the endpoint itself reported, before its record in the store shows it. */
   recordRestart(id: string, startWallMs: number, versions: ReadonlyMap<string, number>): void {
     const known = this._endpoints.get(id);
-    const knownStartWallMs = known?.info().startWallMs ?? 0;
-    if (!known || knownStartWallMs === 0 || startWallMs <= knownStartWallMs) return;
+    if (!known?.isOtherStart(startWallMs) || startWallMs < known.info().startWallMs) return;
     this._apply({ ...known.info(), startWallMs, versions, isLeaving: false }, undefined);
   }
 
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -313,7 +313,8 @@
   ): Promise<RequestAttemptEnd> {
     const reply = await this._client.send(call, signal);
     if (reply.kind === 'not-run') {
-      recordNotSent(endpoint, reply.reason);
+      if (reply.reason === 'refused') endpoint.limit.refused();
+      markIfUnreachable(endpoint, reply.reason);
       if (reply.load) endpoint.recordLoad(reply.load);
       return { kind: 'not-run', reason: reply.reason };
     }
@@ -365,7 +366,7 @@
     if (reply.kind !== 'answered') {
       endpoint.stats.ended(false, reply.kind === 'broken');
       if (reply.kind === 'not-run') {
-        if (reply.reason !== 'refused') recordNotSent(endpoint, reply.reason);
+        markIfUnreachable(endpoint, reply.reason);
         return { kind: 'not-sent', reason: reply.reason };
       }
       return reply.kind === 'cancelled' ? { kind: 'caller-left' } : { kind: 'unknown', reason: 'broken' };
@@ -418,9 +419,9 @@
   return { guard, endpoint: endpoint.info(), accountName, method, target, headers, body, leftMs };
 }
 
-function recordNotSent(endpoint: Endpoint, reason: NotRunReason): void {
-  if (reason === 'refused') endpoint.limit.refused();
-  else if (reason !== 'withheld') endpoint.markUnreachable();
+/** A refusal comes from the endpoint itself, and a withheld request says nothing about its address. */
+function markIfUnreachable(endpoint: Endpoint, reason: NotRunReason): void {
+  if (reason === 'unreachable' || reason === 'other-instance') endpoint.markUnreachable();
 }
 
 /** True if no endpoint received the attempt, so that it does not count against the route's limit. */
--- a/packages/gateway/src/newsBudget.ts
+++ b/packages/gateway/src/newsBudget.ts
@@ -7,7 +7,7 @@
  * | without it, the host asks the store itself                               | `askAgeMs`                |
  * | without an answer, it asks again on another connection, or through a peer | `askAgeMs + questionMs`   |
  * | a request may still be written on this view; later it waits for an answer | `maxAgeMs`                |
- * | the request arrives                                                      | `maxAgeMs + arrivalMs`    |
+ * | the request arrives                                                      | the bound                 |
  *
  * The parts add up to the bound. A view's age counts from the state of the store that it shows, so the parts before a
  * decision need not be added up at each step.
@@ -21,12 +21,11 @@
   readonly questionMs: number;
   /** Age of the view up to which requests are decided on it. */
   readonly maxAgeMs: number;
-  /** Time from the write of a request to its arrival. */
-  readonly arrivalMs: number;
 }
 
 /** The bound of the users' platform. */
 const DEFAULT_BOUND_MS = 2000;
+/** Time from the write of a request to its arrival. */
 const MAX_ARRIVAL_MS = 250;
 const ARRIVAL_SHARE = 1 / 8;
 /** A slow store answers within this time. */
@@ -39,12 +38,11 @@
 
 /** `boundMs`: from the acknowledgement of a change until it must be in effect. */
 export function newsBudget(boundMs: number = DEFAULT_BOUND_MS): NewsBudget {
-  const arrivalMs = Math.min(MAX_ARRIVAL_MS, boundMs * ARRIVAL_SHARE);
   const questionMs = Math.min(MAX_QUESTION_MS, boundMs * QUESTION_SHARE);
-  const maxAgeMs = boundMs - arrivalMs;
+  const maxAgeMs = boundMs - Math.min(MAX_ARRIVAL_MS, boundMs * ARRIVAL_SHARE);
   const askAgeMs = maxAgeMs - 2 * questionMs;
   const intervalMs = Math.min(MAX_INTERVAL_MS, askAgeMs * (1 - INTERVAL_SLACK_SHARE));
-  return { intervalMs, askAgeMs, questionMs, maxAgeMs, arrivalMs };
+  return { intervalMs, askAgeMs, questionMs, maxAgeMs };
 }
 
 /** Lease keys have no bound of their own: hosts that end are known after their leases. */
@@ -53,5 +51,4 @@
   askAgeMs: 4600,
   questionMs: MAX_QUESTION_MS,
   maxAgeMs: Infinity,
-  arrivalMs: 0,
 };
--- a/packages/gateway/src/sharedWatch.ts
+++ b/packages/gateway/src/sharedWatch.ts
@@ -239,14 +239,14 @@
 
   /**
    * Time until the next call for another prefix with the same budget, so that both are answered at about the same time and
-   * followers learn of both in one reply.
+   * followers learn of both in one reply; Infinity if no such call is due soon.
    */
   private _alignedWaitMs(feed: WatchFeed): number {
     const others = [...this._feeds.values()].filter(
       other => other !== feed && other.watched.budget === feed.watched.budget,
     );
     const waits = others.map(other => other.spacingLeftMs()).filter(leftMs => leftMs >= MIN_ALIGNED_WAIT_MS);
-    return Math.min(Infinity, ...waits);
+    return Math.min(...waits);
   }
 
   /** Without news, followers only need to know how current their view is, which may wait for the next prefix. */
--- a/packages/gateway/src/storeMirror.ts
+++ b/packages/gateway/src/storeMirror.ts
@@ -28,7 +28,10 @@
 
 /** A store, or another host's watch of it. */
 export interface MirrorSource extends Pick<MirrorStore, 'snapshot'> {
-  /** With a `waitMs` of 0 the store itself is asked, at once. */
+  /**
+   * With a `waitMs` of 0 the store itself is asked, at once. Otherwise a shared watch may take longer than the deadline, as
+   * it follows another host first and then gives its own call the whole time.
+   */
   changes(
     prefix: string,
     afterRevision: number,
@@ -114,8 +117,7 @@
    * does not reach the store goes on with the view that it has.
    */
   isCurrent(): boolean {
-    const isUnreachable = this._failedQuestions >= MAX_FAILED_QUESTIONS;
-    return isUnreachable || !this.isSynced() || this.viewAgeMs() <= this._options.budget.maxAgeMs;
+    return this._isUnreachable() || !this.isSynced() || this._isRecent();
   }
 
   /** Resolves when the view is current, or at the time when a question would be asked again. */
@@ -144,48 +146,47 @@
 
   private async _run(): Promise<void> {
     const { stopped, clock } = this._context;
-    const { waitMs, timeoutMs } = this._watchTimes();
+    const { budget, spacingMs } = this._options;
     while (!stopped.aborted) {
       const isSuccess =
         this._revision === undefined
           ? await this._read()
-          : await this._watch(this._revision, waitMs, Deadline.after(clock, timeoutMs));
-      await sleep(clock, isSuccess ? this._options.spacingMs : RETRY_MS, stopped);
+          : await this._watch(this._revision, budget.intervalMs, budget.intervalMs + RESPONSE_GRACE_MS);
+      await sleep(clock, isSuccess ? spacingMs : RETRY_MS, stopped);
     }
   }
 
-  private _watchTimes(): { readonly waitMs: number; readonly timeoutMs: number } {
-    const waitMs = this._options.budget.intervalMs;
-    return { waitMs, timeoutMs: waitMs + RESPONSE_GRACE_MS };
-  }
-
   /** Asks the store itself whenever the view gets too old, whatever the watch is doing. */
   private async _keepCurrent(): Promise<void> {
     const { stopped, clock } = this._context;
-    const { askAgeMs } = this._options.budget;
     while (!stopped.aborted) {
-      const leftMs = askAgeMs - this.viewAgeMs();
-      if (this.isSynced() && leftMs <= 0) this._askIfDue();
-      const isDue = !this.isSynced() || leftMs <= 0;
-      await sleep(clock, isDue ? this._askIntervalMs() : Math.max(1, leftMs), stopped);
+      const leftMs = this._options.budget.askAgeMs - this.viewAgeMs();
+      if (leftMs <= 0) this._askIfDue();
+      await sleep(clock, leftMs <= 0 ? this._askIntervalMs() : Math.max(1, leftMs), stopped);
     }
   }
 
   private _askIntervalMs(): number {
-    const isUnreachable = this._failedQuestions >= MAX_FAILED_QUESTIONS;
-    return isUnreachable ? UNREACHABLE_ASK_INTERVAL_MS : this._options.budget.questionMs;
+    return this._isUnreachable() ? UNREACHABLE_ASK_INTERVAL_MS : this._options.budget.questionMs;
+  }
+
+  private _isUnreachable(): boolean {
+    return this._failedQuestions >= MAX_FAILED_QUESTIONS;
+  }
+
+  private _isRecent(): boolean {
+    return this.viewAgeMs() <= this._options.budget.maxAgeMs;
   }
 
   /** Asks again while an earlier question is unanswered: its connection may be unresponsive. */
   private _askIfDue(): void {
     if (this._revision === undefined) return;
     if (this._lastQuestion && this._lastQuestion.ageMs() < this._askIntervalMs()) return;
-    const { clock } = this._context;
-    this._lastQuestion = Instant.now(clock);
+    this._lastQuestion = Instant.now(this._context.clock);
     const timeoutMs = this._options.budget.questionMs * QUESTION_TIMEOUT_FACTOR;
-    void this._watch(this._revision, 0, Deadline.after(clock, timeoutMs)).then(isSuccess => {
+    void this._watch(this._revision, 0, timeoutMs).then(isSuccess => {
       if (!isSuccess) this._failedQuestions += 1;
-      if (this.isCurrent()) this._wakeWaiters();
+      this._wakeWaitersIfCurrent();
     });
   }
 
@@ -214,11 +215,11 @@
     this._isHistoryLost = false;
   }
 
-  private async _watch(after: number, waitMs: number, deadline: Deadline): Promise<boolean> {
+  private async _watch(after: number, waitMs: number, timeoutMs: number): Promise<boolean> {
     const { prefix } = this._options;
     const { clock, log } = this._context;
     const began = Instant.now(clock);
-    const changes = await this._store.changes(prefix, after, waitMs, deadline);
+    const changes = await this._store.changes(prefix, after, waitMs, Deadline.after(clock, timeoutMs));
     if (!changes.ok) {
       if (changes.error !== 'compacted') return this._onFailure(changes.error, began);
       log.info('store history was compacted, reading the prefix again', { prefix, afterRevision: after });
@@ -268,14 +269,14 @@
 
   private _advance(asOf: Instant): void {
     if (!this._asOf || asOf.isAfter(this._asOf)) this._asOf = asOf;
-    if (this.viewAgeMs() <= this._options.budget.maxAgeMs) this._failedQuestions = 0;
-    this._wakeWaiters();
+    if (this._isRecent()) this._failedQuestions = 0;
+    this._wakeWaitersIfCurrent();
     if (!this._unansweredSince) return;
     this._unansweredSince = undefined;
     this._context.log.info('dependency regained', { dependency: 'store', prefix: this._options.prefix });
   }
 
-  private _wakeWaiters(): void {
+  private _wakeWaitersIfCurrent(): void {
     if (!this.isCurrent()) return;
     const waiters = this._waiters;
     this._waiters = [];
--- a/packages/gateway/src/weightOrders.ts
+++ b/packages/gateway/src/weightOrders.ts
@@ -261,8 +261,7 @@
   /** Returns false for a report of another start of the endpoint, and applies a restart to the directory. */
   private _isSameStart(endpoint: Endpoint, report: WeightReport): boolean {
     const { startWallMs, versions } = report;
-    const recordedMs = endpoint.info().startWallMs;
-    if (startWallMs === undefined || recordedMs === 0 || startWallMs === recordedMs) return true;
+    if (startWallMs === undefined || !endpoint.isOtherStart(startWallMs)) return true;
     this._ports.endpoints.recordRestart(endpoint.id, startWallMs, versions);
     return false;
   }
