Claim lease: its age comes from Instant

The lease now holds the instant of the request that the store last confirmed. The same formula: the difference of the clocks is the one at the confirmation.

--- a/packages/base/src/instant.ts
+++ b/packages/base/src/instant.ts
@@ -22,6 +22,11 @@
     return new Instant(clock, clock.nowMs(), clock.wallMs());
   }
 
+  /** The instant of a time on the monotonic clock, by the difference between the clocks as it is now. */
+  static ofMonotonic(clock: Clock, monotonicMs: number): Instant {
+    return Instant.now(clock).plus(monotonicMs - clock.nowMs());
+  }
+
   /** Milliseconds since this instant. */
   ageMs(): number {
     return Math.max(this._clock.nowMs() - this._monotonicMs, this._clock.wallMs() - this._wallMs);
--- a/packages/gateway/src/claimLease.ts
+++ b/packages/gateway/src/claimLease.ts
@@ -6,7 +6,7 @@
  * no new requests, which bounds how long items are sent after another host has confirmed the end of the batch. Attempts
  * that an endpoint has answered continue, and their results are listed later.
  */
-import { Deadline, sleep, type Clock } from '@fuchsiahitch/base';
+import { Deadline, Instant, sleep } from '@fuchsiahitch/base';
 import type { BatchStore, HeldClaim } from './batchStore.js';
 import type { GatewayContext } from './gatewayContext.js';
 
@@ -46,8 +46,8 @@
   private readonly _renewAfterMs: number;
   private readonly _onLost: () => void;
   private _held: HeldClaim;
-  /** Wall clock minus monotonic clock when the claim was last confirmed. */
-  private _wallOffsetMs: number;
+  /** When the confirmation was requested. */
+  private _requested: Instant;
   private _isStopped = false;
   private _isExpired = false;
 
@@ -67,21 +67,16 @@
     this._leaseMs = leaseMs;
     this._renewAfterMs = Math.min(RENEW_AFTER_MS, leaseMs * RENEW_FRACTION);
     this._onLost = onLost;
-    this._wallOffsetMs = wallOffsetMs(context.clock);
+    this._requested = Instant.ofMonotonic(context.clock, held.requestedAtMs);
   }
 
   get held(): HeldClaim {
     return this._held;
   }
 
-  /**
-   * Time since the request that the store last answered with a confirmation. The monotonic clock stops while the
-   * machine is suspended and the wall clock may be set back, so the larger of the two ages is used.
-   */
+  /** Time since the request that the store last answered with a confirmation. */
   ageMs(): number {
-    const { clock } = this._context;
-    const nowMs = Math.max(clock.nowMs(), clock.wallMs() - this._wallOffsetMs);
-    return nowMs - this._held.requestedAtMs;
+    return this._requested.ageMs();
   }
 
   /** True while new requests may be sent for the batch. */
@@ -100,10 +95,7 @@
 
   /** Renews the lease after the store confirmed the claim in answer to a request sent at `requestedAtMs`. */
   markConfirmed(requestedAtMs: number): void {
-    if (requestedAtMs > this._held.requestedAtMs) {
-      this._held = { ...this._held, requestedAtMs };
-      this._wallOffsetMs = wallOffsetMs(this._context.clock);
-    }
+    if (requestedAtMs > this._held.requestedAtMs) this.changed({ ...this._held, requestedAtMs });
     if (!this._isExpired || !this.isValid()) return;
     this._isExpired = false;
     this._log('claim lease regained');
@@ -114,9 +106,10 @@
     this._onLost();
   }
 
-  /** Replaces the claim after this owner changed it. */
+  /** Replaces the claim after this owner changed it, or the store confirmed it. */
   changed(held: HeldClaim): void {
     this._held = held;
+    this._requested = Instant.ofMonotonic(this._context.clock, held.requestedAtMs);
   }
 
   /** True if the store confirmed recently, or confirms now, that this host owns the batch. */
@@ -156,7 +149,3 @@
     this._context.log.warn(text, { batchId: this._batchId, claimRevision: revision, ageMs });
   }
 }
-
-function wallOffsetMs(clock: Clock): number {
-  return clock.wallMs() - clock.nowMs();
-}
