--- a/tests/leavingEndpoints.spec.ts
+++ b/tests/leavingEndpoints.spec.ts
@@ -98,6 +98,45 @@
   },
 );
 
+await tap.test('should withhold streams and items as well as requests', async t => {
+  // Guards against a way to an endpoint that does not ask again right before the write.
+  const world = new LeavingFleet(1);
+  await world.start();
+  const [host] = world.hosts;
+  if (!host) return;
+  world.connectMs = 250;
+  const sendAll = async (durationMs: number): Promise<void> => {
+    const endMs = world.clock.nowMs() + durationMs;
+    while (world.clock.nowMs() < endMs) {
+      world.stream(host);
+      world.submit(host);
+      await world.run(20);
+    }
+  };
+  await sendAll(1000);
+  world.leave(1, 'removed');
+  while (host.gateway.endpoints.get('e1')) await sendAll(20);
+  const knownMs = world.clock.nowMs();
+  await sendAll(1000);
+  for (const kind of ['request', 'stream', 'item'] as const) {
+    const sent = world.arrivals.filter(arrival => arrival.kind === kind);
+    t.ok(
+      sent.some(({ endpointId }) => endpointId === 'e1'),
+      `${kind}: sent before`,
+    );
+    t.ok(
+      sent.some(({ atMs }) => atMs > knownMs),
+      `${kind}: sent elsewhere after`,
+    );
+    t.same(
+      sent.filter(({ endpointId, atMs }) => endpointId === 'e1' && atMs > knownMs),
+      [],
+      kind,
+    );
+  }
+  world.stop();
+});
+
 await tap.test('should decide the first request after a pause on the configuration in force', async t => {
   // Guards against a host that was stopped and applies the configuration from before to what waits in its sockets.
   const world = new LeavingFleet(1);
--- a/tests/leavingFleet.ts
+++ b/tests/leavingFleet.ts
@@ -1,23 +1,41 @@
 /**
  * A failure domain of complete gateways that send requests without a pause, and what their endpoints see.
  */
-import { SeededRandom, settle, sleep, VirtualClock } from '@fuchsiahitch/base';
-import type { EndpointCall, EndpointReply } from '@fuchsiahitch/gateway';
+import { Deadline, SeededRandom, settle, sleep, VirtualClock } from '@fuchsiahitch/base';
+import type {
+  CallerRequest,
+  EndpointCall,
+  EndpointReply,
+  ItemCall,
+  ItemEnd,
+  ItemProgressListener,
+  SendKind,
+} from '@fuchsiahitch/gateway';
 import { GatewayFleet, type FleetHost, type LeavingKind } from './gatewayFleet.js';
-import { answer, keys, route, ScriptedClient } from './gatewayFixtures.js';
+import { answer, batch, item, keys, route, ScriptedClient } from './gatewayFixtures.js';
 
 /** Time from the store's acknowledgement of a leaving until the last request may arrive: the platform's bound. */
 export const DRAIN_MS = 2000;
 const ENDPOINTS = 4;
 const SEND_INTERVAL_MS = 45;
+const ITEMS_PER_BATCH = 8;
+const SUBMIT_TIMEOUT_MS = 1000;
 const ROUTE = route({ run: 'idempotent', maxAttempts: 3, targetMs: 200, timeoutMs: 3000 });
 /** After a pause, callers' requests are read before the store has answered. */
 const STORE_LATENCY_MS = 5;
+const STREAM_ROUTE = { ...ROUTE, run: 'stream' } as const;
+const IGNORED_STREAM = {
+  begin: () => undefined,
+  write: () => Promise.resolve(),
+  end: () => undefined,
+  abort: () => undefined,
+};
 const NEVER_ABORTED = new AbortController().signal;
 
 export interface Arrival {
   readonly hostId: string;
   readonly endpointId: string;
+  readonly kind: SendKind;
   readonly atMs: number;
 }
 
@@ -33,12 +51,31 @@
   }
 
   override async send(call: EndpointCall, signal: AbortSignal): Promise<EndpointReply> {
+    const kind = call.target.startsWith('/run/stream') ? 'stream' : 'request';
+    const reply = await this._connect(call, kind, signal);
+    return reply ?? { kind: 'answered', answer: answer(200, 'whole') };
+  }
+
+  override async runItem(
+    call: ItemCall,
+    listener: ItemProgressListener,
+    signal: AbortSignal,
+  ): Promise<ItemEnd> {
+    return (await this._connect(call, 'item', signal)) ?? super.runItem(call, listener, signal);
+  }
+
+  /** Returns how the call ended if it was not written. */
+  private async _connect(
+    { guard, endpoint }: EndpointCall | ItemCall,
+    kind: SendKind,
+    signal: AbortSignal,
+  ): Promise<Extract<EndpointReply, { kind: 'cancelled' | 'not-run' }> | undefined> {
     const { clock, connectMs, arrivals } = this._fleet;
     if (connectMs > 0) await sleep(clock, connectMs, signal);
     if (signal.aborted) return { kind: 'cancelled' };
-    if (!call.guard.mayWrite()) return { kind: 'not-run', reason: 'withheld', load: undefined };
-    arrivals.push({ hostId: this._hostId, endpointId: call.endpoint.id, atMs: clock.nowMs() });
-    return { kind: 'answered', answer: answer(200, 'whole') };
+    if (!guard.mayWrite()) return { kind: 'not-run', reason: 'withheld', load: undefined };
+    arrivals.push({ hostId: this._hostId, endpointId: endpoint.id, kind, atMs: clock.nowMs() });
+    return undefined;
   }
 }
 
@@ -85,21 +122,24 @@
   }
 
   send(host: FleetHost): void {
-    this._requests += 1;
-    const request = {
-      id: `r${this._requests}`,
-      caller: '',
-      host: 'quests',
-      method: 'POST',
-      target: '/run/1',
-      headers: [],
-      body: undefined,
-      waitMs: 3000,
-    };
     if (!host.gateway.endpoints.isSynced()) return;
-    void host.gateway.forwarder.forward(request, ROUTE, NEVER_ABORTED).then(({ kind }) => {
-      this.outcomes.set(kind, (this.outcomes.get(kind) ?? 0) + 1);
-    });
+    const request = this._nextRequest('/run/request');
+    void host.gateway.forwarder.forward(request, ROUTE, NEVER_ABORTED).then(({ kind }) => this._count(kind));
+  }
+
+  stream(host: FleetHost): void {
+    const request = this._nextRequest('/run/stream');
+    void host.gateway.forwarder
+      .stream(request, STREAM_ROUTE, IGNORED_STREAM, NEVER_ABORTED)
+      .then(({ kind }) => this._count(kind));
+  }
+
+  submit(host: FleetHost): void {
+    this._requests += 1;
+    const id = `b${this._requests}`;
+    const items = Array.from({ length: ITEMS_PER_BATCH }, (_, i) => item(`${id}-${i}`));
+    const deadline = Deadline.after(this.clock, SUBMIT_TIMEOUT_MS);
+    void host.gateway.batches.submit(batch(id, items), deadline).then(({ kind }) => this._count(kind));
   }
 
   /** One endpoint leaves now. Returns a function that reads the latest arrival there, in ms after this moment. */
@@ -140,6 +180,25 @@
   stop(): void {
     this.fleet.stop();
   }
+
+  private _nextRequest(target: string): CallerRequest {
+    this._requests += 1;
+    const id = `r${this._requests}`;
+    return {
+      id,
+      caller: '',
+      host: 'quests',
+      method: 'POST',
+      target,
+      headers: [],
+      body: undefined,
+      waitMs: 3000,
+    };
+  }
+
+  private _count(outcome: string): void {
+    this.outcomes.set(outcome, (this.outcomes.get(outcome) ?? 0) + 1);
+  }
 }
 
 /** Faults that each leave the store reachable for the hosts, directly or through a peer. */
