--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -18,7 +18,7 @@
 const CLIENTS = 60;
 const PLAY_MS = 9000;
 /** `garble`, `how = "extra late"`: within 0.6 of the servers, 0.03 of their answers, 5 s. */
-const FAULT = { servers: 1, share: 0.03, atMs: 2000, forMs: 5000 };
+const FAULT = { servers: 1, share: 0.03, atMs: 2000, forMs: 4900 };
 const DEADLINE_MS = 2000;
 const NOT_RUN = [408, 421, 429, 503];
 
@@ -37,6 +37,8 @@
   _running = 0;
   _queue = [];
   isGarbling = false;
+  garbledFrom = 0;
+  doubled = 0;
 
   onRequest(request, channel) {
     this._sendDueExtra(channel);
@@ -74,15 +76,19 @@
   _answer(request, channel, status, options) {
     const bytes = answerOf(request, status, options);
     channel.socket.write(bytes);
-    if (!this.isGarbling || Math.random() >= FAULT.share) return;
+    if (!this.isGarbling) return;
+    this.garbledFrom += 1;
+    const isOverLimit = this.doubled + 1 > FAULT.share * this.garbledFrom;
+    if (isOverLimit || Math.random() >= FAULT.share) return;
+    this.doubled += 1;
     channel.extra = { bytes, status, id: request.headers['request-id'] };
   }
 
   /** The second answer comes late, where the answer to the next request is expected. */
   _sendDueExtra(channel) {
     const { extra } = channel;
-    if (!extra) return;
     channel.extra = undefined;
+    if (!extra || !this.isGarbling) return;
     extras += 1;
     note('extra', `second answer "${extra.status}" of ${extra.id} from ${this.id}`);
     channel.socket.write(extra.bytes);
@@ -163,6 +169,8 @@
     note('TWICE', `${id} ran at ${at.join(' and ')}, answered ${answers.get(id)}`);
   for (const [id, status] of refused)
     note('REFUSED', `${id} was answered ${status} and ran at ${runs.get(id)[0]}`);
+  const [{ doubled, garbledFrom }] = servers;
+  note('dose', `${doubled} of ${garbledFrom} answers of one of ${SERVERS} servers in ${FAULT.forMs} ms`);
   const refusals = [...answers.values()].filter(status => NOT_RUN.includes(status)).length;
   note(
     'total',
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -18,7 +18,7 @@
 const PAUSE_MS = 50;
 const PLAY_MS = 16_000;
 /** `garble`: within 0.35 of the servers, 0.02 of their answers, 5.5 s. */
-const FAULT = { servers: 1, share: 0.02, atMs: 2000, forMs: 5500 };
+const FAULT = { servers: 1, share: 0.02, atMs: 2000, forMs: 5400 };
 const TIMEOUT_MS = 1200;
 const SLACK_MS = 500;
 const DEADLINE_MS = 2000;
@@ -33,6 +33,8 @@
 class BookingServer extends Server {
   _running = 0;
   isGarbling = false;
+  garbledFrom = 0;
+  spoiled = 0;
 
   onRequest(request, channel) {
     const id = request.headers['request-id'];
@@ -52,7 +54,10 @@
   _answer(request, channel, id) {
     const headers = [`Server-Stamp: ${this.id}.${id}`, `Server-Load: ${this._running},0,${SLOTS}`];
     const answer = answerOf(request, '200 OK', { headers, body: `booked ${id}` });
-    const isSpoiled = this.isGarbling && Math.random() < FAULT.share;
+    if (this.isGarbling) this.garbledFrom += 1;
+    const isWithinLimit = this.spoiled + 1 <= FAULT.share * this.garbledFrom;
+    const isSpoiled = this.isGarbling && isWithinLimit && Math.random() < FAULT.share;
+    if (isSpoiled) this.spoiled += 1;
     if (isSpoiled) note('spoiled', `the answer to ${id} from ${this.id}`);
     channel.socket.write(isSpoiled ? `HTTP/1.1 103 Early Hints\r\n\r\n${answer}` : answer);
   }
@@ -127,7 +132,8 @@
   await Promise.all(clients);
   for (const edge of edges)
     note('edge', `${edge.name} ${edge.isRunning ? 'runs' : 'has ended'}, ready: ${await edge.isReady()}`);
-  const spoiled = record.filter(line => line.includes(' spoiled ')).length;
+  const [{ spoiled, garbledFrom }] = servers;
+  note('dose', `${spoiled} of ${garbledFrom} answers of one of ${SERVERS} servers in ${FAULT.forMs} ms`);
   const unanswered = requests.filter(({ sentMs, answeredMs }) => answeredMs - sentMs > TIMEOUT_MS);
   const late = unanswered.filter(({ sentMs, answeredMs }) => answeredMs - sentMs > TIMEOUT_MS + SLACK_MS);
   const counts = `${requests.length} requests, ${spoiled} spoiled answers, ${unanswered.length} unanswered at timeout_ms`;
