Measure the doses of cases 1 and 2, and end their edges in any case

Cause: the record named the intended length of the fault, a script that was ended by a signal could leave an edge that hangs, and an exception outside of the check exited with 1. Now the measured length is recorded, a run over the limit exits with 2, and edges and folders go with the script.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -18,7 +18,7 @@
 const CLIENTS = 100;
 const PLAY_MS = 9000;
 /** `garble`, `how = "extra late"`: within 0.6 of the servers, 0.03 of their answers, 5 s. */
-const FAULT = { servers: 3, share: 0.03, atMs: 2000, forMs: 4900 };
+const FAULT = { servers: 3, share: 0.03, atMs: 2000, forMs: 4900, limitMs: 5000 };
 const DEADLINE_MS = 2000;
 const NOT_RUN = [408, 421, 429, 503];
 
@@ -151,8 +151,10 @@
   );
   await delay(FAULT.atMs);
   for (const server of servers.slice(0, FAULT.servers)) server.isGarbling = IS_TROUBLED;
+  const faultFromMs = performance.now();
   await delay(FAULT.forMs);
   for (const server of servers) server.isGarbling = false;
+  faultMs = performance.now() - faultFromMs;
   await Promise.all(clients);
   await delay(DEADLINE_MS);
 }
@@ -161,6 +163,7 @@
 const servers = [];
 const edges = [new Edge('edge-tekapo-1'), new Edge('edge-tekapo-2')];
 let code = 2;
+let faultMs = 0;
 try {
   await play(store, servers, edges);
   const twice = [...runs].filter(([, at]) => at.length > 1);
@@ -170,7 +173,10 @@
   for (const [id, status] of refused)
     note('REFUSED', `${id} was answered ${status} and ran at ${runs.get(id)[0]}`);
   for (const { id, doubled, garbledFrom } of servers.slice(0, FAULT.servers))
-    note('dose', `${doubled} of ${garbledFrom} answers of ${id}, one of ${SERVERS}, in ${FAULT.forMs} ms`);
+    note(
+      'dose',
+      `${doubled} of ${garbledFrom} answers of ${id}, one of ${SERVERS}, in ${Math.round(faultMs)} ms`,
+    );
   const refusals = [...answers.values()].filter(status => NOT_RUN.includes(status)).length;
   note(
     'total',
@@ -178,7 +184,11 @@
       `${twice.length} ran twice, ${refused.length} refused and run`,
   );
   // A play in which hardly anything was served or nothing was disturbed shows nothing.
-  const isValid = runs.size > 200 && (!IS_TROUBLED || extras > 0) && edges.every(({ exits }) => exits === 0);
+  const isValid =
+    faultMs <= FAULT.limitMs &&
+    runs.size > 200 &&
+    (!IS_TROUBLED || extras > 0) &&
+    edges.every(({ exits }) => exits === 0);
   if (isValid) code = twice.length + refused.length > 0 ? 1 : 0;
 } catch (error) {
   note('error', String(error.stack));
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -18,7 +18,7 @@
 const PAUSE_MS = 50;
 const PLAY_MS = 16_000;
 /** `garble`, `how = "extra late"`: within 0.6 of the servers, 0.03 of their answers, 5 s. */
-const FAULT = { servers: 1, share: 0.02, atMs: 2000, forMs: 4900 };
+const FAULT = { servers: 1, share: 0.02, atMs: 2000, forMs: 4900, limitMs: 5000 };
 const EXTRA = 'HTTP/1.1 103 Early Hints\r\n\r\n';
 const TIMEOUT_MS = 1200;
 const SLACK_MS = 500;
@@ -140,20 +140,25 @@
   const clients = Array.from({ length: CLIENTS }, (_, i) => client(edges, i, endMs));
   await delay(FAULT.atMs);
   for (const server of servers.slice(0, FAULT.servers)) server.isGarbling = IS_TROUBLED;
+  const faultFromMs = performance.now();
   await delay(FAULT.forMs);
   for (const server of servers) server.isGarbling = false;
+  const faultMs = performance.now() - faultFromMs;
   await Promise.all(clients);
   for (const edge of edges)
     note('edge', `${edge.name} ${edge.isRunning ? 'runs' : 'has ended'}, ready: ${await edge.isReady()}`);
   const [{ spoiled, garbledFrom, extras }] = servers;
-  note('dose', `${spoiled} of ${garbledFrom} answers of one of ${SERVERS} servers in ${FAULT.forMs} ms`);
+  note(
+    'dose',
+    `${spoiled} of ${garbledFrom} answers of one of ${SERVERS} servers in ${Math.round(faultMs)} ms`,
+  );
   const unanswered = requests.filter(({ sentMs, answeredMs }) => answeredMs - sentMs > TIMEOUT_MS);
   const late = unanswered.filter(({ sentMs, answeredMs }) => answeredMs - sentMs > TIMEOUT_MS + SLACK_MS);
   const counts = `${requests.length} requests, ${extras} with bytes after them, ${unanswered.length} unanswered at timeout_ms`;
   note('total', `${counts}, ${late.length} of these still unanswered half a second later`);
   const isBroken = late.length * 2 > unanswered.length;
   if (isBroken) note('CONFIG', `no answer for ${late.length} requests`);
-  const isShown = !IS_TROUBLED || extras > 0;
+  const isShown = faultMs <= FAULT.limitMs && (!IS_TROUBLED || extras > 0);
   if (isShown && requests.length > 100) code = isBroken ? 1 : 0;
 } catch (error) {
   note('error', String(error.stack));
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -46,6 +46,19 @@
   idle_timeout_ms: 15_000,
 };
 
+const children = new Set();
+const folders = new Set();
+// However a script ends, none of its edges outlives it, not even one that hangs; only a finished check exits with 1.
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+  for (const folder of folders) fs.rmSync(folder, { recursive: true, force: true });
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2));
+process.on('uncaughtException', error => {
+  process.stderr.write(`${error.stack}\n`);
+  process.exit(2);
+});
+
 /** The words of `run` and the variables of `env` of the edge role. */
 function edgeRole() {
   const text = fs.readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
@@ -102,6 +115,7 @@
     this.ip ??= await loopbackAddress();
     this.front = `${this.ip}:8261`;
     this._folder ??= fs.mkdtempSync(path.join(os.tmpdir(), 'review-'));
+    folders.add(this._folder);
     const file = path.join(this._folder, 'local.json');
     fs.writeFileSync(file, JSON.stringify(this._settings(storeAddress)));
     const [program, ...words] = this._role.words;
@@ -109,10 +123,13 @@
     const env = { PATH, HOME, LANG, ...this._role.env, FUCHSIAHITCH_NODE_FILE: file };
     const command = program === 'node' ? process.execPath : program;
     this._child = spawn(command, words, { cwd: ROOT, env, stdio: ['ignore', 'pipe', 'pipe'] });
+    const child = this._child;
+    children.add(child);
     this.isRunning = true;
     for (const stream of [this._child.stdout, this._child.stderr]) this._collect(stream);
     this.ended = new Promise(resolve => {
       this._child.on('exit', (code, signal) => {
+        children.delete(child);
         this.isRunning = false;
         this.exits += 1;
         resolve(signal ?? code);
@@ -192,7 +209,6 @@
   async close() {
     if (this.isRunning) this._child.kill('SIGKILL');
     await this.ended;
-    fs.rmSync(this._folder, { recursive: true, force: true });
   }
 }
 
