Log which request an answer names, where it is not the attempt's own

A refusal of another request and a true one left the same line: end=not-run reason=refused. The field answeredId on `request attempt` and `item attempt` tells them apart. Logic is unchanged.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -3,7 +3,7 @@
  */
 import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
 import { BatchLedger, pageFrom, type BatchItem, type BatchReadReply } from '@fuchsiahitch/batches';
-import { reasonOf } from './attemptReason.js';
+import { otherAnsweredId, reasonOf } from './attemptReason.js';
 import { batchRoute } from './batchRoute.js';
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
 import { ClaimLease, READ_CONFIRMATION_MAX_AGE_MS } from './claimLease.js';
@@ -403,6 +403,7 @@
       attempt: number,
       end: end.kind,
       reason: reasonOf(end),
+      answeredId: otherAnsweredId(end, item.id),
       status: 'status' in end ? end.status : undefined,
       events: this.ledger.progress(item.id).lastEventNumber(),
       tookMs: Math.round(tookMs),
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -3,7 +3,7 @@
  */
 import type { Route } from '@fuchsiahitch/rules';
 import type { EndpointSend } from './endpointSend.js';
-import type { HeaderPair, NotRunReason } from './ports.js';
+import type { AnswerOrigin, HeaderPair, NotRunReason } from './ports.js';
 
 /** A caller's request with its complete body. */
 export interface CallerRequest {
@@ -61,8 +61,8 @@
 
 export type RequestAttemptEnd =
   | { readonly kind: 'answered'; readonly answer: CompleteAnswer; readonly isFailure: boolean }
-  | { readonly kind: 'not-run'; readonly reason: NotRunReason }
-  | { readonly kind: 'broken'; readonly text: string }
+  | ({ readonly kind: 'not-run'; readonly reason: NotRunReason } & AnswerOrigin)
+  | ({ readonly kind: 'broken'; readonly text: string } & AnswerOrigin)
   | { readonly kind: 'cancelled' };
 
 /** Details of an attempt for its log message. */
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -15,7 +15,7 @@
 } from '@fuchsiahitch/requests';
 import type { MeteredRequest } from '@fuchsiahitch/metering';
 import type { Route } from '@fuchsiahitch/rules';
-import { reasonOf } from './attemptReason.js';
+import { otherAnsweredId, reasonOf } from './attemptReason.js';
 import {
   RETRY_AFTER_MS,
   requestTimeoutMs,
@@ -297,6 +297,7 @@
       attempt: details.number,
       end: end.kind,
       reason: reasonOf(end),
+      answeredId: otherAnsweredId(end, request.id),
       status: end.kind === 'answered' ? end.answer.status : undefined,
       // Identifies repeats of the same request under other identifiers. Only for broken attempts, as hashing is costly.
       fingerprint: end.kind === 'broken' ? this._poison.detailsOf(request).fingerprint : undefined,
@@ -316,7 +317,7 @@
       if (reply.reason === 'refused') endpoint.limit.refused();
       markIfUnreachable(endpoint, reply.reason);
       if (reply.load) endpoint.recordLoad(reply.load);
-      return { kind: 'not-run', reason: reply.reason };
+      return { kind: 'not-run', reason: reply.reason, answeredId: reply.answeredId };
     }
     if (reply.kind !== 'answered') return reply;
     return this._readCompleteAnswer(endpoint, reply.answer, signal);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -75,18 +75,24 @@
  */
 export type NotRunReason = 'unreachable' | 'refused' | 'other-instance' | 'withheld';
 
+/** What an answer that ended an attempt says about the request it belongs to. */
+export interface AnswerOrigin {
+  /** Identifier of the request that the answer names; undefined if it names none, or if no answer came. */
+  readonly answeredId?: string | undefined;
+}
+
 /**
  * The result of sending a request to an endpoint, up to the head of the answer. After `not-run` the request certainly
  * did not run; after `broken` it may have run.
  */
 export type EndpointReply =
   | { readonly kind: 'answered'; readonly answer: EndpointAnswer }
-  | {
+  | ({
       readonly kind: 'not-run';
       readonly reason: NotRunReason;
       readonly load: EndpointLoad | undefined;
-    }
-  | { readonly kind: 'broken'; readonly text: string }
+    } & AnswerOrigin)
+  | ({ readonly kind: 'broken'; readonly text: string } & AnswerOrigin)
   | { readonly kind: 'cancelled' };
 
 /** A batch item as it is sent to an endpoint. */
@@ -109,11 +115,15 @@
 export type ItemEnd =
   | { readonly kind: 'done' }
   /** `load`: of the endpoint that refused the item, if it reports one. */
-  | { readonly kind: 'not-run'; readonly reason: NotRunReason; readonly load?: EndpointLoad | undefined }
+  | ({
+      readonly kind: 'not-run';
+      readonly reason: NotRunReason;
+      readonly load?: EndpointLoad | undefined;
+    } & AnswerOrigin)
   | { readonly kind: 'failed'; readonly status: number }
   /** The endpoint reports that the item can never succeed. */
   | { readonly kind: 'impossible' }
-  | { readonly kind: 'broken'; readonly text: string }
+  | ({ readonly kind: 'broken'; readonly text: string } & AnswerOrigin)
   | { readonly kind: 'cancelled' };
 
 /** Receives the progress of an item attempt. */
