Match each answer of an endpoint to its request before concluding anything from it

Cause: the order of answers on a connection stood for what they belong to. `send` and `runItem` took a refusal before they compared identifiers, and an answer without one counted as the request's own. Evidence: request dd4, i-0 end=not-run reason=refused answeredId=db5, then i-3 answered; the next request on i-0's connection got the answer to dd4.

An interceptor of the pools now compares the identifier when the head arrives. Any other answer ends its connection and fails the attempt as one that may have run. Only that connection ends, not the pool. As an item comes again under its identifier, its attempts use different connections.

--- a/packages/clients/src/connectionList.ts
+++ b/packages/clients/src/connectionList.ts
@@ -39,10 +39,18 @@
     return [...this._all];
   }
 
-  /** Takes the most recently used idle connection that is open. Removes those found closed. */
-  takeIdle(isOpen: (connection: T) => boolean): T | undefined {
-    for (let connection = this._idle.pop(); connection !== undefined; connection = this._idle.pop()) {
-      if (isOpen(connection)) return connection;
+  /** Takes the most recently used idle connection that is open and suitable. Removes those found closed. */
+  takeIdle(
+    isOpen: (connection: T) => boolean,
+    isSuitable: (connection: T) => boolean = () => true,
+  ): T | undefined {
+    for (let i = this._idle.length - 1; i >= 0; i--) {
+      const connection = this._idle[i];
+      if (connection === undefined) break;
+      const isConnected = isOpen(connection);
+      if (isConnected && !isSuitable(connection)) continue;
+      this._idle.splice(i, 1);
+      if (isConnected) return connection;
       this._all.delete(connection);
       this._idleClosed += 1;
     }
--- a/packages/clients/src/connectionPool.ts
+++ b/packages/clients/src/connectionPool.ts
@@ -48,9 +48,9 @@
     return this._connections.size;
   }
 
-  override dispatch(options: Dispatcher.DispatchOptions, handler: Handler): boolean {
+  override dispatch(options: PooledRequestOptions, handler: Handler): boolean {
     if (this._ended) return this._reject(options, handler);
-    const connection = this._connections.takeIdle(({ isAvailable }) => isAvailable);
+    const connection = this._takeIdle(options);
     // A request that follows the end of another one directly waits a turn of the event loop for its connection. Without
     // this wait, back-to-back requests would use up to two connections for each sender.
     if (!connection && this._waiting.length < this._finishing) this._waiting.push({ options, handler });
@@ -81,6 +81,13 @@
     return resultOf(this._ended, typeof first === 'function' ? first : second);
   }
 
+  private _takeIdle({ separation }: PooledRequestOptions): PooledConnection | undefined {
+    return this._connections.takeIdle(
+      ({ isAvailable }) => isAvailable,
+      connection => separation?.excludedMarks.some(mark => connection.hasMark(mark)) !== true,
+    );
+  }
+
   private _add(): PooledConnection {
     const client = new Client(this._origin, { ...this._options.client, pipelining: 1 });
     const connection = new PooledConnection(client, this._connections.reasonToOpen(), {
@@ -102,7 +109,7 @@
     this._finishing -= 1;
     const next = this._waiting.shift();
     if (!next) return;
-    const connection = this._connections.takeIdle(({ isAvailable }) => isAvailable) ?? this._add();
+    const connection = this._takeIdle(next.options) ?? this._add();
     connection.dispatch(next.options, next.handler);
   }
 
@@ -119,8 +126,25 @@
   }
 }
 
+/** A late response comes where the next ones are expected, so older marks need not be kept. */
+const MAX_MARKS = 32;
+
+/** Keeps requests apart whose late responses could not be told from each other. */
+export interface ConnectionSeparation {
+  /** Left on the connection of the request. */
+  readonly mark: string;
+  /** The request is not sent on a connection that has one of these marks. */
+  readonly excludedMarks: readonly string[];
+}
+
+export interface SeparatedRequestOptions {
+  readonly separation?: ConnectionSeparation | undefined;
+}
+
+type PooledRequestOptions = Dispatcher.DispatchOptions & SeparatedRequestOptions;
+
 interface WaitingRequest {
-  readonly options: Dispatcher.DispatchOptions;
+  readonly options: PooledRequestOptions;
   readonly handler: Handler;
 }
 
@@ -146,6 +170,8 @@
   private _request: Handler | undefined;
   /** True if the connection was open when the request in progress was assigned to it. */
   private _isReuse = false;
+  /** Marks of the last requests, oldest first. */
+  private readonly _marks = new Set<string>();
 
   constructor(client: Client, openReason: OpenReason, events: PooledConnectionEvents) {
     this.client = client;
@@ -162,7 +188,13 @@
     return this._request === undefined && connected && size === 0;
   }
 
-  dispatch(options: Dispatcher.DispatchOptions, handler: Handler): void {
+  /** True if one of the last requests left this mark. */
+  hasMark(mark: string): boolean {
+    return this._marks.has(mark);
+  }
+
+  dispatch(options: PooledRequestOptions, handler: Handler): void {
+    if (options.separation) this._addMark(options.separation.mark);
     const request = new ObservedHandler(handler, {
       started: () => {
         if (this._isReuse) this._events.reused();
@@ -178,6 +210,13 @@
     this.client.dispatch(options, request);
   }
 
+  private _addMark(mark: string): void {
+    this._marks.delete(mark);
+    this._marks.add(mark);
+    const [oldest] = this._marks;
+    if (this._marks.size > MAX_MARKS && oldest !== undefined) this._marks.delete(oldest);
+  }
+
   /**
    * The connection is available from the next turn of the event loop: until then, the end of the connection or an extra
    * response, which show that it must not be reused, may not have been read yet.
--- a/packages/clients/src/endpointPools.ts
+++ b/packages/clients/src/endpointPools.ts
@@ -2,7 +2,8 @@
  * Keep-alive connection pools, one per endpoint address.
  */
 import type { Socket } from 'node:net';
-import { ConnectionPool, type ConnectionListener } from './connectionPool.js';
+import { answerMatchInterceptor, type MatchedRequestOptions } from './answerMatchInterceptor.js';
+import { ConnectionPool, type ConnectionListener, type SeparatedRequestOptions } from './connectionPool.js';
 import { errorCode } from './etcdStore.js';
 import { resetInterceptor, ResetTracker } from './resetInterceptor.js';
 import { buildConnector, type Dispatcher } from 'undici';
@@ -14,6 +15,8 @@
 /** The oldest pool is evicted beyond this limit. */
 const MAX_POOLS = 2000;
 
+type EndpointRequestOptions = GuardedRequestOptions & MatchedRequestOptions & SeparatedRequestOptions;
+
 interface PoolEntry {
   readonly pool: ConnectionPool;
   readonly dispatcher: Dispatcher;
@@ -32,7 +35,7 @@
   }
 
   /** Sends a request to an address. */
-  async request(address: string, options: GuardedRequestOptions): Promise<Dispatcher.ResponseData> {
+  async request(address: string, options: EndpointRequestOptions): Promise<Dispatcher.ResponseData> {
     return this.poolFor(address).request(options);
   }
 
@@ -53,7 +56,11 @@
       replaced: this._replaced.get(address),
     });
     this._replaced.delete(address);
-    const dispatcher = pool.compose(resetInterceptor(this._resets), writeGuardInterceptor());
+    const dispatcher = pool.compose(
+      resetInterceptor(this._resets),
+      writeGuardInterceptor(),
+      answerMatchInterceptor(),
+    );
     this._pools.set(address, { pool, dispatcher });
     return dispatcher;
   }
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -1,4 +1,5 @@
 /** Clients for the platform's services, endpoints and scorers. */
+export * from './answerMatchInterceptor.js';
 export * from './connectionList.js';
 export * from './connectionPool.js';
 export * from './connectionProbe.js';
--- a/packages/gateway/src/failedSend.ts
+++ b/packages/gateway/src/failedSend.ts
@@ -2,7 +2,7 @@
  * Classification of sends that failed before the head of an answer.
  */
 import { messageOf } from '@fuchsiahitch/base';
-import { notSentReason } from '@fuchsiahitch/clients';
+import { ForeignAnswerError, notSentReason } from '@fuchsiahitch/clients';
 import type { EndpointReply } from './ports.js';
 
 /** `signal`: of the caller, which has cancelled the send if it is aborted. */
@@ -13,5 +13,6 @@
   const reason = notSentReason(thrown);
   if (reason) return { kind: 'not-run', reason, load: undefined };
   if (signal.aborted) return { kind: 'cancelled' };
-  return { kind: 'broken', text: messageOf(thrown) };
+  const answeredId = thrown instanceof ForeignAnswerError ? thrown.answeredId : undefined;
+  return { kind: 'broken', text: messageOf(thrown), answeredId };
 }
--- a/tests/platformStandIns.ts
+++ b/tests/platformStandIns.ts
@@ -249,9 +249,10 @@
   status = '200 OK',
   extra: readonly string[] = [],
 ): string {
+  const id = request.headers['request-id'];
   return [
     `HTTP/1.1 ${status}`,
-    `Request-Id: ${request.headers['request-id'] ?? ''}`,
+    ...(id === undefined ? [] : [`Request-Id: ${id}`]),
     'Server-Stamp: proof',
     `Content-Length: ${Buffer.byteLength(body)}`,
     ...extra,
--- a/tests/platformWire.spec.ts
+++ b/tests/platformWire.spec.ts
@@ -274,7 +274,7 @@
   withServer(async (server, endpoint, client) => {
     for (const length of ['Content-Length: 50', 'Transfer-Encoding: chunked']) {
       server.answer = (_request, socket) => {
-        socket.write(`HTTP/1.1 200 OK\r\nServer-Stamp: p\r\n${length}\r\n\r\n`);
+        socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: p\r\n${length}\r\n\r\n`);
         socket.write(length.startsWith('C') ? 'half' : chunk('half'), () => socket.destroy());
       };
       const reply = await client.send(call(endpoint), NEVER_ABORTED);
@@ -282,7 +282,9 @@
       if (reply.kind === 'answered') await t.rejects(read(reply.answer.body), length);
     }
     server.answer = (_request, socket) => {
-      socket.write('HTTP/1.1 200 OK\r\nServer-Stamp: p\r\n\r\nto the end', () => socket.end());
+      socket.write('HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: p\r\n\r\nto the end', () =>
+        socket.end(),
+      );
     };
     const reply = await client.send(call(endpoint), NEVER_ABORTED);
     if (reply.kind === 'answered') t.equal(await read(reply.answer.body), 'to the end');
@@ -296,7 +298,7 @@
     // Guards against undici treating a reset as the regular end: a truncated response would look complete.
     let isReset = false;
     server.answer = (_request, socket) => {
-      socket.write('HTTP/1.1 200 OK\r\nServer-Stamp: p\r\nConnection: close\r\n\r\nhalf');
+      socket.write('HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: p\r\nConnection: close\r\n\r\nhalf');
       readingBegan.then(
         () => socket.resetAndDestroy(),
         () => undefined,
@@ -326,9 +328,12 @@
     // Guards against tracking resets only once the body is being read.
     for (let i = 0; i < 5; i++) {
       server.answer = (_request, socket) => {
-        socket.write('HTTP/1.1 200 OK\r\nServer-Stamp: p\r\nConnection: close\r\n\r\nhalf', () => {
-          setImmediate(() => socket.resetAndDestroy());
-        });
+        socket.write(
+          'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: p\r\nConnection: close\r\n\r\nhalf',
+          () => {
+            setImmediate(() => socket.resetAndDestroy());
+          },
+        );
       };
       const reply = await client.send(call(endpoint), NEVER_ABORTED);
       if (reply.kind !== 'answered') {
