Take an order for accepted only after its whole response

A response to an order that broke off, or was none after its first line, left the order accepted: the body was discarded with `dump`, which ends without an error however the body ends, also by the order's own time limit.

--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -13,6 +13,7 @@
 export * from './keyValueStore.js';
 export * from './memberList.js';
 export * from './resetInterceptor.js';
+export * from './responseBody.js';
 export * from './scorer.js';
 export * from './serviceClient.js';
 export * from './singleCall.js';
--- a/tests/platformWire.spec.ts
+++ b/tests/platformWire.spec.ts
@@ -487,3 +487,17 @@
     t.equal(await client.report(endpoint, 50), undefined);
   }),
 );
+
+await tap.test('should not take a response that breaks off for the acceptance of an order', t =>
+  withServer(async (server, endpoint, client) => {
+    // Guards against an order that counts as accepted although its response is none: the end of a discarded body has no error.
+    const order = { endpoint, model: 'm1', version: 3, holder: 'h', fencingToken: 1, expectedSequence: 0 };
+    for (const rest of ['Content-Length: 5\r\n\r\nab', 'Transfer-Encoding: chunked\r\n\r\nzz\r\n', '\r\n'])
+      for (const status of ['200 OK', '202 Accepted']) {
+        server.answer = (_request, socket) => {
+          socket.write(`HTTP/1.1 ${status}\r\n${rest}`, () => setImmediate(() => socket.resetAndDestroy()));
+        };
+        t.equal(await client.order(order, 500), 'unknown', `${status} ${rest}`);
+      }
+  }),
+);
