Skip interim responses, and give failed assertions in bundles a message

Cause: the pools' handlers wrap undici's DecoratorHandler, which asserts that a response starts once; an interim response is reported as a start too. The assertion has no message, so that Node.js parses the source for its text, which in the long lines of a minified bundle takes the processor for good.

PassThroughHandler leaves out interim responses, for every handler of the pools. In bundles, `node:assert` is replaced by a module that gives messages, so that any failed assertion of a library throws at once, and undici ends the attempt and its connection.

--- a/packages/clients/src/passThroughHandler.ts
+++ b/packages/clients/src/passThroughHandler.ts
@@ -7,6 +7,9 @@
 /** The arguments of a handler's method. */
 export type HandlerArguments<K extends keyof Handler> = Parameters<NonNullable<Handler[K]>>;
 
+const FIRST_FINAL_STATUS = 200;
+
+/** Leaves out interim responses, of which there may be any number before a response: `DecoratorHandler` allows one start only. */
 export class PassThroughHandler implements Handler {
   private readonly _inner: Handler;
 
@@ -23,7 +26,8 @@
   }
 
   onResponseStart(...args: HandlerArguments<'onResponseStart'>): void {
-    this._inner.onResponseStart?.(...args);
+    const [, status] = args;
+    if (status >= FIRST_FINAL_STATUS) this._inner.onResponseStart?.(...args);
   }
 
   onResponseData(...args: HandlerArguments<'onResponseData'>): void {
--- a/tests/answerMatching.spec.ts
+++ b/tests/answerMatching.spec.ts
@@ -2,79 +2,15 @@
  * Late and extra responses of an endpoint, over sockets: none is taken for the response to another request.
  */
 import type { Socket } from 'node:net';
-import tap, { type Test } from 'tap';
+import tap from 'tap';
 import { Deadline, SystemClock } from '@fuchsiahitch/base';
-import type { EndpointCall, EndpointInfo, ItemCall } from '@fuchsiahitch/gateway';
-import { PlatformEndpointClient, StoreClient } from '@fuchsiahitch/platform';
+import { StoreClient } from '@fuchsiahitch/platform';
 import { settle, waitUntil } from './connectionFixtures.js';
-import { ALWAYS_WRITES } from './gatewayFixtures.js';
-import { validResponse, WireServer, type WireRequest } from './platformStandIns.js';
+import { batchItem, order, report, request, TIMEOUT_MS, withWorld } from './endpointWays.js';
+import { validResponse, type WireRequest } from './platformStandIns.js';
 
-const NEVER_ABORTED = new AbortController().signal;
-const TIMEOUT_MS = 500;
 const REFUSAL = ['Not-Executed: 1'] as const;
 
-interface World {
-  readonly t: Test;
-  readonly server: WireServer;
-  readonly client: PlatformEndpointClient;
-  readonly endpoint: EndpointInfo;
-}
-
-function withWorld(run: (world: World) => Promise<void>): (t: Test) => Promise<void> {
-  return async t => {
-    const server = new WireServer();
-    const address = await server.listen();
-    const endpoint = {
-      id: 'i-1',
-      startWallMs: 0,
-      address,
-      pool: 's',
-      domain: 'd',
-      slots: 4,
-      isLeaving: false,
-      versions: new Map<string, number>(),
-    };
-    try {
-      await run({ t, server, client: new PlatformEndpointClient(), endpoint });
-    } finally {
-      await server.close();
-    }
-  };
-}
-
-function call(endpoint: EndpointInfo, id: string): EndpointCall {
-  return {
-    guard: ALWAYS_WRITES,
-    endpoint,
-    accountName: undefined,
-    method: 'POST',
-    target: '/a',
-    headers: [['Request-Id', id]],
-    body: Buffer.from('x'),
-    leftMs: TIMEOUT_MS,
-  };
-}
-
-function itemCall(endpoint: EndpointInfo, itemId: string): ItemCall {
-  return { ...call(endpoint, itemId), itemId, host: 'h', headers: {}, body: Buffer.from('x'), afterEvent: 0 };
-}
-
-/** A way to an endpoint; returns what its sender concludes from the response. */
-type Way = (world: World, id: string) => Promise<unknown>;
-
-const request: Way = async ({ client, endpoint }, id) => client.send(call(endpoint, id), NEVER_ABORTED);
-const batchItem: Way = async ({ client, endpoint }, id) => {
-  const listener = { began: () => true, event: () => true };
-  return client.runItem(itemCall(endpoint, id), listener, NEVER_ABORTED);
-};
-const order: Way = async ({ client, endpoint }) =>
-  client.order(
-    { endpoint, model: 'm', version: 3, holder: 'h', fencingToken: 1, expectedSequence: 0 },
-    TIMEOUT_MS,
-  );
-const report: Way = async ({ client, endpoint }) => client.report(endpoint, TIMEOUT_MS);
-
 function named(request_: WireRequest, id: string): WireRequest {
   return { ...request_, headers: { ...request_.headers, 'request-id': id } };
 }
--- a/utils/bundle.mjs
+++ b/utils/bundle.mjs
@@ -1,7 +1,7 @@
 // Bundles each program into one file under dist/bin, so that a host needs only Node.js.
 import fs from 'node:fs';
 import { build } from 'esbuild';
-import { BANNER, UNUSED } from './bundleOptions.mjs';
+import { BANNER, REPLACED, UNUSED } from './bundleOptions.mjs';
 
 const PROGRAMS = {
   'fuchsiahitch-entry': 'packages/entry/dist/main.js',
@@ -19,6 +19,7 @@
     format: 'esm',
     outfile,
     external: UNUSED,
+    alias: REPLACED,
     logLevel: 'error',
     banner: { js: BANNER },
   });
--- a/utils/bundleOptions.mjs
+++ b/utils/bundleOptions.mjs
@@ -1,4 +1,5 @@
 // esbuild options of the bundles.
+import { fileURLToPath, URL } from 'node:url';
 
 /** Optional dependencies of libraries that this project does not use. */
 export const UNUSED = [
@@ -15,6 +16,11 @@
   'cbor-extract',
 ];
 
+const ASSERT = fileURLToPath(new URL('assertWithMessage.cjs', import.meta.url));
+
+/** Modules that bundles use in place of others. */
+export const REPLACED = { 'node:assert': ASSERT, assert: ASSERT };
+
 /** Defines `require`, which some CommonJS libraries call at run time. */
 export const BANNER = [
   '#!/usr/bin/env node',
@@ -42,6 +48,7 @@
   outExtension: { '.js': '.mjs' },
   chunkNames: 'parts/[name]-[hash]',
   external: UNUSED,
+  alias: REPLACED,
   logLevel: 'error',
   banner: { js: BANNER },
 };
