Place items again whatever crashed under them

Cause: items were withheld like callers' requests that end endpoints: held after two crashes, condemned for a minute by one during the trial.

Items handed in for later are owed. PoisonItemFilter is gone: items leave no marks and heed none, also those of an equal plain request, and follow their group. The guard passes over background requests, which are scores of items. Plain requests are guarded as before.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -19,8 +19,6 @@
 import { ItemBackoff } from './itemBackoff.js';
 import { ItemPlacer, type EndpointTiers } from './itemPlacer.js';
 import { ItemScoring } from './itemScoring.js';
-import { PoisonItemFilter } from './poisonItemFilter.js';
-import type { PoisonGuard } from './poisonGuard.js';
 import type { EndpointClient } from './ports.js';
 import { ProgressRecorder } from './progressRecorder.js';
 import { ResultLister } from './resultLister.js';
@@ -33,7 +31,6 @@
   readonly hosts: Pick<Hosts, 'peers'>;
   readonly client: EndpointClient;
   readonly forwarder: Forwarder;
-  readonly poison: PoisonGuard;
   readonly demand: DemandUpdates;
   /** How long an owner may act on its claim after the store confirmed it. */
   readonly claimLeaseMs: number;
@@ -74,7 +71,6 @@
   private readonly _resultLister: ResultLister;
   private readonly _scoring: ItemScoring;
   private readonly _backoff: ItemBackoff;
-  private readonly _poisonFilter: PoisonItemFilter;
   private readonly _lease: ClaimLease;
   private readonly _placer: ItemPlacer;
   private _isStopped = false;
@@ -106,7 +102,6 @@
     this._lease = new ClaimLease(context, store, batch.id, held, ports.claimLeaseMs, () => this.claimLost());
     this._placer = new ItemPlacer(context, ports, this.ledger);
     this._backoff = new ItemBackoff(context, batch.id, 'generation');
-    this._poisonFilter = new PoisonItemFilter(context, ports.poison, this.ledger, () => this._placeItems());
     this._scoring = new ItemScoring(context, ports, this.ledger, maxAttempts, () =>
       this._resultLister.list(),
     );
@@ -272,7 +267,7 @@
    */
   private _sendWaiting(): boolean {
     this._scoring.run();
-    const waiting = this._poisonFilter.ready(this._backoff.ready(this.ledger.waiting()));
+    const waiting = this._backoff.ready(this.ledger.waiting());
     const tiers = waiting.length > 0 ? this._placer.tiers() : [];
     let started = 0;
     for (const item of waiting) {
@@ -290,15 +285,14 @@
   }
 
   private _tryStart(item: BatchItem, tiers: EndpointTiers): boolean {
-    const endpoint = this._placer.choose(item, tiers, this._poisonFilter.isSuspectItem(item));
+    const endpoint = this._placer.choose(item, tiers);
     if (endpoint) void this._runItem(item, endpoint);
     return endpoint !== undefined;
   }
 
   private async _runItem(item: BatchItem, endpoint: Endpoint): Promise<void> {
     const number = this.ledger.beginAttempt(item.id);
-    // A suspected poison item runs apart from its group, so that it can't break the attempts of the others.
-    if (!this._poisonFilter.isSuspectItem(item)) this._placer.recordStart(item, endpoint);
+    this._placer.recordStart(item, endpoint);
     const canMove = (current: ItemAttempt): boolean =>
       this.maySend() && this._placer.hasFreeSlotElsewhere(item, current);
     const { client, endpoints: authority } = this._ports;
@@ -312,7 +306,6 @@
     const claimRevision = this._lease.held.revision;
     const end = await attempt.run();
     const tookMs = this._context.clock.nowMs() - startedMs;
-    await this._poisonFilter.ended(item, endpoint, end);
     this._attempts.delete(item.id);
     const details = { number, tookMs, claimRevision, claimAgeMs, send: send.details() };
     this._logAttempt(item, endpoint, details, end);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -112,7 +112,6 @@
       hosts: this.hosts,
       client,
       forwarder: this.forwarder,
-      poison: this._poison,
       demand,
       claimLeaseMs: claimLeaseMs(options.batchEndMs),
       isRelaying: () => store.isRelaying(),
--- a/packages/gateway/src/itemPlacer.ts
+++ b/packages/gateway/src/itemPlacer.ts
@@ -84,8 +84,8 @@
     return this._tiersOf(route).map(endpoints => new EndpointTier(endpoints, options));
   }
 
-  /** Reserves a slot for the item. `ignoresGroup`: whether not to prefer the endpoint of the item's group. */
-  choose(item: BatchItem, tiers: EndpointTiers, ignoresGroup = false): Endpoint | undefined {
+  /** Reserves a slot for the item. */
+  choose(item: BatchItem, tiers: EndpointTiers): Endpoint | undefined {
     const avoid = this._avoided.get(item.id) ?? new Set<string>();
     if (this._moves.isPending(item.id)) {
       const route = this._routeOfBatch();
@@ -93,7 +93,7 @@
       if (moved.kind !== 'unrestricted') return moved.kind === 'at' ? moved.endpoint : undefined;
     }
     const request = {
-      groupEndpointId: ignoresGroup ? undefined : this._groupEndpoints.get(item.group),
+      groupEndpointId: this._groupEndpoints.get(item.group),
       isLong: item.expectedTokens >= this._longTokens || this._isStarted(item),
       ownDomain: this._context.domain,
       avoid,
--- a/packages/gateway/src/poisonGuard.ts
+++ b/packages/gateway/src/poisonGuard.ts
@@ -1,7 +1,7 @@
 /**
  * Withholds poison requests from endpoints. Detects them on this host, exchanges them with the other hosts, and is
- * consulted before every send: first attempts, retries, hedges, streams, scores and batch items. `PoisonCases` holds
- * the decision and its thresholds.
+ * consulted before every send of a caller's request: first attempts, retries, hedges and streams. Batch items and their
+ * scores are exempt. `PoisonCases` holds the decision and its thresholds.
  */
 import {
   markKey,
@@ -102,12 +102,6 @@
     return verdict.kind === 'trial' ? this._claimTrial(fingerprint, verdict) : verdict;
   }
 
-  /** True if at least one endpoint terminated while running the request. */
-  isSuspect(request: RequestIdentity): boolean {
-    const fingerprint = this._fingerprintIfKnown(request);
-    return fingerprint !== undefined && this._cases.terminationCount(fingerprint) > 0;
-  }
-
   /** Details for log messages. */
   detailsOf(request: RequestIdentity): PoisonCaseDetails {
     const fingerprint = this._fingerprint(request);
@@ -118,7 +112,7 @@
 
   /** Records that the request's connection broke. Resolves once it is known whether the endpoint has terminated. */
   async recordBroken(request: RequestIdentity, endpoint: Endpoint): Promise<void> {
-    if (!(await this._hasTerminated(endpoint))) return;
+    if (request.isBackground || !(await this._hasTerminated(endpoint))) return;
     const fingerprint = this._fingerprint(request);
     const ends = this._cases.ended(fingerprint, endpoint.startId());
     this._context.metrics.poison.inc({ event: 'end' });
@@ -198,9 +192,10 @@
     this._announced.set(fingerprint, announced);
   }
 
-  /** Undefined, without hashing the body, if the target matches no known case. */
+  /** Undefined for background work; also, without hashing the body, if the target matches no known case. */
   private _fingerprintIfKnown(request: RequestIdentity): string | undefined {
-    if (this.hasNoCases() || !this._cases.mayMatch(this._target(request))) return undefined;
+    if (request.isBackground || this.hasNoCases() || !this._cases.mayMatch(this._target(request)))
+      return undefined;
     return this._fingerprint(request);
   }
 
--- a/packages/requests/src/requestFingerprint.ts
+++ b/packages/requests/src/requestFingerprint.ts
@@ -9,8 +9,8 @@
   /** Path and query. */
   readonly target: string;
   readonly body: Uint8Array | undefined;
-  /** The body's length if known without the body. */
-  readonly bodyBytes?: number;
+  /** True for work that was handed in for later, which is owed whatever happened to the endpoints that ran it. */
+  readonly isBackground?: boolean;
 }
 
 /**
@@ -19,7 +19,7 @@
  */
 export function targetDigest(request: RequestIdentity): string {
   const { host, method, target } = request;
-  const bodyBytes = request.bodyBytes ?? request.body?.length ?? 0;
+  const bodyBytes = request.body?.length ?? 0;
   return digest(`${method} ${host} ${target} ${bodyBytes}`);
 }
 
