Bound the bytes that a server may send without end

Callers' requests waited until their deadline, streams and items for good, and a host's memory was the bound of a body.

Cause: undici bounds the fields of one head (16 KB) and nothing else: not a reason phrase, interim responses, a chunk's extension, or line ends ahead of a response. Bodies were read whole, or discarded without a time limit.

ConnectionGuard, in ConnectionPool, counts what a connection receives without progress (a final head, data of a body): over 256 KiB while a response is expected, or anything while none is, and it is closed. poolAgent gives the store, the engines and the services the same connections.

--- a/packages/clients/src/connectionPool.ts
+++ b/packages/clients/src/connectionPool.ts
@@ -1,14 +1,17 @@
 /**
  * Keep-alive connections to one address, one request at a time on each.
  */
-import { Client, Dispatcher } from 'undici';
+import { buildConnector, Client, Dispatcher } from 'undici';
+import { ConnectionGuard } from './connectionGuard.js';
 import { ConnectionList, type OpenReason } from './connectionList.js';
-import { PassThroughHandler, type Handler, type HandlerArguments } from './passThroughHandler.js';
+import { isFinal, PassThroughHandler, type Handler, type HandlerArguments } from './passThroughHandler.js';
 
 export type ConnectionEvent =
   | { readonly event: 'opened'; readonly reason: OpenReason }
   /** A request was written to a connection that an earlier request had used. */
-  | { readonly event: 'reused' };
+  | { readonly event: 'reused' }
+  /** A connection was closed because of bytes that are no response. */
+  | { readonly event: 'rejected' };
 
 export type ConnectionListener = (event: ConnectionEvent) => void;
 
@@ -89,8 +92,10 @@
   }
 
   private _add(): PooledConnection {
-    const client = new Client(this._origin, { ...this._options.client, pipelining: 1 });
-    const connection = new PooledConnection(client, this._connections.reasonToOpen(), {
+    const guard = new ConnectionGuard(() => this._options.onConnection?.({ event: 'rejected' }));
+    const connect = guard.connector(connectorOf(this._options.client));
+    const client = new Client(this._origin, { ...this._options.client, connect, pipelining: 1 });
+    const connection = new PooledConnection(client, guard, this._connections.reasonToOpen(), {
       opened: reason => {
         this._connections.markOpened();
         this._options.onConnection?.({ event: 'opened', reason });
@@ -137,6 +142,11 @@
   readonly excludedMarks: readonly string[];
 }
 
+/** For a request that may be repeated: the response to an earlier attempt names the same request. */
+export function separateAttempts(requestId = ''): ConnectionSeparation {
+  return { mark: requestId, excludedMarks: [requestId] };
+}
+
 export interface SeparatedRequestOptions {
   readonly separation?: ConnectionSeparation | undefined;
 }
@@ -164,6 +174,7 @@
 /** A client with at most one connection and one request. */
 class PooledConnection {
   readonly client: Client;
+  private readonly _guard: ConnectionGuard;
   private readonly _events: PooledConnectionEvents;
   private _openReason: OpenReason;
   /** The request in progress. */
@@ -173,8 +184,14 @@
   /** Marks of the last requests, oldest first. */
   private readonly _marks = new Set<string>();
 
-  constructor(client: Client, openReason: OpenReason, events: PooledConnectionEvents) {
+  constructor(
+    client: Client,
+    guard: ConnectionGuard,
+    openReason: OpenReason,
+    events: PooledConnectionEvents,
+  ) {
     this.client = client;
+    this._guard = guard;
     this._openReason = openReason;
     this._events = events;
     client.on('connect', () => this._events.opened(this._openReason));
@@ -197,9 +214,12 @@
     if (options.separation) this._addMark(options.separation.mark);
     const request = new ObservedHandler(handler, {
       started: () => {
+        this._guard.requestWritten();
         if (this._isReuse) this._events.reused();
       },
+      progressed: () => this._guard.progressed(),
       completed: () => {
+        this._guard.responseEnded();
         this._events.finishing();
         this._endRequest(request, () => this._events.finished());
       },
@@ -252,6 +272,8 @@
 interface RequestEvents {
   /** The request is about to be written. Not reported if its caller aborts it at this point. */
   started(): void;
+  /** The final head of the response, or data of its body, was received. */
+  progressed(): void;
   /** The response is complete. */
   completed(): void;
   /** The request has failed or been aborted, or has taken over the connection. */
@@ -278,6 +300,17 @@
     super.onRequestUpgrade(...args);
   }
 
+  override onResponseStart(...args: HandlerArguments<'onResponseStart'>): void {
+    const [, status] = args;
+    if (isFinal(status)) this._events.progressed();
+    super.onResponseStart(...args);
+  }
+
+  override onResponseData(...args: HandlerArguments<'onResponseData'>): void {
+    this._events.progressed();
+    super.onResponseData(...args);
+  }
+
   override onResponseEnd(...args: HandlerArguments<'onResponseEnd'>): void {
     this._events.completed();
     super.onResponseEnd(...args);
@@ -289,6 +322,10 @@
   }
 }
 
+function connectorOf({ connect }: Client.Options): buildConnector.connector {
+  return typeof connect === 'function' ? connect : buildConnector(connect ?? {});
+}
+
 async function allEnded(ends: readonly Promise<void>[]): Promise<void> {
   await Promise.all(ends);
 }
--- a/packages/clients/src/endpointPools.ts
+++ b/packages/clients/src/endpointPools.ts
@@ -3,7 +3,12 @@
  */
 import type { Socket } from 'node:net';
 import { answerMatchInterceptor, type MatchedRequestOptions } from './answerMatchInterceptor.js';
-import { ConnectionPool, type ConnectionListener, type SeparatedRequestOptions } from './connectionPool.js';
+import {
+  ConnectionPool,
+  separateAttempts,
+  type ConnectionListener,
+  type SeparatedRequestOptions,
+} from './connectionPool.js';
 import { errorCode } from './etcdStore.js';
 import { resetInterceptor, ResetTracker } from './resetInterceptor.js';
 import { buildConnector, type Dispatcher } from 'undici';
@@ -34,9 +39,11 @@
     this._onConnection = onConnection;
   }
 
-  /** Sends a request to an address. */
+  /** Sends a request to an address. Without a given separation, attempts with the same identifier use different connections. */
   async request(address: string, options: EndpointRequestOptions): Promise<Dispatcher.ResponseData> {
-    return this.poolFor(address).request(options);
+    const separation = options.separation ?? separateAttempts(options.echo?.value);
+    const separated: EndpointRequestOptions = { ...options, separation };
+    return this.poolFor(address).request(separated);
   }
 
   /** Returns the pool of an address. Without pipelining, a connection reset affects at most one request. */
--- a/packages/clients/src/etcdStore.ts
+++ b/packages/clients/src/etcdStore.ts
@@ -14,8 +14,11 @@
   WatchEvent,
   Write,
 } from './keyValueStore.js';
+import { discardBody, readBody } from './responseBody.js';
 
 const MS_PER_SECOND = 1000;
+/** Several times the largest answer to a listing. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS = 1000;
 const OK_STATUS = 200;
 const LAST_CLIENT_ERROR = 499;
@@ -108,7 +111,7 @@
         signal,
       });
       if (response.statusCode !== OK_STATUS) {
-        await response.body.dump();
+        discardBody(response.body);
         return 'failed';
       }
       return await readWatch(response.body, onEvents);
@@ -132,7 +135,7 @@
         dispatcher: this._agent,
         signal: AbortSignal.timeout(Math.ceil(deadline.remainingMs())),
       });
-      const text = await response.body.text();
+      const text = (await readBody(response.body, MAX_ANSWER_BYTES)).toString('utf8');
       if (response.statusCode !== OK_STATUS)
         return err(response.statusCode <= LAST_CLIENT_ERROR ? 'not-done' : 'unknown');
       const parsed = schema.safeParse(JSON.parse(text));
@@ -150,6 +153,7 @@
   let text = '';
   for await (const chunk of body) {
     text += chunk.toString('utf8');
+    if (text.length > MAX_ANSWER_BYTES) return 'failed';
     const lines = text.split('\n');
     text = lines.pop() ?? '';
     for (const line of lines) {
--- a/packages/clients/src/httpEngineClient.ts
+++ b/packages/clients/src/httpEngineClient.ts
@@ -20,11 +20,15 @@
   NOT_RUN_HEADER,
   retryAfterMsOf,
 } from './httpTools.js';
+import { discardBody, readBody, readJson } from './responseBody.js';
 
 const OK_STATUS = 200;
 const CONFLICT = 409;
 const SERVER_ERROR = 500;
 const FINAL_EVENT = '[DONE]';
+const MAX_REPORT_BYTES = 64 * 1024;
+/** An event holds some tokens. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 const eventSchema = z.object({
   choices: z
@@ -75,7 +79,7 @@
     try {
       const signal = AbortSignal.timeout(Math.ceil(deadline.remainingMs()));
       const response = await request(`${url}/load`, { dispatcher: this._agent, signal });
-      const parsed = reportSchema.safeParse(await response.body.json());
+      const parsed = reportSchema.safeParse(await readJson(response.body, MAX_REPORT_BYTES));
       if (!parsed.success) return undefined;
       const { in_flight, queued, weight_version, start_id, leaving } = parsed.data;
       return { inFlight: in_flight, queued, version: weight_version, startId: start_id, isLeaving: leaving };
@@ -93,7 +97,7 @@
         dispatcher: this._agent,
         signal: AbortSignal.timeout(Math.ceil(deadline.remainingMs())),
       });
-      await response.body.dump();
+      await readBody(response.body, MAX_REPORT_BYTES);
       if (response.statusCode < SERVER_ERROR && response.statusCode !== CONFLICT) return 'accepted';
       return response.statusCode === CONFLICT ? 'fenced' : 'failed';
     } catch (thrown) {
@@ -121,11 +125,11 @@
   }
 }
 
-async function refusalOf(response: Dispatcher.ResponseData): Promise<GenerationResult> {
+function refusalOf(response: Dispatcher.ResponseData): GenerationResult {
   const isNotRun = firstHeaderValue(response.headers, NOT_RUN_HEADER) !== '';
   const isLeaving = firstHeaderValue(response.headers, LEAVING_HEADER) !== '';
   const retryAfterMs = retryAfterMsOf(response.headers);
-  await response.body.dump();
+  discardBody(response.body);
   if (isNotRun) return { kind: 'not-run', isUnreachable: false, isLeaving, retryAfterMs };
   return { kind: 'failed', status: response.statusCode };
 }
@@ -141,9 +145,13 @@
   const decoder = new TextDecoder();
   let tokens = 0;
   let finishReason = '';
+  let bytesSinceEvent = 0;
   for await (const bytes of body) {
     if (signal.aborted) return { kind: 'cancelled' };
+    bytesSinceEvent += bytes.length;
     parser.feed(decoder.decode(bytes, { stream: true }));
+    if (pendingEvents.length > 0) bytesSinceEvent = 0;
+    if (bytesSinceEvent > MAX_EVENT_BYTES) return { kind: 'broken' };
     const chunks: GenerationChunk[] = [];
     let isDone = false;
     for (const data of pendingEvents.splice(0)) {
--- a/packages/clients/src/httpTools.ts
+++ b/packages/clients/src/httpTools.ts
@@ -1,8 +1,9 @@
 /**
  * Helpers shared by the HTTP clients.
  */
-import { Agent, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import { errorCode } from './etcdStore.js';
+import { poolAgent } from './poolAgent.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 10_000;
@@ -31,12 +32,9 @@
 
 /** Returns an agent for endpoints. Without pipelining, a connection reset affects at most one request. */
 export function endpointAgent(): Dispatcher {
-  return new Agent({
+  return poolAgent({
     connect: { timeout: CONNECT_TIMEOUT_MS },
-    pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
   });
 }
 
--- a/packages/clients/src/memberList.ts
+++ b/packages/clients/src/memberList.ts
@@ -3,6 +3,7 @@
  */
 import type { Deadline } from '@fuchsiahitch/base';
 import { request, type Dispatcher } from 'undici';
+import { readJson } from './responseBody.js';
 
 export interface MemberList {
   /** Returns the unvalidated document of a failure domain; undefined if the list is unreachable. */
@@ -10,6 +11,8 @@
 }
 
 const OK_STATUS = 200;
+/** Some hundred bytes for each of some thousand members. */
+const MAX_LIST_BYTES = 8 * 1024 * 1024;
 
 export class HttpMemberList implements MemberList {
   private readonly _url: string;
@@ -26,8 +29,8 @@
         dispatcher: this._agent,
         signal: AbortSignal.timeout(Math.ceil(deadline.remainingMs())),
       });
-      const text = await response.body.text();
-      return response.statusCode === OK_STATUS ? (JSON.parse(text) as unknown) : undefined;
+      const document = await readJson(response.body, MAX_LIST_BYTES);
+      return response.statusCode === OK_STATUS ? document : undefined;
     } catch {
       return undefined;
     }
--- a/packages/clients/src/passThroughHandler.ts
+++ b/packages/clients/src/passThroughHandler.ts
@@ -9,6 +9,11 @@
 
 const FIRST_FINAL_STATUS = 200;
 
+/** False for the status of an interim response, which precedes the final one. */
+export function isFinal(status: number): boolean {
+  return status >= FIRST_FINAL_STATUS;
+}
+
 /** Leaves out interim responses, of which there may be any number before a response: `DecoratorHandler` allows one start only. */
 export class PassThroughHandler implements Handler {
   private readonly _inner: Handler;
@@ -27,7 +32,7 @@
 
   onResponseStart(...args: HandlerArguments<'onResponseStart'>): void {
     const [, status] = args;
-    if (status >= FIRST_FINAL_STATUS) this._inner.onResponseStart?.(...args);
+    if (isFinal(status)) this._inner.onResponseStart?.(...args);
   }
 
   onResponseData(...args: HandlerArguments<'onResponseData'>): void {
--- a/packages/clients/src/scorer.ts
+++ b/packages/clients/src/scorer.ts
@@ -5,6 +5,7 @@
 import { request, type Dispatcher } from 'undici';
 import * as z from 'zod';
 import { isNotSentError } from './httpTools.js';
+import { readBody } from './responseBody.js';
 
 export interface ScoreRequest {
   readonly sampleId: string;
@@ -25,6 +26,7 @@
 }
 
 const OK_STATUS = 200;
+const MAX_SCORE_BYTES = 64 * 1024;
 const NOT_FOUND = 404;
 const scoreSchema = z.object({ score: z.number() });
 
@@ -60,7 +62,7 @@
         dispatcher: this._agent,
         signal: AbortSignal.timeout(Math.ceil(deadline.remainingMs())),
       });
-      const text = await response.body.text();
+      const text = (await readBody(response.body, MAX_SCORE_BYTES)).toString('utf8');
       if (response.statusCode === NOT_FOUND) return { kind: 'not-scored' };
       if (response.statusCode !== OK_STATUS) return { kind: 'unknown' };
       const parsed = scoreSchema.safeParse(JSON.parse(text));
--- a/packages/clients/src/serviceClient.ts
+++ b/packages/clients/src/serviceClient.ts
@@ -9,6 +9,10 @@
   NOT_RUN_HEADER,
   retryAfterMsOf,
 } from './httpTools.js';
+import { discardBody, readBody } from './responseBody.js';
+
+/** As much as a caller may send. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 
 export interface ServiceRequest {
   readonly url: string;
@@ -60,7 +64,7 @@
       });
       const isLeaving = firstHeaderValue(response.headers, LEAVING_HEADER) !== '';
       if (firstHeaderValue(response.headers, NOT_RUN_HEADER) !== '') {
-        await response.body.dump();
+        discardBody(response.body);
         return {
           kind: 'not-run',
           isUnreachable: false,
@@ -69,7 +73,7 @@
         };
       }
       onHead();
-      const body = Buffer.from(await response.body.arrayBuffer());
+      const body = await readBody(response.body, MAX_ANSWER_BYTES);
       const contentType = firstHeaderValue(response.headers, 'content-type');
       return { kind: 'answered', status: response.statusCode, contentType, body, isLeaving };
     } catch (thrown) {
--- a/packages/clients/src/singleCall.ts
+++ b/packages/clients/src/singleCall.ts
@@ -4,6 +4,9 @@
  */
 import { Client } from 'undici';
 import { isNotSentError } from './httpTools.js';
+import { readBody } from './responseBody.js';
+
+const MAX_ANSWER_BYTES = 64 * 1024;
 
 export interface SingleCall {
   readonly origin: string;
@@ -37,7 +40,7 @@
       body: JSON.stringify(call.json),
       signal: AbortSignal.timeout(timeouts.answerMs),
     });
-    await answer.body.dump();
+    await readBody(answer.body, MAX_ANSWER_BYTES);
     return { kind: 'answered', status: answer.statusCode };
   } catch (thrown) {
     return { kind: isNotSentError(thrown) ? 'unreached' : 'unknown' };
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -15,6 +15,7 @@
 } from '@fuchsiahitch/requests';
 import type { MeteredRequest } from '@fuchsiahitch/metering';
 import type { Route } from '@fuchsiahitch/rules';
+import { AnswerBuffer, AnswerMemory } from './answerMemory.js';
 import { otherAnsweredId, reasonOf } from './attemptReason.js';
 import {
   RETRY_AFTER_MS,
@@ -78,6 +79,7 @@
   private readonly _poison: PoisonGuard;
   private readonly _meter: RequestMeter | undefined;
   private readonly _admissions = new Map<string, FairAdmission>();
+  private readonly _answerMemory = new AnswerMemory();
   private readonly _hedgeBudget = new RetryBudget(HEDGE_BUDGET.share, HEDGE_BUDGET.burst);
 
   constructor(
@@ -329,20 +331,25 @@
     signal: AbortSignal,
   ): Promise<RequestAttemptEnd> {
     recordAnswer(endpoint, answer);
-    const chunks: Buffer[] = [];
+    const buffer = new AnswerBuffer(this._answerMemory);
+    let body: Buffer;
     try {
-      for await (const chunk of answer.body) chunks.push(chunk);
+      for await (const chunk of answer.body)
+        if (!buffer.add(chunk)) return { kind: 'broken', text: 'the answer is too long to be buffered' };
+      body = buffer.whole();
     } catch (thrown) {
       if (signal.aborted) return { kind: 'cancelled' };
       // A truncated answer is discarded: whether the request ran is unknown.
       return { kind: 'broken', text: messageOf(thrown) };
+    } finally {
+      buffer.release();
     }
     const isSuccess = answer.status < FIRST_ERROR_STATUS;
     // Without the endpoint's proof the answer may have been altered or come from elsewhere.
     if (isSuccess && answer.proof === undefined)
       return { kind: 'broken', text: 'success response carries no proof of origin' };
     const { status, headers, proof } = answer;
-    const complete = { status, headers, body: Buffer.concat(chunks), proof };
+    const complete = { status, headers, body, proof };
     return { kind: 'answered', answer: complete, isFailure: answer.status >= FIRST_SERVER_ERROR_STATUS };
   }
 
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -70,7 +70,7 @@
   );
   readonly endpointConnections = this.counter(
     'fuchsiahitch_endpoint_connections_total',
-    'Connections to endpoints opened, by reason, and reused',
+    'Connections to endpoints opened, by reason, reused, and rejected for bytes that are no response',
     ['event', 'reason'],
   );
   readonly orders = this.counter('fuchsiahitch_orders_total', 'Weight orders by answer', ['answer']);
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -281,3 +281,39 @@
     await new Promise(resolve => setImmediate(resolve));
   }
 }
+
+await tap.test('should end answers without end, and deliver others meanwhile', async t => {
+  // Guards against a faulty endpoint that takes the memory of the host with the answers to a few requests.
+  const { client, forwarder, stop } = await forwarding();
+  const block = Buffer.alloc(256 * 1024);
+  const state = { sent: 0, held: 0, mostHeld: 0 };
+  async function* endlessBody(): AsyncGenerator<Buffer> {
+    let own = 0;
+    try {
+      while (state.sent < 1000) {
+        state.sent += 1;
+        own += block.length;
+        state.held += block.length;
+        state.mostHeld = Math.max(state.mostHeld, state.held);
+        await new Promise(resolve => setImmediate(resolve));
+        yield block;
+      }
+    } finally {
+      state.held -= own;
+    }
+  }
+  client.reply = ({ target }) => {
+    const body = target === '/run/endless' ? endlessBody() : undefined;
+    const whole = answer(200, 'whole');
+    return Promise.resolve({ kind: 'answered', answer: body ? { ...whole, body } : whole });
+  };
+  const request = { ...REQUEST, target: '/run/endless' };
+  const endless = Array.from({ length: 4 }, () => forwarder.forward(request, NON_IDEMPOTENT, NEVER_ABORTED));
+  const other = await forwarder.forward(REQUEST, NON_IDEMPOTENT, NEVER_ABORTED);
+  t.equal(other.kind, 'answered');
+  t.match(await Promise.all(endless), Array(4).fill({ kind: 'unknown', reason: 'broken' }));
+  t.equal(state.held, 0, 'every body was closed');
+  t.ok(state.mostHeld <= 48 * 1024 * 1024, `${state.mostHeld} bytes at once`);
+  t.match(await forwarder.forward(REQUEST, NON_IDEMPOTENT, NEVER_ABORTED), { kind: 'answered' });
+  stop.abort();
+});
