--- a/tests/homeHostLoad.ts
+++ b/tests/homeHostLoad.ts
@@ -11,15 +11,15 @@
 const TRAINERS = 4;
 const STEPS = 20;
 const ITEMS = 32;
-/** All times are a quarter of those of a deployment, since the idle work of the hosts takes most of a test's time. */
-const STEP_MS = 1000;
-const READ_AFTER_MS = 600;
-const EVENT_MS = 80;
+/** All times are an eighth of those of a deployment, since the idle work of the hosts takes most of a test's time. */
+const STEP_MS = 500;
+const READ_AFTER_MS = 300;
+const EVENT_MS = 40;
 const SLOTS = 8;
 const ENDPOINTS = 16;
 export const DOMAINS = 3;
-/** Endpoints keep idle connections for 10 s, and the client closes them 2 s earlier: here a quarter of 8 s. */
-const IDLE_MS = 2000;
+/** Endpoints keep idle connections for 10 s, and the client closes them 2 s earlier: here an eighth of 8 s. */
+const IDLE_MS = 1000;
 
 /** Counts the connections that are opened if each request takes an idle connection of its host when there is one. */
 class ConnectionModel {
