--- a/packages/clients/src/connectionGuard.ts
+++ b/packages/clients/src/connectionGuard.ts
@@ -1,6 +1,7 @@
 /**
- * Ends a connection whose bytes bring no response forward: bytes that nobody asked for, or a head, a trailer or interim responses without end. The HTTP
- * client bounds each head only, and would read on until the request's own time limit.
+ * Ends a connection whose bytes bring no response forward: bytes that nobody asked for, or a head, a trailer or interim
+ * responses without end. The HTTP client bounds the fields of each head only, and would read on until the time limit of
+ * the request.
  */
 import type { Socket } from 'node:net';
 import { errors, type buildConnector } from 'undici';
--- a/packages/clients/src/connectionPool.ts
+++ b/packages/clients/src/connectionPool.ts
@@ -4,6 +4,7 @@
 import { buildConnector, Client, Dispatcher } from 'undici';
 import { ConnectionGuard } from './connectionGuard.js';
 import { ConnectionList, type OpenReason } from './connectionList.js';
+import type { SeparatedRequestOptions } from './connectionSeparation.js';
 import { isFinal, PassThroughHandler, type Handler, type HandlerArguments } from './passThroughHandler.js';
 
 export type ConnectionEvent =
@@ -134,23 +135,6 @@
 /** A late response comes where the next ones are expected, so older marks need not be kept. */
 const MAX_MARKS = 32;
 
-/** Keeps requests apart whose late responses could not be told from each other. */
-export interface ConnectionSeparation {
-  /** Left on the connection of the request. */
-  readonly mark: string;
-  /** The request is not sent on a connection that has one of these marks. */
-  readonly excludedMarks: readonly string[];
-}
-
-/** For a request that may be repeated: the response to an earlier attempt names the same request. */
-export function separateAttempts(requestId = ''): ConnectionSeparation {
-  return { mark: requestId, excludedMarks: [requestId] };
-}
-
-export interface SeparatedRequestOptions {
-  readonly separation?: ConnectionSeparation | undefined;
-}
-
 type PooledRequestOptions = Dispatcher.DispatchOptions & SeparatedRequestOptions;
 
 interface WaitingRequest {
--- a/packages/clients/src/endpointPools.ts
+++ b/packages/clients/src/endpointPools.ts
@@ -3,12 +3,8 @@
  */
 import type { Socket } from 'node:net';
 import { answerMatchInterceptor, type MatchedRequestOptions } from './answerMatchInterceptor.js';
-import {
-  ConnectionPool,
-  separateAttempts,
-  type ConnectionListener,
-  type SeparatedRequestOptions,
-} from './connectionPool.js';
+import { ConnectionPool, type ConnectionListener } from './connectionPool.js';
+import { separateAttempts, type SeparatedRequestOptions } from './connectionSeparation.js';
 import { errorCode } from './etcdStore.js';
 import { resetInterceptor, ResetTracker } from './resetInterceptor.js';
 import { buildConnector, type Dispatcher } from 'undici';
@@ -39,7 +35,10 @@
     this._onConnection = onConnection;
   }
 
-  /** Sends a request to an address. Without a given separation, attempts with the same identifier use different connections. */
+  /**
+   * Sends a request to an address. Without a given separation, attempts with the same identifier use different
+   * connections.
+   */
   async request(address: string, options: EndpointRequestOptions): Promise<Dispatcher.ResponseData> {
     const separation = options.separation ?? separateAttempts(options.echo?.value);
     const separated: EndpointRequestOptions = { ...options, separation };
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -3,6 +3,7 @@
 export * from './connectionList.js';
 export * from './connectionPool.js';
 export * from './connectionProbe.js';
+export * from './connectionSeparation.js';
 export * from './engine.js';
 export * from './endpointPools.js';
 export * from './etcdStore.js';
--- a/packages/clients/src/passThroughHandler.ts
+++ b/packages/clients/src/passThroughHandler.ts
@@ -14,7 +14,10 @@
   return status >= FIRST_FINAL_STATUS;
 }
 
-/** Leaves out interim responses, of which there may be any number before a response: `DecoratorHandler` allows one start only. */
+/**
+ * Leaves out interim responses, of which there may be any number before a response: `DecoratorHandler` allows one start
+ * only.
+ */
 export class PassThroughHandler implements Handler {
   private readonly _inner: Handler;
 
--- a/packages/clients/src/responseBody.ts
+++ b/packages/clients/src/responseBody.ts
@@ -38,7 +38,10 @@
   return JSON.parse(bytes.toString('utf8')) as unknown;
 }
 
-/** Lets a body end in the background, so that its connection can be reused; closes the connection if it does not end soon. */
+/**
+ * Lets a body end in the background, so that its connection can be reused. Closes the connection if it does not end
+ * soon.
+ */
 export function discardBody(body: Dispatcher.ResponseData['body']): void {
   const signal = timeoutAfterPendingIo(MAX_DISCARD_MS);
   body.dump({ limit: MAX_DISCARDED_BYTES, signal }).catch(() => {
--- a/packages/gateway/src/answerMemory.ts
+++ b/packages/gateway/src/answerMemory.ts
@@ -1,5 +1,6 @@
 /**
- * Memory of the answers that are being buffered, for all requests of a host together: a faulty endpoint may send an answer without end.
+ * Memory of the answers that are being buffered, for all requests of a host together: a faulty endpoint may send an
+ * answer without end.
  */
 
 /** A host has some hundred megabytes for everything. */
--- a/tests/endpointWays.ts
+++ b/tests/endpointWays.ts
@@ -1,6 +1,7 @@
 /**
  * The ways to an endpoint over sockets, and what their senders conclude from its bytes.
  */
+import { setMaxListeners } from 'node:events';
 import type { Test } from 'tap';
 import type { EndpointCall, EndpointInfo, ItemCall } from '@fuchsiahitch/gateway';
 import { PlatformEndpointClient } from '@fuchsiahitch/platform';
@@ -8,6 +9,7 @@
 import { WireServer } from './platformStandIns.js';
 
 const NEVER_ABORTED = new AbortController().signal;
+setMaxListeners(0, NEVER_ABORTED);
 export const TIMEOUT_MS = 500;
 
 export interface World {
--- a/utils/assertWithMessage.cjs
+++ b/utils/assertWithMessage.cjs
@@ -1,6 +1,6 @@
 /**
- * Replaces `node:assert` in bundles. For a failed assertion without a message, Node.js parses the source for the text of the
- * condition. In a minified bundle, whose lines are very long, that takes the processor for good.
+ * Replaces `node:assert` in bundles. For a failed assertion without a message, Node.js parses the source for the text of
+ * the condition. In a minified bundle, whose lines are very long, that takes the processor for good.
  */
 'use strict';
 const assert = globalThis.process.getBuiltinModule('node:assert');
