--- a/tests/endlessBytes.spec.ts
+++ b/tests/endlessBytes.spec.ts
@@ -6,7 +6,7 @@
 import { Deadline, SystemClock } from '@fuchsiahitch/base';
 import { StoreClient } from '@fuchsiahitch/platform';
 import { waitUntil } from './connectionFixtures.js';
-import { batchItem, order, report, request, withWorld, type Way, type World } from './endpointWays.js';
+import { batchItem, call, order, report, request, withWorld, type Way, type World } from './endpointWays.js';
 import { validResponse, type WireRequest } from './platformStandIns.js';
 
 const BLOCK_BYTES = 64 * 1024;
@@ -16,6 +16,7 @@
 /** A page of the store may be larger than any answer of an endpoint. */
 const MAX_STORE_BYTES = 64 * MIB;
 const STORE_TIMEOUT_MS = 10_000;
+const SLOW_READ_MS = 20;
 
 const WAYS: Readonly<Record<string, Way>> = { request, item: batchItem, order, report };
 
@@ -183,3 +184,31 @@
     }
   }),
 );
+
+await tap.test(
+  'should hold a body without end to its reader, and close it when the reader has left',
+  withWorld(async ({ t, server, client, endpoint }) => {
+    // Guards against a stream without end that fills the memory of the host while its caller reads slowly, or after it has left.
+    let pour: Pour | undefined;
+    server.answer = (received, socket) => {
+      socket.write(SUCCESS.begin(received));
+      pour = new Pour(socket, SUCCESS.unit);
+      pour.start();
+    };
+    const left = new AbortController();
+    const reply = await client.send(call(endpoint, 'r-slow'), left.signal);
+    if (reply.kind !== 'answered') throw new Error('no answer');
+    const reader = reply.answer.body[Symbol.asyncIterator]();
+    for (let i = 0; i < 5; i++) {
+      await reader.next();
+      await new Promise(resolve => setTimeout(resolve, SLOW_READ_MS));
+    }
+    t.ok((pour?.bytes ?? 0) < MAX_POURED_BYTES, `${pour?.bytes} bytes for five reads`);
+    t.equal(server.closed, 0);
+    left.abort();
+    await t.rejects(async () => {
+      for (;;) if ((await reader.next()).done) return;
+    });
+    await waitUntil(() => server.closed === 1);
+  }),
+);
--- a/tests/endpointWays.ts
+++ b/tests/endpointWays.ts
@@ -41,7 +41,7 @@
   };
 }
 
-function call(endpoint: EndpointInfo, id: string): EndpointCall {
+export function call(endpoint: EndpointInfo, id: string): EndpointCall {
   return {
     guard: ALWAYS_WRITES,
     endpoint,
