--- a/tests/knownRed.spec.ts
+++ b/tests/knownRed.spec.ts
@@ -63,3 +63,11 @@
   t.throws(() => verdict(t, '', 'orders.spec.ts: should wait | npm test | it does not wait'));
   t.end();
 });
+
+await tap.test('should not count crowds against the cap of the list', t => {
+  const crowd = 'crowds.spec.ts: should live | npm test -- crowds, no seed | 849 of 200 MB | issue 55';
+  const output = tapOf('crowds.spec.js', 'not ok 1 - should live');
+  t.match(verdict(t, output, crowd, LISTED, LISTED, LISTED), /^0 passed, 0 failed$/m);
+  t.throws(() => verdict(t, output, crowd, LISTED, LISTED, LISTED, LISTED));
+  t.end();
+});
--- a/utils/testVerdict.mjs
+++ b/utils/testVerdict.mjs
@@ -3,16 +3,22 @@
 import fs from 'node:fs';
 import { pathToFileURL } from 'node:url';
 
-/** Maximum number of entries in KNOWN-RED.txt. */
+/** Maximum number of entries in KNOWN-RED.txt, without those of crowds: each crowd that a program can't bear has a line. */
 const MAX_KNOWN_RED = 3;
 /** Fields of an entry: the test, the command with its seed, the observed failure, and the issue. */
 const FIELDS = 4;
 
+/** True for the tests of crowds of clients, which run one at a time in a phase of their own. */
+export function isCrowdTest(file) {
+  return file.startsWith('crowds');
+}
+
 /** Parses KNOWN-RED.txt. An entry has the form `FILE: TITLE | COMMAND | SEEN | ISSUE`; `#` starts a comment line. */
 export function parseKnownRed(text) {
   const lines = text.split('\n').filter(line => line.trim() !== '' && !line.startsWith('#'));
-  if (lines.length > MAX_KNOWN_RED)
-    throw new Error(`KNOWN-RED.txt has ${lines.length} entries, expected at most ${MAX_KNOWN_RED}`);
+  const capped = lines.filter(line => !isCrowdTest(line));
+  if (capped.length > MAX_KNOWN_RED)
+    throw new Error(`KNOWN-RED.txt has ${capped.length} entries, expected at most ${MAX_KNOWN_RED}`);
   return lines.map(line => {
     const fields = line.split('|').map(field => field.trim());
     if (fields.length !== FIELDS || fields.includes(''))
