Copy a body's chunks into one buffer as they arrive

Callers saw the process end: 24 bodies in chunks of one byte ended it after some 12 MB of data.

Cause: each chunk was a Buffer of its own until the body was whole, hundreds of bytes for one. Chunks also waited in the request's stream until its handler ran, 10,000 of one read.

Change: RequestBody takes chunks from the moment at which the request arrives and copies them into one block (BodyBuffer). The handling of a request before its route moves from the platform's adapter to RequestIntake.

--- a/packages/accounts/src/access.ts
+++ b/packages/accounts/src/access.ts
@@ -46,3 +46,8 @@
       return { kind: 'denied', reason: 'unknown-key' };
   }
 }
+
+/** Returns the account that a request is made for, if any. */
+export function accountOf(access: Access): string | undefined {
+  return access.kind === 'granted' ? access.accountName : undefined;
+}
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -6,6 +6,8 @@
  */
 import http from 'node:http';
 import { listenAt, messageOf } from '@fuchsiahitch/base';
+import { RequestBody } from '@fuchsiahitch/intake';
+import type { ClientLimits } from '@fuchsiahitch/limits';
 import type { Logger } from '@fuchsiahitch/telemetry';
 import type { CallerLimits } from './ports.js';
 
@@ -27,11 +29,15 @@
   readonly response: http.ServerResponse;
   /** Aborted when the caller disconnects before its answer is complete. */
   readonly left: AbortSignal;
+  readonly body: RequestBody;
+  /** On the clock of `performance.now()`. */
+  readonly arrivedMs: number;
 }
 
 export interface CallerListenerOptions {
   readonly address: string;
   readonly log: Logger;
+  readonly clientLimits: ClientLimits;
   readonly limits: () => CallerLimits | undefined;
   readonly handle: (incoming: IncomingRequest) => Promise<void>;
 }
@@ -68,16 +74,26 @@
 
   private async _handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     this._applyLimits();
+    const { maxBodyBytes } = this._options.limits() ?? DEFAULT_CALLER_LIMITS;
+    const body = new RequestBody(request, this._options.clientLimits, maxBodyBytes);
     const disconnect = new AbortController();
     response.on('close', () => {
       if (!response.writableFinished) disconnect.abort();
     });
     try {
-      await this._options.handle({ request, response, left: disconnect.signal });
+      await this._options.handle({
+        request,
+        response,
+        body,
+        left: disconnect.signal,
+        arrivedMs: performance.now(),
+      });
     } catch (thrown) {
       // Close the connection so that the caller does not wait for an answer.
       this._options.log.error('request handler failed', { error: messageOf(thrown) });
       response.destroy();
+    } finally {
+      body.release();
     }
   }
 
--- a/packages/gateway/src/httpExchange.ts
+++ b/packages/gateway/src/httpExchange.ts
@@ -3,7 +3,10 @@
  */
 import type http from 'node:http';
 import { toHeaderPairs, headerValue } from '@fuchsiahitch/clients';
+import type { RequestBody } from '@fuchsiahitch/intake';
+import type { IncomingRequest } from './callerListener.js';
 import type { HeaderPair } from './ports.js';
+import { StreamReply } from './streamReply.js';
 
 const LAST_SUCCESS_STATUS = 299;
 const FIRST_SUCCESS_STATUS = 200;
@@ -13,17 +16,21 @@
 
 export class HttpExchange {
   readonly response: http.ServerResponse;
+  readonly body: RequestBody;
   /** All request headers as received, including duplicates. */
   readonly headerPairs: readonly HeaderPair[];
   private readonly _request: http.IncomingMessage;
   private readonly _isLeaving: () => boolean;
-  private readonly _startedMs = performance.now();
+  private readonly _arrivedMs: number;
+  private _isCutShort = false;
 
   /** `isLeaving`: whether the answer must close the connection, so that the caller reconnects to another host. */
-  constructor(request: http.IncomingMessage, response: http.ServerResponse, isLeaving: () => boolean) {
+  constructor({ request, response, body, arrivedMs }: IncomingRequest, isLeaving: () => boolean) {
     this._request = request;
     this.response = response;
     this._isLeaving = isLeaving;
+    this.body = body;
+    this._arrivedMs = arrivedMs;
     this.headerPairs = toHeaderPairs(request.rawHeaders);
   }
 
@@ -61,7 +68,7 @@
   }
 
   elapsedMs(): number {
-    return performance.now() - this._startedMs;
+    return performance.now() - this._arrivedMs;
   }
 
   headerBytes(): number {
@@ -71,28 +78,28 @@
     );
   }
 
-  async readBody(maxBytes: number): Promise<Buffer | 'too-large' | 'left'> {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    try {
-      for await (const chunk of this._request as AsyncIterable<Buffer>) {
-        sizeBytes += chunk.length;
-        if (sizeBytes > maxBytes) return 'too-large';
-        chunks.push(chunk);
-      }
-    } catch {
-      // The caller disconnected before the end of its request.
-      return 'left';
-    }
-    return Buffer.concat(chunks);
+  clientAddress(): string {
+    return this._request.socket.remoteAddress ?? '';
+  }
+
+  /** The request is answered before its end: the connection ends after the answer, and what still arrives is dropped. */
+  cutShort(): void {
+    if (this._request.complete) return;
+    this._isCutShort = true;
+    this.body.discard();
   }
 
   /** Flattens the headers for `writeHead` and adds those that the connection needs. */
   headers(pairs: readonly HeaderPair[]): readonly string[] {
-    const close: readonly HeaderPair[] = this._isLeaving() ? [['Connection', 'close']] : [];
+    const isLast = this._isCutShort || this._isLeaving();
+    const close: readonly HeaderPair[] = isLast ? [['Connection', 'close']] : [];
     return [...pairs, ...close].flat();
   }
 
+  streamReply(): StreamReply {
+    return new StreamReply(this.response, pairs => this.headers(pairs));
+  }
+
   answer(status: number, pairs: readonly HeaderPair[] = [], body: Buffer = Buffer.alloc(0)): void {
     if (this.response.destroyed) return;
     const allPairs: HeaderPair[] = [...pairs];
--- /dev/null
+++ b/packages/gateway/src/requestIntake.ts
@@ -0,0 +1,125 @@
+/**
+ * Takes a caller's request in: decides by its head whether it is served, and receives its body within the limits on clients.
+ */
+import type { Access, Credential } from '@fuchsiahitch/accounts';
+import type { BodyFailure } from '@fuchsiahitch/intake';
+import type { AccessResult, ConfigurationService } from './configurationService.js';
+import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { HttpExchange } from './httpExchange.js';
+
+const HTTP_UNAUTHORIZED = 401;
+const HTTP_NOT_FOUND = 404;
+const HTTP_TOO_LARGE = 413;
+const HTTP_HEADERS_TOO_LARGE = 431;
+
+const NO_CONFIGURATION_RETRY_MS = 500;
+/** The load balancer probes readiness once a second and removes a host after two failures. */
+export const ISOLATED_RETRY_MS = 2000;
+
+/** What is done with a request, as far as its head tells. `run` takes the body. */
+export type RequestPlan =
+  | { readonly kind: 'serve'; readonly run: (body: Buffer) => Promise<void> }
+  | { readonly kind: 'refuse'; readonly answer: () => void };
+
+export type RequestDetails = Readonly<Record<string, string | number | undefined>>;
+
+/** An exchange whose protocol has a refusal that promises that the request has not run and never will. */
+export interface IntakeExchange extends HttpExchange {
+  refuse(retryAfterMs: number): void;
+  credential(): Credential;
+}
+
+export interface RequestIntakeOptions<T extends IntakeExchange> {
+  readonly metrics: GatewayMetrics;
+  readonly configuration: ConfigurationService;
+  readonly log: (exchange: T, outcome: string, details: RequestDetails) => void;
+}
+
+export class RequestIntake<T extends IntakeExchange> {
+  private readonly _options: RequestIntakeOptions<T>;
+
+  constructor(options: RequestIntakeOptions<T>) {
+    this._options = options;
+  }
+
+  /** Serves a request as `plan` decides, when its body has arrived. */
+  async serve(exchange: T, maxHeaderBytes: number, plan: () => RequestPlan): Promise<void> {
+    if (exchange.headerBytes() > maxHeaderBytes) {
+      exchange.answer(HTTP_HEADERS_TOO_LARGE);
+      return;
+    }
+    const body = await exchange.body.read();
+    if (typeof body === 'string') {
+      this._answerFailure(exchange, body);
+      return;
+    }
+    const planned = plan();
+    if (planned.kind === 'refuse') planned.answer();
+    else await planned.run(body);
+  }
+
+  /** Checks the caller's access, then serves the request for it. */
+  withAccess(
+    exchange: T,
+    isPublic: boolean,
+    serve: (access: Access, body: Buffer) => Promise<void>,
+  ): RequestPlan {
+    const { configuration, log } = this._options;
+    const access: AccessResult = configuration.access(exchange.credential(), isPublic);
+    if (access.kind === 'unsure')
+      return this.refusal(
+        exchange,
+        'the cached accounts are out of date',
+        ISOLATED_RETRY_MS,
+        access.revision,
+      );
+    if (access.kind !== 'denied') return { kind: 'serve', run: async body => serve(access, body) };
+    const answer = (): void => {
+      log(exchange, 'denied', {
+        reason: access.reason,
+        account: access.accountName,
+        revision: access.revision,
+        configurationAgeMs: Math.round(configuration.ageMs()),
+      });
+      this._options.metrics.requests.inc({ outcome: 'denied' });
+      this.deny(exchange);
+    };
+    return { kind: 'refuse', answer };
+  }
+
+  noConfiguration(exchange: T): RequestPlan {
+    return this.refusal(exchange, 'no configuration loaded yet', NO_CONFIGURATION_RETRY_MS);
+  }
+
+  noRoute(exchange: T, revision: number): RequestPlan {
+    const answer = (): void => {
+      this._options.log(exchange, 'no-route', { revision, host: exchange.host() });
+      exchange.answer(HTTP_NOT_FOUND);
+    };
+    return { kind: 'refuse', answer };
+  }
+
+  refusal(exchange: T, reason: string, retryAfterMs: number, revision?: number): RequestPlan {
+    return { kind: 'refuse', answer: () => this.refuse(exchange, reason, retryAfterMs, revision) };
+  }
+
+  refuse(exchange: T, reason: string, retryAfterMs: number, revision?: number): void {
+    this._options.metrics.requests.inc({ outcome: 'not-run' });
+    this._options.log(exchange, 'not-run', { reason, revision });
+    exchange.refuse(retryAfterMs);
+  }
+
+  deny(exchange: T): void {
+    exchange.answer(HTTP_UNAUTHORIZED, [['WWW-Authenticate', 'Token']]);
+  }
+
+  /** Answers a request whose body was not received. It has not run. */
+  private _answerFailure(exchange: T, failure: BodyFailure): void {
+    if (failure === 'left') return;
+    const { metrics, log } = this._options;
+    metrics.requests.inc({ outcome: 'rejected' });
+    log(exchange, 'rejected', { reason: `body ${failure}` });
+    exchange.cutShort();
+    exchange.answer(HTTP_TOO_LARGE);
+  }
+}
