Bound the memory of all bodies together

Callers saw ordinary requests unanswered and the process beyond its machine: 12 bodies of full size took 570 MB of 200.

Cause: a body had a largest size, and all of them together had none. The machine's limits were not read. A whole body was joined from its chunks, twice its size for a moment, and freed buffers of megabytes count little for the runtime's collector.

Change: hostBudget divides the memory of the settings; BodyBudget reserves a body's whole size before it is read beyond its beginning, and keeps a part for small ones. A request without room gets 503 with Retry-After. Refusals are counted and told by limit, a line a second each.

--- a/packages/gateway/src/gatewayLimits.ts
+++ b/packages/gateway/src/gatewayLimits.ts
@@ -1,8 +1,27 @@
 /**
- * The limits on the clients of a gateway.
+ * The limits on the clients of a gateway, with their metrics and log lines.
  */
-import { ClientLimits } from '@fuchsiahitch/limits';
+import { collectGarbage } from '@fuchsiahitch/intake';
+import { ClientLimits, hostBudget, type MachineLimits } from '@fuchsiahitch/limits';
+import type { GatewayContext } from './gatewayContext.js';
 
-export function createClientLimits(): ClientLimits {
-  return new ClientLimits({ nextTurn: run => setImmediate(run) });
+/** `idleTimeoutMs` is how long a client may pause within a body. */
+export function createClientLimits(
+  { clock, metrics, log }: GatewayContext,
+  machine: MachineLimits,
+  idleTimeoutMs: () => number,
+): ClientLimits {
+  const limits = new ClientLimits({
+    clock,
+    budget: hostBudget(machine),
+    idleTimeoutMs,
+    collectGarbage,
+    nextTurn: run => setImmediate(run),
+    count: limit => metrics.clientRefusals.inc({ limit }),
+    write: line => log.warn('client refused by a limit', { ...line }),
+  });
+  metrics.gauge('fuchsiahitch_body_bytes', 'Memory reserved for the bodies of requests', () =>
+    limits.bodies.reservedBytes(),
+  );
+  return limits;
 }
--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -3,18 +3,29 @@
  */
 import type { Access, Credential } from '@fuchsiahitch/accounts';
 import type { BodyFailure } from '@fuchsiahitch/intake';
+import type { ClientLimits } from '@fuchsiahitch/limits';
 import type { AccessResult, ConfigurationService } from './configurationService.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { HttpExchange } from './httpExchange.js';
 
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
+const HTTP_TIMEOUT = 408;
 const HTTP_TOO_LARGE = 413;
 const HTTP_HEADERS_TOO_LARGE = 431;
 
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** The load balancer probes readiness once a second and removes a host after two failures. */
 export const ISOLATED_RETRY_MS = 2000;
+/** A body that makes no progress gives way within a second. */
+export const NO_MEMORY_RETRY_MS = 1000;
+
+const LIMIT_OF_FAILURE = {
+  'too-large': 'body-size',
+  'no-memory': 'body-memory',
+  stalled: 'body-stalled',
+  timeout: 'body-timeout',
+} as const;
 
 /** What is done with a request, as far as its head tells. `run` takes the body. */
 export type RequestPlan =
@@ -31,6 +42,7 @@
 
 export interface RequestIntakeOptions<T extends IntakeExchange> {
   readonly metrics: GatewayMetrics;
+  readonly clientLimits: ClientLimits;
   readonly configuration: ConfigurationService;
   readonly log: (exchange: T, outcome: string, details: RequestDetails) => void;
 }
@@ -44,7 +56,9 @@
 
   /** Serves a request as `plan` decides, when its body has arrived. */
   async serve(exchange: T, maxHeaderBytes: number, plan: () => RequestPlan): Promise<void> {
+    const { clientLimits } = this._options;
     if (exchange.headerBytes() > maxHeaderBytes) {
+      clientLimits.report.refused('head-size', exchange.clientAddress());
       exchange.answer(HTTP_HEADERS_TOO_LARGE);
       return;
     }
@@ -116,10 +130,14 @@
   /** Answers a request whose body was not received. It has not run. */
   private _answerFailure(exchange: T, failure: BodyFailure): void {
     if (failure === 'left') return;
-    const { metrics, log } = this._options;
-    metrics.requests.inc({ outcome: 'rejected' });
-    log(exchange, 'rejected', { reason: `body ${failure}` });
+    const { clientLimits, metrics, log } = this._options;
+    const outcome = failure === 'too-large' ? 'rejected' : 'not-run';
+    clientLimits.report.refused(LIMIT_OF_FAILURE[failure], exchange.clientAddress());
+    metrics.requests.inc({ outcome });
+    log(exchange, outcome, { reason: `body ${failure}` });
     exchange.cutShort();
-    exchange.answer(HTTP_TOO_LARGE);
+    if (failure === 'too-large') exchange.answer(HTTP_TOO_LARGE);
+    else if (failure === 'no-memory') exchange.refuse(NO_MEMORY_RETRY_MS);
+    else exchange.answer(HTTP_TIMEOUT);
   }
 }
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,2 +1,3 @@
 /** Connections and request bodies of clients, taken from sockets within the limits on clients. */
+export * from './collectGarbage.js';
 export * from './requestBody.js';
--- a/packages/intake/src/requestBody.ts
+++ b/packages/intake/src/requestBody.ts
@@ -5,12 +5,17 @@
  * hundreds of times their size. Of a large body only the beginning is received until its request is known to need it.
  */
 import type http from 'node:http';
-import { BodyBuffer, ReadPace, type ClientLimits } from '@fuchsiahitch/limits';
+import {
+  BodyBuffer,
+  ReadPace,
+  SMALL_BODY_BYTES,
+  type BodyEnd,
+  type BodyReservation,
+  type ClientLimits,
+} from '@fuchsiahitch/limits';
 
-/** Why a body was not received: over the size limit, or the caller left. */
-export type BodyFailure = 'too-large' | 'left';
-/** What is received before the request is known to need its body. */
-const FIRST_BYTES = 65_536;
+/** Why a body was not received: over the size limit, no memory, ended by the host, or the caller left. */
+export type BodyFailure = 'too-large' | 'no-memory' | 'left' | BodyEnd;
 type BodyResult = Buffer | BodyFailure;
 
 const NO_BODY = Buffer.alloc(0);
@@ -23,6 +28,7 @@
   private readonly _announcedBytes: number | undefined;
   private readonly _pace: ReadPace;
   private readonly _body: BodyBuffer;
+  private readonly _reservation: BodyReservation | undefined;
   private _result: BodyResult | undefined;
   private _settled: ((result: BodyResult) => void) | undefined;
   private _isWanted = false;
@@ -37,9 +43,15 @@
     const announcedBytes = this._announcedBytes && Math.min(this._announcedBytes, maxBytes);
     this._body = new BodyBuffer(announcedBytes, maxBytes);
     if (this._announcedBytes === 0) this._result = NO_BODY;
+    else this._reservation = this._reserve();
     if (this._announcedBytes !== 0) this._receive();
   }
 
+  /** True for a body that may be large: what can be answered without it should be. */
+  isLarge(): boolean {
+    return (this._announcedBytes ?? Infinity) > SMALL_BODY_BYTES;
+  }
+
   /** Resolves with the whole body. */
   async read(): Promise<BodyResult> {
     this._isWanted = true;
@@ -57,18 +69,31 @@
   }
 
   release(): void {
-    this._body.drop();
+    if (!this._reservation) return;
+    const { sizeBytes } = this._reservation;
+    if (sizeBytes > SMALL_BODY_BYTES) this._limits.garbage.released(sizeBytes);
+    this._reservation.release();
+  }
+
+  private _reserve(): BodyReservation | undefined {
+    const sizeBytes = this._body.capacityBytes();
+    const reservation = this._limits.bodies.reserve(sizeBytes, reason => this._finish(reason));
+    if (!reservation) this._result = 'no-memory';
+    return reservation;
   }
 
   private _receive(): void {
     const { _request: request, _limits: limits } = this;
     request.on('data', (chunk: Buffer) => {
       limits.turns.read(this._pace, chunk.length);
+      if (this.isLarge()) limits.garbage.passed(chunk.length);
       if (this._result === undefined) this._add(chunk);
     });
     request.on('end', () => {
       this._pace.end();
-      if (this._result === undefined) this._finish(this._body.whole());
+      if (this._result !== undefined) return;
+      this._reservation?.complete();
+      this._finish(this._body.whole());
     });
     // Without a listener, the error of a caller that left would end the process.
     request.on('error', () => undefined);
@@ -81,13 +106,19 @@
   private _add(chunk: Buffer): void {
     const capacityBytes = this._body.capacityWith(chunk.length);
     if (capacityBytes > this._maxBytes) return this._finish('too-large');
+    if (capacityBytes > this._body.capacityBytes()) {
+      this._limits.garbage.beforeAllocating(capacityBytes);
+      if (!this._reservation?.resize(capacityBytes)) return this._finish('no-memory');
+    }
     this._body.add(chunk);
-    if (!this._isWanted && this._body.sizeBytes() >= FIRST_BYTES) this._request.socket.pause();
+    this._reservation?.received(chunk.length);
+    if (!this._isWanted && this._body.sizeBytes() >= SMALL_BODY_BYTES) this._request.socket.pause();
   }
 
   private _finish(result: BodyResult): void {
     if (this._result !== undefined) return;
     this._result = result;
+    if (typeof result === 'string') this.release();
     if (typeof result === 'string') this._body.drop();
     this._settled?.(result);
   }
--- a/packages/limits/src/clientLimits.ts
+++ b/packages/limits/src/clientLimits.ts
@@ -1,17 +1,38 @@
 /**
- * All bounds on what the clients of one process may make it hold.
+ * All bounds on what the clients of one process may make it hold, made from one budget.
  */
+import type { Clock } from '@fuchsiahitch/base';
+import { BodyBudget } from './bodyBudget.js';
+import { GarbageLimit, type CollectGarbage } from './garbageLimit.js';
+import type { HostBudget } from './hostBudget.js';
+import { LimitReport, type ClientLimit, type LimitLine } from './limitReport.js';
 import { ReadTurns } from './readTurns.js';
 
 export interface ClientLimitsOptions {
+  readonly clock: Clock;
+  readonly budget: HostBudget;
+  /** How long a client may pause within a body. */
+  readonly idleTimeoutMs: () => number;
+  readonly collectGarbage: CollectGarbage;
   /** Runs a function after the I/O of the present turn of the event loop. */
   readonly nextTurn: (run: () => void) => void;
+  readonly count: (limit: ClientLimit) => void;
+  readonly write: (line: LimitLine) => void;
 }
 
 export class ClientLimits {
+  readonly budget: HostBudget;
+  readonly bodies: BodyBudget;
+  readonly garbage: GarbageLimit;
   readonly turns: ReadTurns;
+  readonly report: LimitReport;
 
   constructor(options: ClientLimitsOptions) {
+    const { clock, budget, idleTimeoutMs } = options;
+    this.budget = budget;
+    this.bodies = new BodyBudget({ clock, totalBytes: budget.bodiesBytes, idleTimeoutMs });
+    this.garbage = new GarbageLimit(budget.garbageBytes, options.collectGarbage);
     this.turns = new ReadTurns(options.nextTurn);
+    this.report = new LimitReport(clock, options.count, options.write);
   }
 }
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,4 +1,8 @@
 /** Bounds on what clients may make a host hold. Decisions only: nothing here knows a socket. */
+export * from './bodyBudget.js';
 export * from './bodyBuffer.js';
 export * from './clientLimits.js';
+export * from './garbageLimit.js';
+export * from './hostBudget.js';
+export * from './limitReport.js';
 export * from './readTurns.js';
--- a/tests/platformHost.ts
+++ b/tests/platformHost.ts
@@ -75,7 +75,7 @@
     const identity = { hostId: 'edge-1', incarnation: '1', domain: 'tekapo', programVersion: '0' };
     const peerOptions = { fleetKey: FLEET_KEY, identity, clock, counters: metrics };
     const peers = new PeerServer({ address: '127.0.0.1:0', ...peerOptions });
-    const clientLimits = testClientLimits();
+    const clientLimits = testClientLimits(clock);
     const gateway = new Gateway(context, {
       store: new StoreClient(storeAddress, () => undefined),
       client: new PlatformEndpointClient(),
