End bodies that stop

Callers saw large requests refused as long as others stayed a byte short of the end of theirs.

Cause: nothing ended a body of which no more arrived.

Change: a body that has made no progress (4 KiB) for 1 s gives way when another needs its memory, the one that has paused for longest first; one of which no byte arrives for the configured idle timeout is ended.

--- a/packages/limits/src/bodyBudget.ts
+++ b/packages/limits/src/bodyBudget.ts
@@ -2,7 +2,8 @@
  * Memory of the request bodies of all clients together.
  *
  * A body reserves its whole size before it is read: many bodies that grow side by side would all stop short of their end
- * with the memory used up. Part of the memory is kept for small bodies.
+ * with the memory used up. A reservation lapses when its body makes no progress and another one needs the memory, so
+ * that clients that announce and then send nothing can't lock out the others. Part of the memory is kept for small bodies.
  */
 import type { Clock } from '@fuchsiahitch/base';
 
@@ -13,8 +14,11 @@
 /** Allocators keep the memory of freed buffers up to this size, so that larger ones need further memory. */
 const MIDDLING_BODY_BYTES = 1_048_576;
 const MIDDLING_SHARE = 0.5;
+/** A body without progress for this long gives way to another. Several round trips between regions. */
+const STALL_MS = 1000;
 /** Bytes that count as progress, unless they end the body: a byte now and then doesn't keep a reservation. */
 const PROGRESS_BYTES = 4096;
+const SWEEP_INTERVAL_MS = 500;
 
 /** Told when a body must end before it was received. `stalled`: for others; `timeout`: nothing arrived for too long. */
 export type BodyEnd = 'stalled' | 'timeout';
@@ -31,6 +35,7 @@
   /** Bodies that are still being received, the one without progress for longest first. */
   private readonly _receiving = new Set<BodyReservation>();
   private _reservedBytes = 0;
+  private _isSweeping = false;
 
   constructor(options: BodyBudgetOptions) {
     this._options = options;
@@ -50,13 +55,14 @@
     const reservation = new BodyReservation(this, clock.nowMs(), end);
     if (!this.resize(reservation, sizeBytes)) return undefined;
     this._receiving.add(reservation);
+    this._scheduleSweep();
     return reservation;
   }
 
   /** Changes a reservation. Returns false, and leaves it as it was, if there is no memory for it. */
   resize(reservation: BodyReservation, sizeBytes: number): boolean {
     const addedBytes = sizeBytes - reservation.sizeBytes;
-    if (addedBytes > 0 && !this._hasRoom(addedBytes, sizeBytes)) return false;
+    if (addedBytes > 0 && !this._makeRoom(addedBytes, sizeBytes, reservation)) return false;
     this._reservedBytes += addedBytes;
     reservation.sizeBytes = sizeBytes;
     return true;
@@ -84,11 +90,38 @@
     reservation.sizeBytes = 0;
   }
 
-  private _hasRoom(addedBytes: number, sizeBytes: number): boolean {
-    const { totalBytes } = this._options;
+  private _makeRoom(addedBytes: number, sizeBytes: number, own: BodyReservation): boolean {
+    const { totalBytes, clock } = this._options;
     const availableBytes = totalBytes * shareOf(sizeBytes);
+    const nowMs = clock.nowMs();
+    for (const reservation of this._receiving) {
+      if (this._reservedBytes + addedBytes <= availableBytes) return true;
+      if (!isStalled(reservation, nowMs)) break;
+      if (reservation !== own) this._end(reservation, 'stalled');
+    }
     return this._reservedBytes + addedBytes <= availableBytes;
   }
+
+  private _end(reservation: BodyReservation, reason: BodyEnd): void {
+    this.release(reservation);
+    reservation.end(reason);
+  }
+
+  private _scheduleSweep(): void {
+    if (this._isSweeping) return;
+    this._isSweeping = true;
+    this._options.clock.after(SWEEP_INTERVAL_MS, () => {
+      this._isSweeping = false;
+      this._endIdle();
+      if (this._receiving.size > 0) this._scheduleSweep();
+    });
+  }
+
+  private _endIdle(): void {
+    const idleBeforeMs = this._options.clock.nowMs() - this._options.idleTimeoutMs();
+    for (const reservation of [...this._receiving])
+      if (reservation.lastByteMs < idleBeforeMs) this._end(reservation, 'timeout');
+  }
 }
 
 /** The share of the memory that bodies of a size may fill. */
@@ -97,6 +130,10 @@
   return sizeBytes <= MIDDLING_BODY_BYTES ? MIDDLING_SHARE : 1 - SMALL_SHARE;
 }
 
+function isStalled({ progressMs }: BodyReservation, nowMs: number): boolean {
+  return nowMs - progressMs >= STALL_MS;
+}
+
 /** The memory of one body. `release` must be called when its request has ended; it is idempotent. */
 export class BodyReservation {
   sizeBytes = 0;
