Refuse by the head of a request what needs no body

Callers saw 413 and 404 only after the host had read up to 33.5 MB for each.

Cause: the announced length wasn't looked at, and route, account and isolation only after the body.

Change: a length over the limit is refused when it is announced. For a body that may be large, route and access are decided first, and again when it has arrived. Small bodies are read first, as before.

--- a/packages/gateway/src/httpExchange.ts
+++ b/packages/gateway/src/httpExchange.ts
@@ -2,8 +2,9 @@
  * An HTTP request and its answer, independent of any platform protocol.
  */
 import type http from 'node:http';
+import type { Clock } from '@fuchsiahitch/base';
 import { toHeaderPairs, headerValue } from '@fuchsiahitch/clients';
-import type { RequestBody } from '@fuchsiahitch/intake';
+import { lingerAtClose, type RequestBody } from '@fuchsiahitch/intake';
 import type { IncomingRequest } from './callerListener.js';
 import type { HeaderPair } from './ports.js';
 import { StreamReply } from './streamReply.js';
@@ -83,9 +84,10 @@
   }
 
   /** The request is answered before its end: the connection ends after the answer, and what still arrives is dropped. */
-  cutShort(): void {
+  cutShort(clock: Clock): void {
     if (this._request.complete) return;
     this._isCutShort = true;
+    lingerAtClose(this._request.socket, clock);
     this.body.discard();
   }
 
--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -2,6 +2,7 @@
  * Takes a caller's request in: decides by its head whether it is served, and receives its body within the limits on clients.
  */
 import type { Access, Credential } from '@fuchsiahitch/accounts';
+import type { Clock } from '@fuchsiahitch/base';
 import type { BodyFailure } from '@fuchsiahitch/intake';
 import type { ClientLimits } from '@fuchsiahitch/limits';
 import type { AccessResult, ConfigurationService } from './configurationService.js';
@@ -41,6 +42,7 @@
 }
 
 export interface RequestIntakeOptions<T extends IntakeExchange> {
+  readonly clock: Clock;
   readonly metrics: GatewayMetrics;
   readonly clientLimits: ClientLimits;
   readonly configuration: ConfigurationService;
@@ -54,19 +56,28 @@
     this._options = options;
   }
 
-  /** Serves a request as `plan` decides, when its body has arrived. */
+  /** Serves a request as `plan` decides, which is asked again when a large body has arrived. */
   async serve(exchange: T, maxHeaderBytes: number, plan: () => RequestPlan): Promise<void> {
-    const { clientLimits } = this._options;
+    const { clientLimits, clock } = this._options;
     if (exchange.headerBytes() > maxHeaderBytes) {
       clientLimits.report.refused('head-size', exchange.clientAddress());
       exchange.answer(HTTP_HEADERS_TOO_LARGE);
       return;
     }
+    if (exchange.body.isLarge() && !exchange.body.isTooLarge()) {
+      const early = plan();
+      if (early.kind === 'refuse') {
+        exchange.cutShort(clock);
+        early.answer();
+        return;
+      }
+    }
     const body = await exchange.body.read();
     if (typeof body === 'string') {
       this._answerFailure(exchange, body);
       return;
     }
+    // Anew, as the configuration may have changed while the body arrived.
     const planned = plan();
     if (planned.kind === 'refuse') planned.answer();
     else await planned.run(body);
@@ -130,12 +141,12 @@
   /** Answers a request whose body was not received. It has not run. */
   private _answerFailure(exchange: T, failure: BodyFailure): void {
     if (failure === 'left') return;
-    const { clientLimits, metrics, log } = this._options;
+    const { clientLimits, clock, metrics, log } = this._options;
     const outcome = failure === 'too-large' ? 'rejected' : 'not-run';
     clientLimits.report.refused(LIMIT_OF_FAILURE[failure], exchange.clientAddress());
     metrics.requests.inc({ outcome });
     log(exchange, outcome, { reason: `body ${failure}` });
-    exchange.cutShort();
+    exchange.cutShort(clock);
     if (failure === 'too-large') exchange.answer(HTTP_TOO_LARGE);
     else if (failure === 'no-memory') exchange.refuse(NO_MEMORY_RETRY_MS);
     else exchange.answer(HTTP_TIMEOUT);
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,3 +1,4 @@
 /** Connections and request bodies of clients, taken from sockets within the limits on clients. */
 export * from './collectGarbage.js';
+export * from './lingeringClose.js';
 export * from './requestBody.js';
--- a/packages/intake/src/requestBody.ts
+++ b/packages/intake/src/requestBody.ts
@@ -40,13 +40,17 @@
     this._maxBytes = maxBytes;
     this._announcedBytes = announcedBytesOf(request);
     this._pace = new ReadPace(request.socket);
-    const announcedBytes = this._announcedBytes && Math.min(this._announcedBytes, maxBytes);
-    this._body = new BodyBuffer(announcedBytes, maxBytes);
+    this._body = new BodyBuffer(this._announcedBytes, maxBytes);
     if (this._announcedBytes === 0) this._result = NO_BODY;
+    else if (this.isTooLarge()) this._result = 'too-large';
     else this._reservation = this._reserve();
     if (this._announcedBytes !== 0) this._receive();
   }
 
+  isTooLarge(): boolean {
+    return (this._announcedBytes ?? 0) > this._maxBytes;
+  }
+
   /** True for a body that may be large: what can be answered without it should be. */
   isLarge(): boolean {
     return (this._announcedBytes ?? Infinity) > SMALL_BODY_BYTES;
