Bound callers' connections and unfinished heads

Callers saw the process end beside 1,500 unfinished heads, and descriptors run out beside connections of one byte.

Cause: Node's limit of a head was 256 KB where the configuration says 16, and connections had no bound.

Change: the parser's limit follows the configuration; a head over it gets 431, one out of time 408. ConnectionLimit bounds connections by memory and descriptors: a new one takes the place of the one without a request for longest.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -5,10 +5,13 @@
  * they are passed on to the handler.
  */
 import http from 'node:http';
-import { listenAt, messageOf } from '@fuchsiahitch/base';
-import { RequestBody } from '@fuchsiahitch/intake';
-import type { ClientLimits } from '@fuchsiahitch/limits';
+import type net from 'node:net';
+import type { Duplex } from 'node:stream';
+import { listenAt, messageOf, type Clock } from '@fuchsiahitch/base';
+import { ConnectionLimit, type ClientLimits } from '@fuchsiahitch/limits';
 import type { Logger } from '@fuchsiahitch/telemetry';
+import { CallerConnection, type IncomingRequest } from './callerConnection.js';
+import { RequestBody } from '@fuchsiahitch/intake';
 import type { CallerLimits } from './ports.js';
 
 /** Permissive limits for the time before a configuration is loaded. */
@@ -18,25 +21,22 @@
   headerTimeoutMs: 10_000,
   idleTimeoutMs: 15_000,
 };
-/** Enforced by Node, whatever the configuration allows. */
-const NODE_MAX_HEADER_BYTES = 262_144;
+/** Request line and separators, which Node counts and the configured limit does not. */
+const HEADER_SLACK_BYTES = 4096;
 /** Added to the configured idle timeout, so that the server does not close a connection just as a request arrives. */
 const KEEP_ALIVE_SLACK_MS = 2000;
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 
-export interface IncomingRequest {
-  readonly request: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-  /** Aborted when the caller disconnects before its answer is complete. */
-  readonly left: AbortSignal;
-  readonly body: RequestBody;
-  /** On the clock of `performance.now()`. */
-  readonly arrivedMs: number;
-}
+const MALFORMED = '400 Bad Request';
+const PARSE_FAILURES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
 
 export interface CallerListenerOptions {
   readonly address: string;
   readonly log: Logger;
+  readonly clock: Clock;
   readonly clientLimits: ClientLimits;
   readonly limits: () => CallerLimits | undefined;
   readonly handle: (incoming: IncomingRequest) => Promise<void>;
@@ -45,18 +45,26 @@
 export class CallerListener {
   private readonly _options: CallerListenerOptions;
   private readonly _server: http.Server;
+  private readonly _connections: ConnectionLimit<CallerConnection>;
+  private readonly _bySocket = new Map<net.Socket, CallerConnection>();
 
   constructor(options: CallerListenerOptions) {
     this._options = options;
+    const { budget, report } = options.clientLimits;
+    this._connections = new ConnectionLimit({
+      clock: options.clock,
+      maxConnections: budget.callerConnections,
+      maxHeadBytes: budget.connectionsBytes,
+      closed: (reason, connection) =>
+        report.refused(reason === 'heads' ? 'head-memory' : 'connections', connection.address),
+    });
     this._server = http.createServer({
-      maxHeaderSize: NODE_MAX_HEADER_BYTES,
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     });
-    this._server.on('request', (request, response) => void this._handle(request, response));
-    this._server.on('clientError', (_error, socket) => {
-      if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
-    });
+    this._server.on('connection', socket => this._accept(socket));
+    this._server.on('request', (request, response) => void this._receive(request, response));
+    this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._refuse(error, socket));
     this._applyLimits();
   }
 
@@ -65,6 +73,10 @@
     return listenAt(this._server, this._options.address);
   }
 
+  connections(): number {
+    return this._connections.size();
+  }
+
   async close(): Promise<void> {
     await new Promise<void>(resolve => {
       this._server.close(() => resolve());
@@ -72,34 +84,56 @@
     });
   }
 
-  private async _handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  private _accept(socket: net.Socket): void {
+    const { handle } = this._options;
+    const connection = new CallerConnection(socket, async incoming => this._handle(handle, incoming));
+    this._bySocket.set(socket, connection);
+    socket.once('close', () => {
+      this._bySocket.delete(socket);
+      this._connections.remove(connection);
+    });
+    this._connections.add(connection);
+  }
+
+  private async _receive(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     this._applyLimits();
+    const connection = this._bySocket.get(request.socket);
+    if (!connection) return;
+    this._connections.requestBegan(connection);
     const { maxBodyBytes } = this._options.limits() ?? DEFAULT_CALLER_LIMITS;
     const body = new RequestBody(request, this._options.clientLimits, maxBodyBytes);
-    const disconnect = new AbortController();
-    response.on('close', () => {
-      if (!response.writableFinished) disconnect.abort();
-    });
+    await connection.received(request, response, body);
+    this._connections.requestEnded(connection);
+  }
+
+  private async _handle(handle: CallerListenerOptions['handle'], incoming: IncomingRequest): Promise<void> {
     try {
-      await this._options.handle({
-        request,
-        response,
-        body,
-        left: disconnect.signal,
-        arrivedMs: performance.now(),
-      });
+      await handle(incoming);
     } catch (thrown) {
       // Close the connection so that the caller does not wait for an answer.
       this._options.log.error('request handler failed', { error: messageOf(thrown) });
-      response.destroy();
+      incoming.response.destroy();
     } finally {
-      body.release();
+      incoming.body.release();
     }
   }
 
+  private _refuse(error: NodeJS.ErrnoException, socket: Duplex): void {
+    const status = PARSE_FAILURES[error.code ?? ''] ?? MALFORMED;
+    if (status !== MALFORMED) this._options.clientLimits.report.refused('head-size', addressOf(socket));
+    if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    else socket.destroy();
+  }
+
+  /** Node reads each of these for every new connection or request. */
   private _applyLimits(): void {
     const limits = this._options.limits() ?? DEFAULT_CALLER_LIMITS;
+    Object.assign(this._server, { maxHeaderSize: limits.maxHeaderBytes + HEADER_SLACK_BYTES });
     this._server.headersTimeout = limits.headerTimeoutMs;
     this._server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_SLACK_MS;
   }
 }
+
+function addressOf(socket: Duplex): string {
+  return 'remoteAddress' in socket && typeof socket.remoteAddress === 'string' ? socket.remoteAddress : '';
+}
--- a/packages/gateway/src/httpExchange.ts
+++ b/packages/gateway/src/httpExchange.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@fuchsiahitch/base';
 import { toHeaderPairs, headerValue } from '@fuchsiahitch/clients';
 import { lingerAtClose, type RequestBody } from '@fuchsiahitch/intake';
-import type { IncomingRequest } from './callerListener.js';
+import type { IncomingRequest } from './callerConnection.js';
 import type { HeaderPair } from './ports.js';
 import { StreamReply } from './streamReply.js';
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
 export * from './batchService.js';
 export * from './batchStore.js';
 export * from './batchSweeper.js';
+export * from './callerConnection.js';
 export * from './callerListener.js';
 export * from './callerRequest.js';
 export * from './countedStore.js';
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -2,6 +2,7 @@
 export * from './bodyBudget.js';
 export * from './bodyBuffer.js';
 export * from './clientLimits.js';
+export * from './connectionLimit.js';
 export * from './garbageLimit.js';
 export * from './hostBudget.js';
 export * from './limitReport.js';
--- a/packages/limits/src/limitReport.ts
+++ b/packages/limits/src/limitReport.ts
@@ -10,6 +10,8 @@
   | 'body-stalled'
   | 'body-timeout'
   | 'head-size'
+  | 'head-memory'
+  | 'connections'
   | 'status-connections'
   | 'peer-connections';
 
