Bound the requests in process

Callers saw the process end beside 200 connections with 100 pipelined requests each, and 3,500 descriptors.

Cause: each request was handled as soon as it was parsed.

Over all connections requests are bounded by memory: beyond it a connection with several is closed, and a single request gets 503.

--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -1,9 +1,9 @@
 /**
- * One connection of a caller.
+ * One connection of a caller: the requests on it, in the order in which they arrived.
  */
 import type http from 'node:http';
 import type net from 'node:net';
-import type { LimitedConnection } from '@fuchsiahitch/limits';
+import { ConnectionRequests, type LimitedConnection, type RequestLimit } from '@fuchsiahitch/limits';
 import type { RequestBody } from '@fuchsiahitch/intake';
 
 export interface IncomingRequest {
@@ -16,42 +16,101 @@
   readonly arrivedMs: number;
 }
 
+export interface CallerConnectionOptions {
+  readonly socket: net.Socket;
+  readonly limit: RequestLimit;
+  /** Answers the request. */
+  readonly handle: (incoming: IncomingRequest) => Promise<void>;
+  /** Refuses the request without handling it, because there are too many. */
+  readonly refuse: (incoming: IncomingRequest) => void;
+  /** Called when the connection is closed, because its client has sent too many requests ahead. */
+  readonly overrun: () => void;
+}
+
 export class CallerConnection implements LimitedConnection {
-  private readonly _socket: net.Socket;
-  /** Answers a request. */
-  private readonly _handle: (incoming: IncomingRequest) => Promise<void>;
+  private readonly _options: CallerConnectionOptions;
+  private readonly _requests: ConnectionRequests<IncomingRequest>;
+  private readonly _disconnects = new Set<AbortController>();
 
-  constructor(socket: net.Socket, handle: (incoming: IncomingRequest) => Promise<void>) {
-    this._socket = socket;
-    this._handle = handle;
+  constructor(options: CallerConnectionOptions) {
+    this._options = options;
+    this._requests = new ConnectionRequests(options.limit);
+    options.socket.once('close', () => this._closed());
   }
 
   get address(): string {
-    return this._socket.remoteAddress ?? '';
+    return this._options.socket.remoteAddress ?? '';
   }
 
   receivedBytes(): number {
-    return this._socket.bytesRead;
+    return this._options.socket.bytesRead;
   }
 
   close(): void {
-    this._socket.destroy();
+    this._options.socket.destroy();
   }
 
-  /** Handles a request. Resolves when it is answered and the answer is delivered. */
+  /** Handles a request, now or when earlier ones have ended. Resolves when it is answered and the answer is delivered. */
   async received(
     request: http.IncomingMessage,
     response: http.ServerResponse,
     body: RequestBody,
   ): Promise<void> {
     const disconnect = new AbortController();
-    const closed = new Promise<void>(resolve => {
+    const incoming = { request, response, body, left: disconnect.signal, arrivedMs: performance.now() };
+    this._disconnects.add(disconnect);
+    await new Promise<void>(resolve => {
       response.once('close', () => {
         if (!response.writableFinished) disconnect.abort();
+        this._disconnects.delete(disconnect);
         resolve();
       });
+      disconnect.signal.addEventListener('abort', () => resolve());
+      this._decide(incoming);
     });
-    await this._handle({ request, response, body, left: disconnect.signal, arrivedMs: performance.now() });
-    await closed;
   }
+
+  private _decide(incoming: IncomingRequest): void {
+    switch (this._requests.arrived(incoming)) {
+      case 'run':
+        void this._run(incoming);
+        return;
+      case 'wait':
+        if (this._requests.isFull()) this._options.socket.pause();
+        return;
+      case 'refuse':
+        this._options.refuse(incoming);
+        incoming.body.release();
+        return;
+      case 'close':
+        incoming.body.release();
+        this._options.overrun();
+        this.close();
+        return;
+    }
+  }
+
+  /** Runs the request, then those that wait, one after the other. */
+  private async _run(first: IncomingRequest): Promise<void> {
+    for (let next: IncomingRequest | undefined = first; next; next = this._requests.ended()) {
+      if (!this._requests.isFull() && this._options.socket.isPaused()) this._options.socket.resume();
+      await this._options.handle(next);
+      await delivered(next);
+    }
+  }
+
+  private _closed(): void {
+    for (const { body } of this._requests.closed()) body.release();
+    for (const disconnect of this._disconnects) disconnect.abort();
+    this._disconnects.clear();
+  }
+}
+
+/** Resolves when the answer has left the process or never will. */
+async function delivered({ response, left }: IncomingRequest): Promise<void> {
+  if (response.writableFinished || response.destroyed || left.aborted) return;
+  await new Promise<void>(resolve => {
+    response.once('close', resolve);
+    left.addEventListener('abort', () => resolve());
+  });
 }
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -40,6 +40,8 @@
   readonly clientLimits: ClientLimits;
   readonly limits: () => CallerLimits | undefined;
   readonly handle: (incoming: IncomingRequest) => Promise<void>;
+  /** Refuses a request without handling it, because there are too many. */
+  readonly refuse: (incoming: IncomingRequest) => void;
 }
 
 export class CallerListener {
@@ -85,8 +87,14 @@
   }
 
   private _accept(socket: net.Socket): void {
-    const { handle } = this._options;
-    const connection = new CallerConnection(socket, async incoming => this._handle(handle, incoming));
+    const { clientLimits, handle, refuse } = this._options;
+    const connection: CallerConnection = new CallerConnection({
+      socket,
+      limit: clientLimits.requests,
+      handle: async incoming => this._handle(handle, incoming),
+      refuse,
+      overrun: () => clientLimits.report.refused('requests', connection.address),
+    });
     this._bySocket.set(socket, connection);
     socket.once('close', () => {
       this._bySocket.delete(socket);
--- a/packages/gateway/src/gatewayLimits.ts
+++ b/packages/gateway/src/gatewayLimits.ts
@@ -23,5 +23,8 @@
   metrics.gauge('fuchsiahitch_body_bytes', 'Memory reserved for the bodies of requests', () =>
     limits.bodies.reservedBytes(),
   );
+  metrics.gauge('fuchsiahitch_caller_requests', 'Requests of callers in process', () =>
+    limits.requests.requests(),
+  );
   return limits;
 }
--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -20,6 +20,8 @@
 export const ISOLATED_RETRY_MS = 2000;
 /** A body that makes no progress gives way within a second. */
 export const NO_MEMORY_RETRY_MS = 1000;
+/** Too many requests in process mean that the host is far behind. */
+const TOO_MANY_RETRY_MS = 1000;
 
 const LIMIT_OF_FAILURE = {
   'too-large': 'body-size',
@@ -138,6 +140,14 @@
     exchange.answer(HTTP_UNAUTHORIZED, [['WWW-Authenticate', 'Token']]);
   }
 
+  /** Refuses a request of which only the head has been read, because there are too many. */
+  refuseOverload(exchange: T): void {
+    const { clientLimits, clock } = this._options;
+    clientLimits.report.refused('requests', exchange.clientAddress());
+    exchange.cutShort(clock);
+    exchange.refuse(TOO_MANY_RETRY_MS);
+  }
+
   /** Answers a request whose body was not received. It has not run. */
   private _answerFailure(exchange: T, failure: BodyFailure): void {
     if (failure === 'left') return;
--- a/packages/limits/src/clientLimits.ts
+++ b/packages/limits/src/clientLimits.ts
@@ -7,6 +7,7 @@
 import type { HostBudget } from './hostBudget.js';
 import { LimitReport, type ClientLimit, type LimitLine } from './limitReport.js';
 import { ReadTurns } from './readTurns.js';
+import { RequestLimit } from './requestLimit.js';
 
 export interface ClientLimitsOptions {
   readonly clock: Clock;
@@ -25,6 +26,7 @@
   readonly bodies: BodyBudget;
   readonly garbage: GarbageLimit;
   readonly turns: ReadTurns;
+  readonly requests: RequestLimit;
   readonly report: LimitReport;
 
   constructor(options: ClientLimitsOptions) {
@@ -33,6 +35,7 @@
     this.bodies = new BodyBudget({ clock, totalBytes: budget.bodiesBytes, idleTimeoutMs });
     this.garbage = new GarbageLimit(budget.garbageBytes, options.collectGarbage);
     this.turns = new ReadTurns(options.nextTurn);
+    this.requests = new RequestLimit(budget.callerRequests);
     this.report = new LimitReport(clock, options.count, options.write);
   }
 }
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -7,3 +7,4 @@
 export * from './hostBudget.js';
 export * from './limitReport.js';
 export * from './readTurns.js';
+export * from './requestLimit.js';
--- a/packages/limits/src/limitReport.ts
+++ b/packages/limits/src/limitReport.ts
@@ -12,6 +12,7 @@
   | 'head-size'
   | 'head-memory'
   | 'connections'
+  | 'requests'
   | 'status-connections'
   | 'peer-connections';
 
