Count answers until their caller has read them

Operators saw the process beyond its machine beside 40 clients that don't read answers of 8 MB.

Cause: an answer counted while it was read from its endpoint, and no longer when it waited for its caller.

Change: AnswerBudget counts it until the caller has it. Answers that don't fit wait at their endpoint, the oldest goes on; a caller that hasn't read for 2 s is closed when others wait.

--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -13,9 +13,9 @@
   type PickRequest,
   type PoisonVerdict,
 } from '@fuchsiahitch/requests';
+import type { AnswerBudget } from '@fuchsiahitch/limits';
 import type { MeteredRequest } from '@fuchsiahitch/metering';
 import type { Route } from '@fuchsiahitch/rules';
-import { AnswerBuffer, AnswerMemory } from './answerMemory.js';
 import { otherAnsweredId, reasonOf } from './attemptReason.js';
 import {
   RETRY_AFTER_MS,
@@ -79,7 +79,7 @@
   private readonly _poison: PoisonGuard;
   private readonly _meter: RequestMeter | undefined;
   private readonly _admissions = new Map<string, FairAdmission>();
-  private readonly _answerMemory = new AnswerMemory();
+  private readonly _answers: AnswerBudget;
   private readonly _hedgeBudget = new RetryBudget(HEDGE_BUDGET.share, HEDGE_BUDGET.burst);
 
   constructor(
@@ -87,8 +87,10 @@
     endpoints: EndpointDirectory,
     client: EndpointClient,
     poison: PoisonGuard,
+    answers: AnswerBudget,
     meter?: RequestMeter,
   ) {
+    this._answers = answers;
     this._context = context;
     this._endpoints = endpoints;
     this._client = client;
@@ -331,18 +333,23 @@
     signal: AbortSignal,
   ): Promise<RequestAttemptEnd> {
     recordAnswer(endpoint, answer);
-    const buffer = new AnswerBuffer(this._answerMemory);
+    const held = this._answers.read();
+    const chunks: Buffer[] = [];
     let body: Buffer;
     try {
-      for await (const chunk of answer.body)
-        if (!buffer.add(chunk)) return { kind: 'broken', text: 'the answer is too long to be buffered' };
-      body = buffer.whole();
+      await held.begin(answer.announcedBytes, signal);
+      for await (const chunk of answer.body) {
+        chunks.push(chunk);
+        if (!(await held.add(chunk.length, signal)))
+          return { kind: 'broken', text: 'the answer is too long to be buffered' };
+      }
+      body = Buffer.concat(chunks);
     } catch (thrown) {
       if (signal.aborted) return { kind: 'cancelled' };
       // A truncated answer is discarded: whether the request ran is unknown.
       return { kind: 'broken', text: messageOf(thrown) };
     } finally {
-      buffer.release();
+      held.release();
     }
     const isSuccess = answer.status < FIRST_ERROR_STATUS;
     // Without the endpoint's proof the answer may have been altered or come from elsewhere.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import { sleep } from '@fuchsiahitch/base';
 import type { RevisionedStore } from '@fuchsiahitch/clients';
 import type { DutyHandover } from '@fuchsiahitch/duties';
+import type { AnswerBudget } from '@fuchsiahitch/limits';
 import { BatchService } from './batchService.js';
 import { BatchStore } from './batchStore.js';
 import { BatchSweeper } from './batchSweeper.js';
@@ -48,6 +49,8 @@
   readonly batchEndMs: number;
   /** From the store's acknowledgement of a leaving endpoint or a configuration until it must be in effect. */
   readonly newsBoundMs: number;
+  /** Memory of answers that callers have not read yet. */
+  readonly answers: AnswerBudget;
 }
 
 const IN_FLIGHT_POLL_MS = 100;
@@ -100,7 +103,14 @@
     this._poison = new PoisonGuard(context, storeOf('poison'), this.hosts, client);
     const { usage } = options;
     this._usage = usage && new UsageService(context, storeOf, this.hosts, usage);
-    this.forwarder = new Forwarder(context, this.endpoints, client, this._poison, this._usage);
+    this.forwarder = new Forwarder(
+      context,
+      this.endpoints,
+      client,
+      this._poison,
+      options.answers,
+      this._usage,
+    );
     const { configuration, endpoints, hosts } = this;
     const demand = new DemandUpdates(context, { configuration, endpoints, hosts });
     this.demand = demand;
--- a/packages/gateway/src/gatewayLimits.ts
+++ b/packages/gateway/src/gatewayLimits.ts
@@ -23,6 +23,9 @@
   metrics.gauge('fuchsiahitch_body_bytes', 'Memory reserved for the bodies of requests', () =>
     limits.bodies.reservedBytes(),
   );
+  metrics.gauge('fuchsiahitch_unread_answer_bytes', 'Answers that callers have not read yet', () =>
+    limits.answers.heldBytes(),
+  );
   metrics.gauge('fuchsiahitch_caller_requests', 'Requests of callers in process', () =>
     limits.requests.requests(),
   );
--- a/packages/gateway/src/httpExchange.ts
+++ b/packages/gateway/src/httpExchange.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@fuchsiahitch/base';
 import { toHeaderPairs, headerValue } from '@fuchsiahitch/clients';
 import { lingerAtClose, type RequestBody } from '@fuchsiahitch/intake';
+import type { AnswerBudget } from '@fuchsiahitch/limits';
 import type { IncomingRequest } from './callerConnection.js';
 import type { HeaderPair } from './ports.js';
 import { StreamReply } from './streamReply.js';
@@ -23,13 +24,19 @@
   private readonly _request: http.IncomingMessage;
   private readonly _isLeaving: () => boolean;
   private readonly _arrivedMs: number;
+  private readonly _answers: AnswerBudget;
   private _isCutShort = false;
 
   /** `isLeaving`: whether the answer must close the connection, so that the caller reconnects to another host. */
-  constructor({ request, response, body, arrivedMs }: IncomingRequest, isLeaving: () => boolean) {
+  constructor(
+    { request, response, body, arrivedMs }: IncomingRequest,
+    isLeaving: () => boolean,
+    answers: AnswerBudget,
+  ) {
     this._request = request;
     this.response = response;
     this._isLeaving = isLeaving;
+    this._answers = answers;
     this.body = body;
     this._arrivedMs = arrivedMs;
     this.headerPairs = toHeaderPairs(request.rawHeaders);
@@ -107,6 +114,10 @@
     const allPairs: HeaderPair[] = [...pairs];
     if (hasBody(status)) allPairs.push(['Content-Length', String(body.length)]);
     this.response.writeHead(status, [...this.headers(allPairs)]);
+    if (body.length > 0) {
+      const held = this._answers.deliver(body.length, () => this.response.destroy());
+      this.response.once('close', () => held.release());
+    }
     this.response.end(body);
   }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -66,6 +66,8 @@
   readonly proof: string | undefined;
   readonly isLeaving: boolean;
   readonly load: EndpointLoad | undefined;
+  /** Undefined for an answer of unknown length. */
+  readonly announcedBytes?: number | undefined;
   readonly body: AsyncIterable<Buffer>;
 }
 
--- /dev/null
+++ b/packages/limits/src/answerBudget.ts
@@ -0,0 +1,173 @@
+/**
+ * Memory of the answers that clients have not read yet, of all clients together.
+ *
+ * An answer counts from the first byte that an endpoint sent until the client has taken the last one. When there is no
+ * room, clients that have not read their answer for a while are closed, and answers of endpoints are read on one at a time.
+ */
+import type { Clock } from '@fuchsiahitch/base';
+import type { GarbageLimit } from './garbageLimit.js';
+
+/** Answers up to this size never wait: many of them fit, and waiting would cost more than they hold. */
+const SMALL_ANSWER_BYTES = 65_536;
+/** A client that has not read its answer for this long may be closed for others. */
+const UNREAD_MS = 2000;
+const CHECK_INTERVAL_MS = 250;
+/** An answer above this size is dropped while the memory is full, also if it is the only one that is read on. */
+const ALWAYS_ALLOWED_BYTES = 1024 * 1024;
+/** An endpoint may send an answer without end. */
+const MAX_HELD_BYTES = 32 * 1024 * 1024;
+
+interface Waiting {
+  readonly answer: HeldAnswer;
+  readonly totalBytes: number;
+  readonly proceed: () => void;
+}
+
+export class AnswerBudget {
+  private readonly _clock: Clock;
+  private readonly _totalBytes: number;
+  private readonly _garbage: GarbageLimit;
+  /** Answers of endpoints that are being read, the oldest first. */
+  private readonly _reading = new Set<HeldAnswer>();
+  /** Answers that are being delivered, the oldest first. */
+  private readonly _unread = new Map<HeldAnswer, { readonly sinceMs: number; readonly close: () => void }>();
+  private readonly _waiting = new Set<Waiting>();
+  private _heldBytes = 0;
+  private _unreadBytes = 0;
+  private _isScheduled = false;
+
+  constructor(clock: Clock, totalBytes: number, garbage: GarbageLimit) {
+    this._clock = clock;
+    this._garbage = garbage;
+    this._totalBytes = totalBytes;
+  }
+
+  heldBytes(): number {
+    return this._heldBytes;
+  }
+
+  /** Begins an answer of an endpoint. `release` must be called when it has been read or is dropped. */
+  read(): HeldAnswer {
+    const answer = new HeldAnswer(this);
+    this._reading.add(answer);
+    return answer;
+  }
+
+  /** Begins an answer to a client, who is disconnected by `close`. `release` must be called when it has left. */
+  deliver(bytes: number, close: () => void): HeldAnswer {
+    const answer = new HeldAnswer(this);
+    this._unread.set(answer, { sinceMs: this._clock.nowMs(), close });
+    this._unreadBytes += bytes;
+    this.reserveNow(answer, bytes);
+    return answer;
+  }
+
+  /** Reserves memory for an answer without waiting for room. */
+  reserveNow(answer: HeldAnswer, totalBytes: number): void {
+    const addedBytes = totalBytes - answer.sizeBytes;
+    if (addedBytes <= 0) return;
+    answer.sizeBytes = totalBytes;
+    this._heldBytes += addedBytes;
+    if (totalBytes <= SMALL_ANSWER_BYTES) return;
+    this._garbage.passed(addedBytes);
+    this._garbage.beforeAllocating(addedBytes);
+  }
+
+  release(answer: HeldAnswer): void {
+    this._reading.delete(answer);
+    if (this._unread.delete(answer)) this._unreadBytes -= answer.sizeBytes;
+    this._heldBytes -= answer.sizeBytes;
+    if (answer.sizeBytes > SMALL_ANSWER_BYTES) this._garbage.released(answer.sizeBytes);
+    answer.sizeBytes = 0;
+    this._proceed();
+  }
+
+  isTooLong({ sizeBytes }: HeldAnswer): boolean {
+    return sizeBytes > ALWAYS_ALLOWED_BYTES && this._heldBytes > MAX_HELD_BYTES;
+  }
+
+  /** Resolves when memory for an answer that is being read is reserved, or when the signal is aborted. */
+  async reserve(answer: HeldAnswer, totalBytes: number, signal: AbortSignal): Promise<void> {
+    if (this._hasRoom(answer, totalBytes) || signal.aborted) {
+      this.reserveNow(answer, totalBytes);
+      return;
+    }
+    await new Promise<void>(proceed => {
+      const waiting = { answer, totalBytes, proceed };
+      this._waiting.add(waiting);
+      signal.addEventListener('abort', () => {
+        this._waiting.delete(waiting);
+        proceed();
+      });
+      this._closeUnread();
+      this._schedule();
+    });
+  }
+
+  /** The oldest answer waits only for clients to read theirs: answers that are not whole would wait for each other. */
+  private _hasRoom(answer: HeldAnswer, totalBytes: number): boolean {
+    if (totalBytes <= SMALL_ANSWER_BYTES) return true;
+    const [oldest] = this._reading;
+    if (answer === oldest && this._unreadBytes === 0) return true;
+    const othersBytes = answer === oldest ? this._unreadBytes : this._heldBytes - answer.sizeBytes;
+    return othersBytes + totalBytes <= this._totalBytes;
+  }
+
+  private _proceed(): void {
+    for (const waiting of this._waiting) {
+      if (!this._hasRoom(waiting.answer, waiting.totalBytes)) continue;
+      this._waiting.delete(waiting);
+      this.reserveNow(waiting.answer, waiting.totalBytes);
+      waiting.proceed();
+    }
+  }
+
+  private _schedule(): void {
+    if (this._isScheduled || this._waiting.size === 0) return;
+    this._isScheduled = true;
+    this._clock.after(CHECK_INTERVAL_MS, () => {
+      this._isScheduled = false;
+      this._closeUnread();
+      this._schedule();
+    });
+  }
+
+  /** Closes clients that don't read, the longest first, while others wait. */
+  private _closeUnread(): void {
+    const beforeMs = this._clock.nowMs() - UNREAD_MS;
+    for (const [answer, { sinceMs, close }] of this._unread) {
+      if (this._waiting.size === 0 || sinceMs > beforeMs) return;
+      this.release(answer);
+      close();
+    }
+  }
+}
+
+/** One answer. */
+export class HeldAnswer {
+  /** Reserved bytes. */
+  sizeBytes = 0;
+  private readonly _budget: AnswerBudget;
+  private _readBytes = 0;
+
+  constructor(budget: AnswerBudget) {
+    this._budget = budget;
+  }
+
+  /** Waits for room for the whole answer; for its beginning if its length is unknown. */
+  async begin(announcedBytes: number | undefined, signal: AbortSignal): Promise<void> {
+    await this._budget.reserve(this, announcedBytes ?? SMALL_ANSWER_BYTES + 1, signal);
+  }
+
+  /** Waits for room for a chunk. Returns false if the answer is too long to be held. */
+  async add(bytes: number, signal: AbortSignal): Promise<boolean> {
+    this._readBytes += bytes;
+    if (this._readBytes > this.sizeBytes) await this._budget.reserve(this, this._readBytes, signal);
+    return !this._budget.isTooLong(this);
+  }
+
+  /** Idempotent. */
+  release(): void {
+    this._budget.release(this);
+  }
+}
--- a/packages/limits/src/clientLimits.ts
+++ b/packages/limits/src/clientLimits.ts
@@ -2,6 +2,7 @@
  * All bounds on what the clients of one process may make it hold, made from one budget.
  */
 import type { Clock } from '@fuchsiahitch/base';
+import { AnswerBudget } from './answerBudget.js';
 import { BodyBudget } from './bodyBudget.js';
 import { GarbageLimit, type CollectGarbage } from './garbageLimit.js';
 import type { HostBudget } from './hostBudget.js';
@@ -24,6 +25,7 @@
 export class ClientLimits {
   readonly budget: HostBudget;
   readonly bodies: BodyBudget;
+  readonly answers: AnswerBudget;
   readonly garbage: GarbageLimit;
   readonly turns: ReadTurns;
   readonly requests: RequestLimit;
@@ -34,6 +36,7 @@
     this.budget = budget;
     this.bodies = new BodyBudget({ clock, totalBytes: budget.bodiesBytes, idleTimeoutMs });
     this.garbage = new GarbageLimit(budget.garbageBytes, options.collectGarbage);
+    this.answers = new AnswerBudget(clock, budget.answersBytes, this.garbage);
     this.turns = new ReadTurns(options.nextTurn);
     this.requests = new RequestLimit(budget.callerRequests);
     this.report = new LimitReport(clock, options.count, options.write);
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,4 +1,5 @@
 /** Bounds on what clients may make a host hold. Decisions only: nothing here knows a socket. */
+export * from './answerBudget.js';
 export * from './bodyBudget.js';
 export * from './bodyBuffer.js';
 export * from './clientLimits.js';
--- a/packages/limits/src/limitReport.ts
+++ b/packages/limits/src/limitReport.ts
@@ -13,6 +13,7 @@
   | 'head-memory'
   | 'connections'
   | 'requests'
+  | 'answers-unread'
   | 'status-connections'
   | 'peer-connections';
 
--- a/tests/crowdHost.ts
+++ b/tests/crowdHost.ts
@@ -30,7 +30,11 @@
 /** Tries of one request, of which each but the last was refused with the promise that it has not run, or cut off. */
 const MAX_TRIES = 60;
 const RETRY_PAUSE_MS = 250;
-const LARGE_ANSWER_BYTES = 1_000_000;
+/** Lengths of answers by the beginning of the path; all others are short. */
+const ANSWER_BYTES: readonly (readonly [string, number])[] = [
+  ['/a/large', 1_000_000],
+  ['/a/huge', 8_000_000],
+];
 
 const route = { host: 'h', service: 's', max_attempts: 3, timeout_ms: REQUEST_TIMEOUT_MS };
 const CONFIGURATION = {
@@ -112,10 +116,10 @@
   private readonly _server = http.createServer((request, response) => {
     request.resume();
     request.on('end', () => {
-      const isLarge = request.url?.startsWith('/a/large') ?? false;
       const id = String(request.headers['request-id']);
       response.writeHead(200, { 'Request-Id': id, 'Server-Stamp': 'proof' });
-      response.end(isLarge ? Buffer.alloc(LARGE_ANSWER_BYTES, 'y') : 'whole');
+      const lengthBytes = ANSWER_BYTES.find(([start]) => request.url?.startsWith(start))?.[1];
+      response.end(lengthBytes === undefined ? 'whole' : Buffer.alloc(lengthBytes, 'y'));
     });
   });
 
--- a/tests/crowds.spec.ts
+++ b/tests/crowds.spec.ts
@@ -155,6 +155,13 @@
     parts: () => [head('Content-Length: 0', '/a/large')],
     isUnread: true,
   },
+  {
+    name: 'answers of 8 MB that nobody reads',
+    guards: 'answers that are held as long as their clients stay',
+    count: 40,
+    parts: () => [head('Content-Length: 0', '/a/huge')],
+    isUnread: true,
+  },
   {
     name: 'a batch of a million items',
     guards: 'objects of a parser that are many times its input',
--- a/tests/eventLoopLagPeers.spec.ts
+++ b/tests/eventLoopLagPeers.spec.ts
@@ -35,6 +35,7 @@
   ScriptedClient,
   testContext,
 } from './gatewayFixtures.js';
+import { testClientLimits } from './testClientLimits.js';
 
 const KEY = 'fleet-key-for-tests';
 const empty = z.strictObject({});
@@ -333,6 +334,7 @@
     endpoints,
     client,
     singleHostPoisonGuard(context, store.client(), client),
+    testClientLimits(context.clock).answers,
   );
   const outcome = forwarder.forward({ ...request, waitMs: 1500 }, safe, new AbortController().signal);
   return { clock, client, outcome, answerFirst, stop: context.stop };
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -20,6 +20,7 @@
   ScriptedClient,
   testContext,
 } from './gatewayFixtures.js';
+import { testClientLimits } from './testClientLimits.js';
 
 interface Forwarding {
   readonly clock: VirtualClock;
@@ -45,7 +46,9 @@
   const client = new ScriptedClient(clock);
   const traced = tracing ? { ...context, tracing } : context;
   const poison = singleHostPoisonGuard(context, store.client(), client);
-  return { clock, client, forwarder: new Forwarder(traced, endpoints, client, poison), stop: context.stop };
+  const { answers } = testClientLimits(clock);
+  const forwarder = new Forwarder(traced, endpoints, client, poison, answers);
+  return { clock, client, forwarder, stop: context.stop };
 }
 
 const REQUEST: CallerRequest = {
--- a/tests/gatewayFleet.ts
+++ b/tests/gatewayFleet.ts
@@ -16,6 +16,7 @@
   testContext,
 } from './gatewayFixtures.js';
 import type { TestContext } from './gatewayFixtures.js';
+import { testClientLimits } from './testClientLimits.js';
 
 const ONE_WAY_LATENCY_MS = 2;
 const HEARTBEAT_MS = 1200;
@@ -83,6 +84,7 @@
       batchReadableMs: 120_000,
       batchEndMs: 3000,
       newsBoundMs: 2000,
+      answers: testClientLimits(this.context.clock).answers,
       usage: fleet.usageOf(hostId),
       capacity: fleet.capacityOf(hostId),
     });
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -27,6 +27,7 @@
   testContext,
 } from './gatewayFixtures.js';
 import type { TestContext } from './gatewayFixtures.js';
+import { testClientLimits } from './testClientLimits.js';
 
 const STEP_MS = 10;
 /** Time for which a batch's items may still be sent after its end was confirmed. */
@@ -66,7 +67,13 @@
       configuration: this.configuration,
       hosts: this,
       client: world.client,
-      forwarder: new Forwarder(this.context, this.endpoints, world.client, poison),
+      forwarder: new Forwarder(
+        this.context,
+        this.endpoints,
+        world.client,
+        poison,
+        testClientLimits(this.context.clock).answers,
+      ),
       demand: this.demand,
       claimLeaseMs: claimLeaseMs(BATCH_END_MS),
       isRelaying: () => this.isRelaying,
--- a/tests/platformHost.ts
+++ b/tests/platformHost.ts
@@ -87,6 +87,7 @@
       batchReadableMs: 120_000,
       batchEndMs: 3000,
       newsBoundMs: 2000,
+      answers: clientLimits.answers,
     });
     const callers = new CallerServer({
       address: '127.0.0.1:0',
