Estimate what a batch becomes before it is decoded

Cause: JSON.parse of the whole body, the schema's copy and the items: up to forty times the body, for which nothing was reserved.

Change: one pass over the bytes counts values and depth. Deeper than 64 is malformed; twice the text and 128 bytes a value are reserved from the memory of bodies before it is decoded, or the batch gets 503. A host that is isolated refuses before it decodes.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** The gateway, without the sockets and the platform protocol. */
 export * from './batchHandover.js';
 export * from './batchHomes.js';
+export * from './batchIntake.js';
 export * from './batchOutcomes.js';
 export * from './batchOwner.js';
 export * from './batchService.js';
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -6,6 +6,7 @@
 export * from './connectionLimit.js';
 export * from './garbageLimit.js';
 export * from './hostBudget.js';
+export * from './jsonCost.js';
 export * from './limitReport.js';
 export * from './readTurns.js';
 export * from './requestLimit.js';
--- a/packages/limits/src/limitReport.ts
+++ b/packages/limits/src/limitReport.ts
@@ -14,6 +14,7 @@
   | 'connections'
   | 'requests'
   | 'answers-unread'
+  | 'batch-memory'
   | 'status-connections'
   | 'peer-connections';
 
