End within the grace period beside bodies that stop

The platform saw the process alive when the grace period was over, and killed it.

Cause: requests with half a body count as in flight, and closing the listener waits for their connections for ever.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -79,11 +79,14 @@
     return this._connections.size();
   }
 
-  async close(): Promise<void> {
+  /** Closes idle connections now, and after `flushMs` also those whose request or answer is not complete. */
+  async close(flushMs: number): Promise<void> {
+    const cancel = this._options.clock.after(flushMs, () => this._server.closeAllConnections());
     await new Promise<void>(resolve => {
       this._server.close(() => resolve());
       this._server.closeIdleConnections();
     });
+    cancel();
   }
 
   private _accept(socket: net.Socket): void {
--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -22,6 +22,8 @@
 export const NO_MEMORY_RETRY_MS = 1000;
 /** Too many requests in process mean that the host is far behind. */
 const TOO_MANY_RETRY_MS = 1000;
+/** How often a host that is shutting down looks for bodies that make no progress. */
+const STALLED_CHECK_MS = 250;
 
 const LIMIT_OF_FAILURE = {
   'too-large': 'body-size',
@@ -148,6 +150,13 @@
     exchange.refuse(TOO_MANY_RETRY_MS);
   }
 
+  /** From now on, bodies that make no progress are refused: they would keep the process from ending. */
+  startDraining(): void {
+    const { clientLimits, clock } = this._options;
+    clientLimits.bodies.endStalled();
+    clock.after(STALLED_CHECK_MS, () => this.startDraining());
+  }
+
   /** Answers a request whose body was not received. It has not run. */
   private _answerFailure(exchange: T, failure: BodyFailure): void {
     if (failure === 'left') return;
--- a/packages/limits/src/bodyBudget.ts
+++ b/packages/limits/src/bodyBudget.ts
@@ -90,6 +90,13 @@
     reservation.sizeBytes = 0;
   }
 
+  /** Ends all bodies that have made no progress for a while, as at the end of the process. */
+  endStalled(): void {
+    const nowMs = this._options.clock.nowMs();
+    for (const reservation of [...this._receiving])
+      if (isStalled(reservation, nowMs)) this._end(reservation, 'stalled');
+  }
+
   private _makeRoom(addedBytes: number, sizeBytes: number, own: BodyReservation): boolean {
     const { totalBytes, clock } = this._options;
     const availableBytes = totalBytes * shareOf(sizeBytes);
--- a/tests/platformHost.ts
+++ b/tests/platformHost.ts
@@ -160,7 +160,7 @@
   async stop(): Promise<void> {
     this._stop.abort();
     await this.gateway.shutDown(0);
-    await this._callers.close();
+    await this._callers.close(0);
     await this._peers.close();
     await this.server.close();
     await this.store.close();
