Bound the readiness, metrics and peer listeners

Operators saw descriptors run out by connections to these listeners, and 945 MB by bodies sent to /metrics.

Connections that have not proved the fleet key have a bound, the oldest gives way.

--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -2,3 +2,4 @@
 export * from './collectGarbage.js';
 export * from './lingeringClose.js';
 export * from './requestBody.js';
+export * from './serverConnections.js';
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -3,12 +3,15 @@
  */
 import net from 'node:net';
 import { messageOf, listenAt, type Clock } from '@fuchsiahitch/base';
+import { ConnectionLimit, type LimitedConnection } from '@fuchsiahitch/limits';
 import type { CallDefinition, Envelope, PeerIdentity } from './channel.js';
 import { challengeSchema, envelopeSchema, helloSchema } from './envelope.js';
 import { encodeFrame, FrameReader, MAX_FRAME_BYTES, MAX_HELLO_BYTES } from './frameCodec.js';
 import { isSameProof, newNonce, computeProof } from './proof.js';
 
 const HANDSHAKE_TIMEOUT_MS = 3000;
+/** More than the hosts of a large fleet that connect at once. */
+const DEFAULT_UNAUTHENTICATED = 1024;
 /** Limit on buffered replies to a peer that does not read them. Beyond it, the connection is closed. */
 const MAX_UNREAD_BYTES = 4 * MAX_FRAME_BYTES;
 
@@ -32,6 +35,8 @@
   readonly identity: PeerIdentity;
   readonly clock: Clock;
   readonly counters: ProtocolCounters;
+  /** Connections that have not proved knowledge of the fleet key, beyond which the oldest one is closed. */
+  readonly maxUnauthenticated?: number;
 }
 
 /** Accepts peers that prove knowledge of the fleet key and answers their calls. */
@@ -40,9 +45,16 @@
   private readonly _handlers = new Map<string, Handler>();
   private readonly _server: net.Server;
   private readonly _sockets = new Set<net.Socket>();
+  private readonly _unauthenticated: ConnectionLimit<UnauthenticatedSocket>;
 
   constructor(options: PeerServerOptions) {
     this._options = options;
+    this._unauthenticated = new ConnectionLimit({
+      clock: options.clock,
+      maxConnections: options.maxUnauthenticated ?? DEFAULT_UNAUTHENTICATED,
+      maxHeadBytes: Infinity,
+      closed: () => options.counters.refused('too-many'),
+    });
     this._server = net.createServer(socket => this._accept(socket));
   }
 
@@ -76,15 +88,43 @@
     socket.setNoDelay(true);
     const nonce = newNonce();
     const reader = new FrameReader(MAX_HELLO_BYTES);
-    const connection = new ServerConnection(socket, nonce, reader, this._options, this._handlers);
+    const unauthenticated = new UnauthenticatedSocket(socket);
+    const authenticated = (): void => this._unauthenticated.remove(unauthenticated);
+    const connection = new ServerConnection(
+      socket,
+      nonce,
+      reader,
+      this._options,
+      this._handlers,
+      authenticated,
+    );
     const cancel = this._options.clock.after(HANDSHAKE_TIMEOUT_MS, () => connection.closeUnauthenticated());
     socket.on('data', chunk => connection.read(chunk));
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
       cancel();
       this._sockets.delete(socket);
+      authenticated();
     });
     socket.write(encodeFrame(challengeSchema.parse({ nonce })));
+    this._unauthenticated.add(unauthenticated);
+  }
+}
+
+/** A connection before its handshake. */
+class UnauthenticatedSocket implements LimitedConnection {
+  private readonly _socket: net.Socket;
+
+  constructor(socket: net.Socket) {
+    this._socket = socket;
+  }
+
+  receivedBytes(): number {
+    return this._socket.bytesRead;
+  }
+
+  close(): void {
+    this._socket.destroy();
   }
 }
 
@@ -95,6 +135,7 @@
   private readonly _reader: FrameReader;
   private readonly _options: PeerServerOptions;
   private readonly _handlers: ReadonlyMap<string, Handler>;
+  private readonly _authenticated: () => void;
   private _peer: PeerIdentity | undefined;
 
   constructor(
@@ -103,7 +144,9 @@
     reader: FrameReader,
     options: PeerServerOptions,
     handlers: ReadonlyMap<string, Handler>,
+    authenticated: () => void,
   ) {
+    this._authenticated = authenticated;
     this._socket = socket;
     this._nonce = nonce;
     this._reader = reader;
@@ -135,6 +178,7 @@
     const expected = computeProof(this._options.fleetKey, 'client', this._nonce, identity);
     if (!isSameProof(proof, expected)) return this._close('wrong-key');
     this._peer = identity;
+    this._authenticated();
     this._reader.setLimit(MAX_FRAME_BYTES);
     const own = this._options.identity;
     this._send({ ...own, proof: computeProof(this._options.fleetKey, 'server', nonce, own) });
--- a/tests/statusServer.spec.ts
+++ b/tests/statusServer.spec.ts
@@ -3,6 +3,7 @@
  */
 import tap from 'tap';
 import { Counter, Registry } from 'prom-client';
+import { SystemClock } from '@fuchsiahitch/base';
 import { StatusServer, type ProcessStatus } from '@fuchsiahitch/listener';
 import { TestLog } from './gatewayFixtures.js';
 
@@ -18,6 +19,9 @@
     isReady: () => status.ready,
     registry: new Registry(),
     log: new TestLog(),
+    clock: new SystemClock(),
+    maxConnections: 100,
+    closedForOthers: () => undefined,
   };
   return status;
 }
