Bound the bodies and connections of the daemon

Operators saw the product's daemon at 984 MB beside 200 bodies of 4 MB that stop a byte short.

Not bounded yet: its requests in process and unread answers.

--- a/packages/entry/src/entryHost.ts
+++ b/packages/entry/src/entryHost.ts
@@ -11,6 +11,8 @@
   HttpScorer,
   HttpServiceClient,
 } from '@fuchsiahitch/clients';
+import { collectGarbage } from '@fuchsiahitch/intake';
+import { ClientLimits, hostBudget } from '@fuchsiahitch/limits';
 import { PeerServer } from '@fuchsiahitch/protocol';
 import { startServices, type EntryServices } from './entryServices.js';
 import type { HostPorts } from './hostPorts.js';
@@ -30,6 +32,10 @@
 import { StepService } from './stepService.js';
 import { TrainersController } from './trainersController.js';
 
+/** The program with its web framework, its heap at rest and its views of the fleet. */
+const RUNTIME_BYTES = 200_000_000;
+/** How long a client may pause within a body. */
+const BODY_IDLE_TIMEOUT_MS = 30_000;
 const HANDOVER_TIMEOUT_MS = 10_000;
 const IN_FLIGHT_POLL_MS = 50;
 
@@ -185,6 +191,20 @@
   };
 }
 
+/** The listeners share the memory of bodies. */
+function createClientLimits(settings: EntrySettings, { clock, log, metrics }: HostContext): ClientLimits {
+  const machine = { memoryMb: settings['memory-mb'], maxDescriptors: settings['max-fds'] };
+  return new ClientLimits({
+    clock,
+    budget: hostBudget(machine, RUNTIME_BYTES),
+    idleTimeoutMs: () => BODY_IDLE_TIMEOUT_MS,
+    collectGarbage,
+    nextTurn: run => setImmediate(run),
+    count: limit => metrics.clientRefusals.inc({ limit }),
+    write: line => log.warn('client refused by a limit', { ...line }),
+  });
+}
+
 async function startListeners(
   settings: EntrySettings,
   context: HostContext,
@@ -193,13 +213,21 @@
 ): Promise<readonly Listener[]> {
   const accounts = { provide: CallerAccounts, useValue: callerAccounts };
   const metrics = { provide: Metrics, useValue: context.metrics };
+  const { clock } = context;
+  const clientLimits = createClientLimits(settings, context);
   const callers = await Listener.start({
     address: settings['callers-address'],
+    clock,
+    clientLimits,
+    maxConnections: clientLimits.budget.callerConnections,
     controller: CallersController,
     providers: [{ provide: RequestService, useValue: services.requests }, metrics, accounts],
   });
   const trainers = await Listener.start({
     address: settings['trainers-address'],
+    clock,
+    clientLimits,
+    maxConnections: clientLimits.budget.statusConnections,
     controller: TrainersController,
     providers: [
       { provide: StepService, useValue: services.steps },
@@ -209,6 +237,9 @@
   });
   const operators = await Listener.start({
     address: settings['operators-address'],
+    clock,
+    clientLimits,
+    maxConnections: clientLimits.budget.statusConnections,
     controller: OperatorsController,
     providers: [
       { provide: RulesService, useValue: services.rules },
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -3,6 +3,7 @@
  */
 import { addressSchema, integerSchema, nameSchema, type SettingValues } from '@fuchsiahitch/base';
 import { logLevels } from '@fuchsiahitch/telemetry';
+import { DEFAULT_MACHINE } from '@fuchsiahitch/limits';
 import * as z from 'zod';
 
 const MIN_SECRET_LENGTH = 16;
@@ -72,6 +73,16 @@
     help: 'milliseconds after SIGTERM by which the process exits, even with requests in flight',
     fallback: '120000',
   },
+  'memory-mb': {
+    schema: integerSchema(256, 1_000_000),
+    help: 'memory of the process in megabytes, of which clients may take a part',
+    fallback: String(DEFAULT_MACHINE.memoryMb),
+  },
+  'max-fds': {
+    schema: integerSchema(256, 10_000_000),
+    help: 'open descriptors of the process, of which clients may take a part',
+    fallback: String(DEFAULT_MACHINE.maxDescriptors),
+  },
   'log-level': { schema: z.enum(logLevels), help: `one of ${logLevels.join(', ')}`, fallback: 'info' },
   'trace-file': {
     schema: z.string(),
--- a/packages/listener/src/listener.ts
+++ b/packages/listener/src/listener.ts
@@ -6,7 +6,10 @@
 import { Module, type DynamicModule, type Provider, type Type } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
-import { splitAddress } from '@fuchsiahitch/base';
+import { splitAddress, type Clock } from '@fuchsiahitch/base';
+import { ServerConnections } from '@fuchsiahitch/intake';
+import type { ClientLimits } from '@fuchsiahitch/limits';
+import { BodyParser } from './bodyParser.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -26,6 +29,9 @@
 
 export interface ListenerOptions extends ApplicationOptions {
   readonly address: string;
+  readonly clock: Clock;
+  readonly clientLimits: ClientLimits;
+  readonly maxConnections: number;
 }
 
 /** Answers a request received by another server. */
@@ -43,7 +49,8 @@
   }
 
   static async start(options: ListenerOptions): Promise<Listener> {
-    const app = await createApplication(options);
+    const app = await createApplication(options, adapter => limitBodies(adapter, options));
+    limitConnections(app.getHttpServer(), options);
     const { ip, port } = splitAddress(options.address);
     await app.listen(port, ip);
     const bound = app.getHttpServer().address();
@@ -66,7 +73,10 @@
   return (request, response) => fastify.routing(request, response);
 }
 
-async function createApplication(options: ApplicationOptions): Promise<NestFastifyApplication> {
+async function createApplication(
+  options: ApplicationOptions,
+  configure: (adapter: FastifyAdapter) => void = () => undefined,
+): Promise<NestFastifyApplication> {
   const adapter = new FastifyAdapter({
     bodyLimit: MAX_BODY_BYTES,
     requestTimeout: REQUEST_TIMEOUT_MS,
@@ -85,14 +95,39 @@
     logger: false,
     bodyParser: false,
   });
-  const fastify = adapter.getInstance();
-  fastify.removeAllContentTypeParsers();
-  // Bodies are not parsed here: service calls are passed on unchanged, all others are validated by schemas.
-  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+  adapter.getInstance().removeAllContentTypeParsers();
+  configure(adapter);
   if (options.token !== undefined) requireToken(adapter, options.token);
   return app;
 }
 
+function limitBodies(adapter: FastifyAdapter, { clientLimits }: ListenerOptions): void {
+  const fastify = adapter.getInstance();
+  const parser = new BodyParser(clientLimits, MAX_BODY_BYTES);
+  fastify.addContentTypeParser('*', async (_request: unknown, payload: http.IncomingMessage) =>
+    parser.parse(payload),
+  );
+  fastify.addHook('onResponse', (request, _reply, done) => {
+    parser.release(request.raw);
+    done();
+  });
+}
+
+function limitConnections(
+  server: http.Server,
+  { clientLimits, clock, maxConnections }: ListenerOptions,
+): void {
+  const { budget, report } = clientLimits;
+  const connections = new ServerConnections({
+    clock,
+    maxConnections,
+    maxHeadBytes: budget.connectionsBytes,
+    closed: (reason, { address }) =>
+      report.refused(reason === 'heads' ? 'head-memory' : 'connections', address),
+  });
+  connections.watch(server);
+}
+
 function requireToken(adapter: FastifyAdapter, token: string): void {
   adapter.getInstance().addHook('onRequest', async (request, reply) => {
     const [path = ''] = request.url.split('?');
