--- a/packages/limits/src/limitReport.ts
+++ b/packages/limits/src/limitReport.ts
@@ -13,10 +13,8 @@
   | 'head-memory'
   | 'connections'
   | 'requests'
-  | 'answers-unread'
   | 'batch-memory'
-  | 'status-connections'
-  | 'peer-connections';
+  | 'status-connections';
 
 export interface LimitLine {
   readonly limit: ClientLimit;
