Resume the connection whenever a body's result is known

Cause: of a body above 64 KB only the beginning is received until its handler asks for it, and the connection is paused meanwhile. A body that becomes complete in that same read was handed out without resuming the connection; a kept one would rely on Node's request stream, which resumes it at the end of the turn. A head over the limit was answered without taking its body. Found by reading the diff; no failure was seen.

Change: the connection is resumed with each result; 431 cuts the request short as other early answers do.

Result: requestBody.spec.ts sends bodies of 1 to 200,001 bytes, three on one connection each. It passes with and without the change.

--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -65,6 +65,7 @@
     const { clientLimits, clock } = this._options;
     if (exchange.headerBytes() > maxHeaderBytes) {
       clientLimits.report.refused('head-size', exchange.clientAddress());
+      exchange.cutShort(clock);
       exchange.answer(HTTP_HEADERS_TOO_LARGE);
       return;
     }
--- a/packages/intake/src/requestBody.ts
+++ b/packages/intake/src/requestBody.ts
@@ -60,7 +60,7 @@
   async read(): Promise<BodyResult> {
     this._isWanted = true;
     if (this._result !== undefined) return this._result;
-    if (this._request.socket.isPaused()) this._request.socket.resume();
+    this._resume();
     return new Promise(resolve => {
       this._settled = resolve;
     });
@@ -69,7 +69,7 @@
   /** Drops the body and what still arrives of it: unread bytes would reset the connection under the answer. */
   discard(): void {
     this._finish('left');
-    if (this._request.socket.isPaused()) this._request.socket.resume();
+    this._resume();
   }
 
   release(): void {
@@ -119,11 +119,18 @@
     if (!this._isWanted && this._body.sizeBytes() >= SMALL_BODY_BYTES) this._request.socket.pause();
   }
 
+  private _resume(): void {
+    const { socket } = this._request;
+    if (socket.isPaused()) socket.resume();
+  }
+
   private _finish(result: BodyResult): void {
     if (this._result !== undefined) return;
     this._result = result;
     if (typeof result === 'string') this.release();
     if (typeof result === 'string') this._body.drop();
+    // The body may have become complete in the read after which its connection was paused.
+    this._resume();
     this._settled?.(result);
   }
 }
