--- a/utils/runTests.mjs
+++ b/utils/runTests.mjs
@@ -21,14 +21,17 @@
   process.exit(2);
 }
 const TAP = ['tap', 'run', '--disable-coverage', '--allow-empty-coverage', '--reporter=tap'];
+/** The crowds are one file, in which each has a time limit of its own. */
+const CROWDS_TIMEOUT = '--timeout=1800';
 const NOTHING = { passed: 0, failed: 0, notes: [] };
 const knownRed = readKnownRed('KNOWN-RED.txt');
 
 /** Runs the files that are crowd tests, or those that are not, and prints what failed and what is known to fail. */
 function runPhase(isCrowds, jobs) {
+  const timeout = isCrowds ? [CROWDS_TIMEOUT] : [];
   const chosen = files.filter(file => isCrowdTest(path.basename(file)) === isCrowds);
   if (chosen.length === 0) return NOTHING;
-  const run = spawnSync('npx', [...TAP, `--jobs=${jobs}`, ...chosen], {
+  const run = spawnSync('npx', [...TAP, `--jobs=${jobs}`, ...timeout, ...chosen], {
     encoding: 'utf8',
     maxBuffer: 1 << 28,
   });
