Let the listeners and budgets share what they had written twice

The wrapper of a socket stood three times (other hosts, status, callers), and the connections of the callers' listener were kept as ServerConnections keeps them; the daemon and the gateway made their limits, counter and log line alike; three budgets had the same timer; the label of a closed connection was chosen in two places.

Change: SocketConnection, which CallerConnection extends; ServerConnections of any connection; createProcessLimits and a counter in MetricsRegistry; ClientLimits.connections; RepeatedCheck. Methods that nothing calls are gone. No bound, test or name that leaves the process changes.

--- a/packages/entry/src/entryHost.ts
+++ b/packages/entry/src/entryHost.ts
@@ -11,8 +11,8 @@
   HttpScorer,
   HttpServiceClient,
 } from '@fuchsiahitch/clients';
-import { collectGarbage } from '@fuchsiahitch/intake';
-import { ClientLimits, hostBudget } from '@fuchsiahitch/limits';
+import { createProcessLimits } from '@fuchsiahitch/intake';
+import { hostBudget } from '@fuchsiahitch/limits';
 import { PeerServer } from '@fuchsiahitch/protocol';
 import { startServices, type EntryServices } from './entryServices.js';
 import type { HostPorts } from './hostPorts.js';
@@ -191,20 +191,6 @@
   };
 }
 
-/** The listeners share the memory of bodies. */
-function createClientLimits(settings: EntrySettings, { clock, log, metrics }: HostContext): ClientLimits {
-  const machine = { memoryMb: settings['memory-mb'], maxDescriptors: settings['max-fds'] };
-  return new ClientLimits({
-    clock,
-    budget: hostBudget(machine, RUNTIME_BYTES),
-    idleTimeoutMs: () => BODY_IDLE_TIMEOUT_MS,
-    collectGarbage,
-    nextTurn: run => setImmediate(run),
-    count: limit => metrics.clientRefusals.inc({ limit }),
-    write: line => log.warn('client refused by a limit', { ...line }),
-  });
-}
-
 async function startListeners(
   settings: EntrySettings,
   context: HostContext,
@@ -213,21 +199,21 @@
 ): Promise<readonly Listener[]> {
   const accounts = { provide: CallerAccounts, useValue: callerAccounts };
   const metrics = { provide: Metrics, useValue: context.metrics };
-  const { clock } = context;
-  const clientLimits = createClientLimits(settings, context);
+  const machine = { memoryMb: settings['memory-mb'], maxDescriptors: settings['max-fds'] };
+  const budget = hostBudget(machine, RUNTIME_BYTES);
+  // The listeners share the memory of bodies.
+  const clientLimits = createProcessLimits(context, budget, () => BODY_IDLE_TIMEOUT_MS);
   const callers = await Listener.start({
     address: settings['callers-address'],
-    clock,
     clientLimits,
-    maxConnections: clientLimits.budget.callerConnections,
+    maxConnections: budget.callerConnections,
     controller: CallersController,
     providers: [{ provide: RequestService, useValue: services.requests }, metrics, accounts],
   });
   const trainers = await Listener.start({
     address: settings['trainers-address'],
-    clock,
     clientLimits,
-    maxConnections: clientLimits.budget.statusConnections,
+    maxConnections: budget.statusConnections,
     controller: TrainersController,
     providers: [
       { provide: StepService, useValue: services.steps },
@@ -237,9 +223,8 @@
   });
   const operators = await Listener.start({
     address: settings['operators-address'],
-    clock,
     clientLimits,
-    maxConnections: clientLimits.budget.statusConnections,
+    maxConnections: budget.statusConnections,
     controller: OperatorsController,
     providers: [
       { provide: RulesService, useValue: services.rules },
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -13,11 +13,6 @@
     'end',
   ]);
   readonly retries = this.counter('fuchsiahitch_retries_total', 'Attempts after the first', ['pool']);
-  readonly clientRefusals = this.counter(
-    'fuchsiahitch_client_refusals_total',
-    'Requests and connections of clients that were refused or closed, by limit',
-    ['limit'],
-  );
   readonly badInput = this.counter('fuchsiahitch_bad_input_total', 'Input that was refused', ['listener']);
   readonly samples = this.counter('fuchsiahitch_samples_total', 'Samples at this worker by end', ['end']);
   readonly tokens = this.counter('fuchsiahitch_tokens_total', 'Tokens generated', ['kind']);
--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -3,8 +3,8 @@
  */
 import type http from 'node:http';
 import type net from 'node:net';
-import { ConnectionRequests, type LimitedConnection, type RequestLimit } from '@fuchsiahitch/limits';
-import type { RequestBody } from '@fuchsiahitch/intake';
+import { SocketConnection, type RequestBody } from '@fuchsiahitch/intake';
+import { ConnectionRequests, type RequestLimit } from '@fuchsiahitch/limits';
 
 export interface IncomingRequest {
   readonly request: http.IncomingMessage;
@@ -17,37 +17,25 @@
 }
 
 export interface CallerConnectionOptions {
-  readonly socket: net.Socket;
   readonly limit: RequestLimit;
   /** Answers the request. */
   readonly handle: (incoming: IncomingRequest) => Promise<void>;
   /** Refuses the request without handling it, because there are too many. */
   readonly refuse: (incoming: IncomingRequest) => void;
-  /** Called when the connection is closed, because its client has sent too many requests ahead. */
-  readonly overrun: () => void;
+  /** Told the caller's address when its connection is closed, because it has sent too many requests ahead. */
+  readonly overrun: (address: string) => void;
 }
 
-export class CallerConnection implements LimitedConnection {
+export class CallerConnection extends SocketConnection {
   private readonly _options: CallerConnectionOptions;
   private readonly _requests: ConnectionRequests<IncomingRequest>;
   private readonly _disconnects = new Set<AbortController>();
 
-  constructor(options: CallerConnectionOptions) {
+  constructor(socket: net.Socket, options: CallerConnectionOptions) {
+    super(socket);
     this._options = options;
     this._requests = new ConnectionRequests(options.limit);
-    options.socket.once('close', () => this._closed());
-  }
-
-  get address(): string {
-    return this._options.socket.remoteAddress ?? '';
-  }
-
-  receivedBytes(): number {
-    return this._options.socket.bytesRead;
-  }
-
-  close(): void {
-    this._options.socket.destroy();
+    socket.once('close', () => this._closed());
   }
 
   /** Handles a request, now or when earlier ones have ended. Resolves when it is answered and the answer is delivered. */
@@ -76,7 +64,7 @@
         void this._run(incoming);
         return;
       case 'wait':
-        if (this._requests.isFull()) this._options.socket.pause();
+        if (this._requests.isFull()) this.socket.pause();
         return;
       case 'refuse':
         this._options.refuse(incoming);
@@ -84,7 +72,7 @@
         return;
       case 'close':
         incoming.body.release();
-        this._options.overrun();
+        this._options.overrun(this.address);
         this.close();
         return;
     }
@@ -93,7 +81,7 @@
   /** Runs the request, then those that wait, one after the other. */
   private async _run(first: IncomingRequest): Promise<void> {
     for (let next: IncomingRequest | undefined = first; next; next = this._requests.ended()) {
-      if (!this._requests.isFull() && this._options.socket.isPaused()) this._options.socket.resume();
+      if (!this._requests.isFull() && this.socket.isPaused()) this.socket.resume();
       await this._options.handle(next);
       await delivered(next);
     }
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -5,13 +5,12 @@
  * they are passed on to the handler.
  */
 import http from 'node:http';
-import type net from 'node:net';
 import type { Duplex } from 'node:stream';
 import { listenAt, messageOf, type Clock } from '@fuchsiahitch/base';
-import { ConnectionLimit, type ClientLimits } from '@fuchsiahitch/limits';
+import { RequestBody, ServerConnections } from '@fuchsiahitch/intake';
+import type { ClientLimits } from '@fuchsiahitch/limits';
 import type { Logger } from '@fuchsiahitch/telemetry';
 import { CallerConnection, type IncomingRequest } from './callerConnection.js';
-import { RequestBody } from '@fuchsiahitch/intake';
 import type { CallerLimits } from './ports.js';
 
 /** Permissive limits for the time before a configuration is loaded. */
@@ -47,24 +46,27 @@
 export class CallerListener {
   private readonly _options: CallerListenerOptions;
   private readonly _server: http.Server;
-  private readonly _connections: ConnectionLimit<CallerConnection>;
-  private readonly _bySocket = new Map<net.Socket, CallerConnection>();
+  private readonly _connections: ServerConnections<CallerConnection>;
 
   constructor(options: CallerListenerOptions) {
     this._options = options;
-    const { budget, report } = options.clientLimits;
-    this._connections = new ConnectionLimit({
-      clock: options.clock,
-      maxConnections: budget.callerConnections,
-      maxHeadBytes: budget.connectionsBytes,
-      closed: (reason, connection) =>
-        report.refused(reason === 'heads' ? 'head-memory' : 'connections', connection.address),
-    });
+    const { clientLimits, handle, refuse } = options;
+    const { budget, report, requests } = clientLimits;
+    const connectionOptions = {
+      limit: requests,
+      handle: async (incoming: IncomingRequest) => this._handle(handle, incoming),
+      refuse,
+      overrun: (address: string) => report.refused('requests', address),
+    };
+    this._connections = new ServerConnections(
+      clientLimits.connections(budget.callerConnections),
+      socket => new CallerConnection(socket, connectionOptions),
+    );
     this._server = http.createServer({
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     });
-    this._server.on('connection', socket => this._accept(socket));
+    this._connections.watch(this._server);
     this._server.on('request', (request, response) => void this._receive(request, response));
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._refuse(error, socket));
     this._applyLimits();
@@ -75,10 +77,6 @@
     return listenAt(this._server, this._options.address);
   }
 
-  connections(): number {
-    return this._connections.size();
-  }
-
   /** Closes idle connections now, and after `flushMs` also those whose request or answer is not complete. */
   async close(flushMs: number): Promise<void> {
     const cancel = this._options.clock.after(flushMs, () => this._server.closeAllConnections());
@@ -89,32 +87,13 @@
     cancel();
   }
 
-  private _accept(socket: net.Socket): void {
-    const { clientLimits, handle, refuse } = this._options;
-    const connection: CallerConnection = new CallerConnection({
-      socket,
-      limit: clientLimits.requests,
-      handle: async incoming => this._handle(handle, incoming),
-      refuse,
-      overrun: () => clientLimits.report.refused('requests', connection.address),
-    });
-    this._bySocket.set(socket, connection);
-    socket.once('close', () => {
-      this._bySocket.delete(socket);
-      this._connections.remove(connection);
-    });
-    this._connections.add(connection);
-  }
-
   private async _receive(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     this._applyLimits();
-    const connection = this._bySocket.get(request.socket);
+    const connection = this._connections.of(request);
     if (!connection) return;
-    this._connections.requestBegan(connection);
     const { maxBodyBytes } = this._options.limits() ?? DEFAULT_CALLER_LIMITS;
     const body = new RequestBody(request, this._options.clientLimits, maxBodyBytes);
     await connection.received(request, response, body);
-    this._connections.requestEnded(connection);
   }
 
   private async _handle(handle: CallerListenerOptions['handle'], incoming: IncomingRequest): Promise<void> {
--- a/packages/gateway/src/gatewayLimits.ts
+++ b/packages/gateway/src/gatewayLimits.ts
@@ -1,25 +1,18 @@
 /**
- * The limits on the clients of a gateway, with their metrics and log lines.
+ * The limits on the clients of a gateway, with gauges of what they hold.
  */
-import { collectGarbage } from '@fuchsiahitch/intake';
-import { ClientLimits, hostBudget, type MachineLimits } from '@fuchsiahitch/limits';
+import { createProcessLimits } from '@fuchsiahitch/intake';
+import { hostBudget, type ClientLimits, type MachineLimits } from '@fuchsiahitch/limits';
 import type { GatewayContext } from './gatewayContext.js';
 
 /** `idleTimeoutMs` is how long a client may pause within a body. */
 export function createClientLimits(
-  { clock, metrics, log }: GatewayContext,
+  context: GatewayContext,
   machine: MachineLimits,
   idleTimeoutMs: () => number,
 ): ClientLimits {
-  const limits = new ClientLimits({
-    clock,
-    budget: hostBudget(machine),
-    idleTimeoutMs,
-    collectGarbage,
-    nextTurn: run => setImmediate(run),
-    count: limit => metrics.clientRefusals.inc({ limit }),
-    write: line => log.warn('client refused by a limit', { ...line }),
-  });
+  const { metrics } = context;
+  const limits = createProcessLimits(context, hostBudget(machine), idleTimeoutMs);
   metrics.gauge('fuchsiahitch_body_bytes', 'Memory reserved for the bodies of requests', () =>
     limits.bodies.reservedBytes(),
   );
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -11,11 +11,6 @@
   readonly requests = this.counter('fuchsiahitch_forwarded_requests_total', 'Requests by outcome', [
     'outcome',
   ]);
-  readonly clientRefusals = this.counter(
-    'fuchsiahitch_client_refusals_total',
-    'Requests and connections of clients that were refused or closed, by limit',
-    ['limit'],
-  );
   readonly attempts = this.counter('fuchsiahitch_attempts_total', 'Sends to endpoints by end', [
     'kind',
     'end',
--- a/packages/intake/src/requestBody.ts
+++ b/packages/intake/src/requestBody.ts
@@ -127,8 +127,10 @@
   private _finish(result: BodyResult): void {
     if (this._result !== undefined) return;
     this._result = result;
-    if (typeof result === 'string') this.release();
-    if (typeof result === 'string') this._body.drop();
+    if (typeof result === 'string') {
+      this.release();
+      this._body.drop();
+    }
     // The body may have become complete in the read after which its connection was paused.
     this._resume();
     this._settled?.(result);
--- a/packages/intake/src/serverConnections.ts
+++ b/packages/intake/src/serverConnections.ts
@@ -1,38 +1,20 @@
 /**
- * Bounds the connections of a server. A new connection takes the place of the one that has been idle for longest.
+ * The connections of HTTP servers, within one limit. A new connection takes the place of the one that has been idle for
+ * longest.
  */
 import type http from 'node:http';
 import type net from 'node:net';
-import { ConnectionLimit, type ConnectionLimitOptions, type LimitedConnection } from '@fuchsiahitch/limits';
+import { ConnectionLimit, type ConnectionLimitOptions } from '@fuchsiahitch/limits';
+import { SocketConnection } from './socketConnection.js';
 
-/** A connection about which nothing but its socket is known. */
-export class SocketConnection implements LimitedConnection {
-  private readonly _socket: net.Socket;
+export class ServerConnections<T extends SocketConnection = SocketConnection> {
+  private readonly _limit: ConnectionLimit<T>;
+  private readonly _create: (socket: net.Socket) => T;
+  private readonly _bySocket = new Map<net.Socket, T>();
 
-  constructor(socket: net.Socket) {
-    this._socket = socket;
-  }
-
-  get address(): string {
-    return this._socket.remoteAddress ?? '';
-  }
-
-  receivedBytes(): number {
-    return this._socket.bytesRead;
-  }
-
-  close(): void {
-    this._socket.destroy();
-  }
-}
-
-/** The connections of HTTP servers that share one limit. */
-export class ServerConnections {
-  private readonly _limit: ConnectionLimit<SocketConnection>;
-  private readonly _bySocket = new Map<net.Socket, SocketConnection>();
-
-  constructor(options: ConnectionLimitOptions<SocketConnection>) {
+  constructor(options: ConnectionLimitOptions<T>, create: (socket: net.Socket) => T) {
     this._limit = new ConnectionLimit(options);
+    this._create = create;
   }
 
   /** Must be called before the server listens. */
@@ -41,8 +23,13 @@
     server.on('request', (request, response) => this._receive(request, response));
   }
 
+  /** The connection of a request; undefined if it was closed meanwhile. */
+  of({ socket }: http.IncomingMessage): T | undefined {
+    return this._bySocket.get(socket);
+  }
+
   private _accept(socket: net.Socket): void {
-    const connection = new SocketConnection(socket);
+    const connection = this._create(socket);
     this._bySocket.set(socket, connection);
     socket.once('close', () => {
       this._bySocket.delete(socket);
@@ -51,8 +38,8 @@
     this._limit.add(connection);
   }
 
-  private _receive({ socket }: http.IncomingMessage, response: http.ServerResponse): void {
-    const connection = this._bySocket.get(socket);
+  private _receive(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const connection = this.of(request);
     if (!connection) return;
     this._limit.requestBegan(connection);
     response.once('close', () => this._limit.requestEnded(connection));
--- a/packages/limits/src/answerBudget.ts
+++ b/packages/limits/src/answerBudget.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock } from '@fuchsiahitch/base';
 import type { GarbageLimit } from './garbageLimit.js';
+import { RepeatedCheck } from './repeatedCheck.js';
 
 /** Answers up to this size never wait: many of them fit, and waiting would cost more than they hold. */
 const SMALL_ANSWER_BYTES = 65_536;
@@ -34,12 +35,13 @@
   private readonly _waiting = new Set<Waiting>();
   private _heldBytes = 0;
   private _unreadBytes = 0;
-  private _isScheduled = false;
+  private readonly _check: RepeatedCheck;
 
   constructor(clock: Clock, totalBytes: number, garbage: GarbageLimit) {
     this._clock = clock;
     this._garbage = garbage;
     this._totalBytes = totalBytes;
+    this._check = new RepeatedCheck(clock, CHECK_INTERVAL_MS, () => this._closeUnread());
   }
 
   heldBytes(): number {
@@ -99,8 +101,7 @@
         this._waiting.delete(waiting);
         proceed();
       });
-      this._closeUnread();
-      this._schedule();
+      if (this._closeUnread()) this._check.schedule();
     });
   }
 
@@ -122,24 +123,15 @@
     }
   }
 
-  private _schedule(): void {
-    if (this._isScheduled || this._waiting.size === 0) return;
-    this._isScheduled = true;
-    this._clock.after(CHECK_INTERVAL_MS, () => {
-      this._isScheduled = false;
-      this._closeUnread();
-      this._schedule();
-    });
-  }
-
-  /** Closes clients that don't read, the longest first, while others wait. */
-  private _closeUnread(): void {
+  /** Closes clients that don't read, the longest first, while others wait. Returns true if some still wait. */
+  private _closeUnread(): boolean {
     const beforeMs = this._clock.nowMs() - UNREAD_MS;
     for (const [answer, { sinceMs, close }] of this._unread) {
-      if (this._waiting.size === 0 || sinceMs > beforeMs) return;
+      if (this._waiting.size === 0 || sinceMs > beforeMs) break;
       this.release(answer);
       close();
     }
+    return this._waiting.size > 0;
   }
 }
 
--- a/packages/limits/src/bodyBudget.ts
+++ b/packages/limits/src/bodyBudget.ts
@@ -6,6 +6,7 @@
  * that clients that announce and then send nothing can't lock out the others. Part of the memory is kept for small bodies.
  */
 import type { Clock } from '@fuchsiahitch/base';
+import { RepeatedCheck } from './repeatedCheck.js';
 
 /** Bodies up to this size may use all of the memory. */
 export const SMALL_BODY_BYTES = 65_536;
@@ -35,27 +36,24 @@
   /** Bodies that are still being received, the one without progress for longest first. */
   private readonly _receiving = new Set<BodyReservation>();
   private _reservedBytes = 0;
-  private _isSweeping = false;
+  private readonly _sweep: RepeatedCheck;
 
   constructor(options: BodyBudgetOptions) {
     this._options = options;
+    this._sweep = new RepeatedCheck(options.clock, SWEEP_INTERVAL_MS, () => this._endIdle());
   }
 
   reservedBytes(): number {
     return this._reservedBytes;
   }
 
-  receiving(): number {
-    return this._receiving.size;
-  }
-
   /** Reserves memory for a body. Returns undefined if there is none. `end` is called at most once. */
   reserve(sizeBytes: number, end: (reason: BodyEnd) => void): BodyReservation | undefined {
     const { clock } = this._options;
     const reservation = new BodyReservation(this, clock.nowMs(), end);
     if (!this.resize(reservation, sizeBytes)) return undefined;
     this._receiving.add(reservation);
-    this._scheduleSweep();
+    this._sweep.schedule();
     return reservation;
   }
 
@@ -114,20 +112,12 @@
     reservation.end(reason);
   }
 
-  private _scheduleSweep(): void {
-    if (this._isSweeping) return;
-    this._isSweeping = true;
-    this._options.clock.after(SWEEP_INTERVAL_MS, () => {
-      this._isSweeping = false;
-      this._endIdle();
-      if (this._receiving.size > 0) this._scheduleSweep();
-    });
-  }
-
-  private _endIdle(): void {
+  /** Returns true while there are bodies that may become idle. */
+  private _endIdle(): boolean {
     const idleBeforeMs = this._options.clock.nowMs() - this._options.idleTimeoutMs();
     for (const reservation of [...this._receiving])
       if (reservation.lastByteMs < idleBeforeMs) this._end(reservation, 'timeout');
+    return this._receiving.size > 0;
   }
 }
 
--- a/packages/limits/src/clientLimits.ts
+++ b/packages/limits/src/clientLimits.ts
@@ -4,12 +4,18 @@
 import type { Clock } from '@fuchsiahitch/base';
 import { AnswerBudget } from './answerBudget.js';
 import { BodyBudget } from './bodyBudget.js';
+import type { ConnectionEnd, ConnectionLimitOptions } from './connectionLimit.js';
 import { GarbageLimit, type CollectGarbage } from './garbageLimit.js';
 import type { HostBudget } from './hostBudget.js';
 import { LimitReport, type ClientLimit, type LimitLine } from './limitReport.js';
 import { ReadTurns } from './readTurns.js';
 import { RequestLimit } from './requestLimit.js';
 
+const LIMIT_OF_END: Readonly<Record<ConnectionEnd, ClientLimit>> = {
+  connections: 'connections',
+  heads: 'head-memory',
+};
+
 export interface ClientLimitsOptions {
   readonly clock: Clock;
   readonly budget: HostBudget;
@@ -30,6 +36,7 @@
   readonly turns: ReadTurns;
   readonly requests: RequestLimit;
   readonly report: LimitReport;
+  private readonly _clock: Clock;
 
   constructor(options: ClientLimitsOptions) {
     const { clock, budget, idleTimeoutMs } = options;
@@ -40,5 +47,16 @@
     this.turns = new ReadTurns(options.nextTurn);
     this.requests = new RequestLimit(budget.callerRequests);
     this.report = new LimitReport(clock, options.count, options.write);
+    this._clock = clock;
+  }
+
+  /** The limit on the connections of a listener for callers. */
+  connections<T extends { readonly address: string }>(maxConnections: number): ConnectionLimitOptions<T> {
+    return {
+      clock: this._clock,
+      maxConnections,
+      maxHeadBytes: this.budget.connectionsBytes,
+      closed: (reason, { address }) => this.report.refused(LIMIT_OF_END[reason], address),
+    };
   }
 }
--- a/packages/limits/src/connectionLimit.ts
+++ b/packages/limits/src/connectionLimit.ts
@@ -3,6 +3,7 @@
  * has been without a request for longest: a client that opens connections and sends nothing can't keep out the others.
  */
 import type { Clock } from '@fuchsiahitch/base';
+import { RepeatedCheck } from './repeatedCheck.js';
 
 export interface LimitedConnection {
   /** Bytes received since the connection was opened. */
@@ -37,14 +38,14 @@
   /** The connection without a request for longest first. */
   private readonly _connections = new Map<T, ConnectionState>();
   private _addedSinceSweep = 0;
-  private _isScheduled = false;
+  private readonly _check: RepeatedCheck;
 
   constructor(options: ConnectionLimitOptions<T>) {
     this._options = options;
-  }
-
-  size(): number {
-    return this._connections.size;
+    this._check = new RepeatedCheck(options.clock, SWEEP_INTERVAL_MS, () => {
+      this._sweep();
+      return this._connections.size > 0;
+    });
   }
 
   add(connection: T): void {
@@ -52,7 +53,7 @@
     if (this._connections.size > this._options.maxConnections) this._closeOne();
     this._addedSinceSweep += 1;
     if (this._addedSinceSweep >= SWEEP_CONNECTIONS) this._sweep();
-    this._schedule();
+    this._check.schedule();
   }
 
   remove(connection: T): void {
@@ -83,16 +84,6 @@
     if (newest) this._close(newest, 'connections');
   }
 
-  private _schedule(): void {
-    if (this._isScheduled) return;
-    this._isScheduled = true;
-    this._options.clock.after(SWEEP_INTERVAL_MS, () => {
-      this._isScheduled = false;
-      this._sweep();
-      if (this._connections.size > 0) this._schedule();
-    });
-  }
-
   /** Closes the oldest unfinished heads while all of them together take too much. */
   private _sweep(): void {
     this._addedSinceSweep = 0;
--- a/packages/limits/src/limitReport.ts
+++ b/packages/limits/src/limitReport.ts
@@ -46,17 +46,21 @@
       pending.client = client;
       return;
     }
-    this._write({ limit, refusals: 1, client });
-    this._pending.set(limit, { refusals: 0, client });
-    this._clock.after(LINE_INTERVAL_MS, () => this._flush(limit));
+    this._writeLine({ limit, refusals: 1, client });
   }
 
   private _flush(limit: ClientLimit): void {
     const pending = this._pending.get(limit);
     this._pending.delete(limit);
     if (!pending || pending.refusals === 0) return;
-    this._write({ limit, refusals: pending.refusals, client: pending.client });
-    this._pending.set(limit, { refusals: 0, client: pending.client });
+    this._writeLine({ limit, refusals: pending.refusals, client: pending.client });
+  }
+
+  /** Writes a line, and gathers the refusals until the next one. */
+  private _writeLine(line: LimitLine): void {
+    const { limit, client } = line;
+    this._write(line);
+    this._pending.set(limit, { refusals: 0, client });
     this._clock.after(LINE_INTERVAL_MS, () => this._flush(limit));
   }
 }
--- a/packages/limits/src/readTurns.ts
+++ b/packages/limits/src/readTurns.ts
@@ -1,7 +1,7 @@
 /**
  * Bounds the work of one turn of the event loop that bodies in very small chunks cause: each chunk is parsed and delivered
- * by itself, so that a few clients could keep the host from renewing its leases. Such bodies are read one after the other,
- * one read a turn; all others are read as they arrive.
+ * by itself, so that a few clients could keep the host from renewing its leases. The connections of such bodies are paused
+ * after each read and resumed one a turn. A reader that resumes by itself is still read at most once a turn.
  */
 
 /** The connection that a body arrives on. */
@@ -27,15 +27,11 @@
     this._reader = reader;
   }
 
-  isSlow(): boolean {
-    return this._chunks >= MIN_CHUNKS && this._bytes < this._chunks * SMALL_CHUNK_BYTES;
-  }
-
   /** Returns true if the body must wait for its turn from now on. */
   read(bytes: number): boolean {
     this._chunks += 1;
     this._bytes += bytes;
-    if (this._isWaiting || this._isDone || !this.isSlow()) return false;
+    if (this._isWaiting || this._isDone || !this._isSlow()) return false;
     this._isWaiting = true;
     this._reader.pause();
     return true;
@@ -51,6 +47,10 @@
     this._isDone = true;
     this.resume();
   }
+
+  private _isSlow(): boolean {
+    return this._chunks >= MIN_CHUNKS && this._bytes < this._chunks * SMALL_CHUNK_BYTES;
+  }
 }
 
 export class ReadTurns {
--- a/packages/listener/src/listener.ts
+++ b/packages/listener/src/listener.ts
@@ -6,8 +6,8 @@
 import { Module, type DynamicModule, type Provider, type Type } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
-import { splitAddress, type Clock } from '@fuchsiahitch/base';
-import { ServerConnections } from '@fuchsiahitch/intake';
+import { splitAddress } from '@fuchsiahitch/base';
+import { ServerConnections, SocketConnection } from '@fuchsiahitch/intake';
 import type { ClientLimits } from '@fuchsiahitch/limits';
 import { BodyParser } from './bodyParser.js';
 
@@ -29,7 +29,6 @@
 
 export interface ListenerOptions extends ApplicationOptions {
   readonly address: string;
-  readonly clock: Clock;
   readonly clientLimits: ClientLimits;
   readonly maxConnections: number;
 }
@@ -113,19 +112,9 @@
   });
 }
 
-function limitConnections(
-  server: http.Server,
-  { clientLimits, clock, maxConnections }: ListenerOptions,
-): void {
-  const { budget, report } = clientLimits;
-  const connections = new ServerConnections({
-    clock,
-    maxConnections,
-    maxHeadBytes: budget.connectionsBytes,
-    closed: (reason, { address }) =>
-      report.refused(reason === 'heads' ? 'head-memory' : 'connections', address),
-  });
-  connections.watch(server);
+function limitConnections(server: http.Server, { clientLimits, maxConnections }: ListenerOptions): void {
+  const options = clientLimits.connections<SocketConnection>(maxConnections);
+  new ServerConnections(options, socket => new SocketConnection(socket)).watch(server);
 }
 
 function requireToken(adapter: FastifyAdapter, token: string): void {
--- a/packages/listener/src/statusServer.ts
+++ b/packages/listener/src/statusServer.ts
@@ -6,7 +6,8 @@
  */
 import http from 'node:http';
 import { listenAt, messageOf, type Clock } from '@fuchsiahitch/base';
-import { ServerConnections } from '@fuchsiahitch/intake';
+import { ServerConnections, SocketConnection } from '@fuchsiahitch/intake';
+import type { ConnectionEnd } from '@fuchsiahitch/limits';
 import type { Logger } from '@fuchsiahitch/telemetry';
 import type { Registry } from 'prom-client';
 import type { RequestHandler } from './listener.js';
@@ -48,12 +49,13 @@
 
   constructor(status: ProcessStatus) {
     this._status = status;
-    this._connections = new ServerConnections({
+    const limit = {
       clock: status.clock,
       maxConnections: status.maxConnections,
       maxHeadBytes: MAX_HEAD_BYTES,
-      closed: (_reason, { address }) => status.closedForOthers(address),
-    });
+      closed: (_reason: ConnectionEnd, { address }: SocketConnection) => status.closedForOthers(address),
+    };
+    this._connections = new ServerConnections(limit, socket => new SocketConnection(socket));
   }
 
   /** Listens at another address and resolves with the bound address, including the port chosen for port 0. */
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -3,7 +3,8 @@
  */
 import net from 'node:net';
 import { messageOf, listenAt, type Clock } from '@fuchsiahitch/base';
-import { ConnectionLimit, type LimitedConnection } from '@fuchsiahitch/limits';
+import { SocketConnection } from '@fuchsiahitch/intake';
+import { ConnectionLimit } from '@fuchsiahitch/limits';
 import type { CallDefinition, Envelope, PeerIdentity } from './channel.js';
 import { challengeSchema, envelopeSchema, helloSchema } from './envelope.js';
 import { encodeFrame, FrameReader, MAX_FRAME_BYTES, MAX_HELLO_BYTES } from './frameCodec.js';
@@ -45,7 +46,7 @@
   private readonly _handlers = new Map<string, Handler>();
   private readonly _server: net.Server;
   private readonly _sockets = new Set<net.Socket>();
-  private readonly _unauthenticated: ConnectionLimit<UnauthenticatedSocket>;
+  private readonly _unauthenticated: ConnectionLimit<SocketConnection>;
 
   constructor(options: PeerServerOptions) {
     this._options = options;
@@ -88,7 +89,7 @@
     socket.setNoDelay(true);
     const nonce = newNonce();
     const reader = new FrameReader(MAX_HELLO_BYTES);
-    const unauthenticated = new UnauthenticatedSocket(socket);
+    const unauthenticated = new SocketConnection(socket);
     const authenticated = (): void => this._unauthenticated.remove(unauthenticated);
     const connection = new ServerConnection(
       socket,
@@ -111,23 +112,6 @@
   }
 }
 
-/** A connection before its handshake. */
-class UnauthenticatedSocket implements LimitedConnection {
-  private readonly _socket: net.Socket;
-
-  constructor(socket: net.Socket) {
-    this._socket = socket;
-  }
-
-  receivedBytes(): number {
-    return this._socket.bytesRead;
-  }
-
-  close(): void {
-    this._socket.destroy();
-  }
-}
-
 /** An accepted connection: the handshake, then calls. */
 class ServerConnection {
   private readonly _socket: net.Socket;
--- a/packages/telemetry/src/metricsRegistry.ts
+++ b/packages/telemetry/src/metricsRegistry.ts
@@ -14,6 +14,17 @@
     'direction',
   ]);
 
+  private readonly _clientRefusals = this.counter(
+    'fuchsiahitch_client_refusals_total',
+    'Requests and connections of clients that were refused or closed, by limit',
+    ['limit'],
+  );
+
+  /** Counts a request or connection of a client that a limit refused or closed. */
+  clientRefused(limit: string): void {
+    this._clientRefusals.inc({ limit });
+  }
+
   /** Counts a refusal on the peer protocol. */
   refused(reason: string): void {
     this._peerRefusals.inc({ reason });
