Close a connection that goes on after a refusal

Cause: when too many requests are in process, the first request of a connection is refused with Connection: close. The others of the same read were refused too, one after the other, and stayed behind the first answer until the connection ended 2 s later: some 18,000 requests with their bodies, signals and answers. Change: a connection that goes on after a refusal is closed at once, and what is still parsed of its read isn't taken in. Open: a read of 64 KB is parsed whole.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -90,7 +90,8 @@
   private async _receive(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     this._applyLimits();
     const connection = this._connections.of(request);
-    if (!connection) return;
+    // A read is parsed to its end after its connection was closed: its other requests must not cost more than that.
+    if (!connection || request.socket.destroyed) return;
     const { maxBodyBytes } = this._options.limits() ?? DEFAULT_CALLER_LIMITS;
     const body = new RequestBody(request, this._options.clientLimits, maxBodyBytes);
     await connection.received(request, response, body);
--- a/packages/limits/src/requestLimit.ts
+++ b/packages/limits/src/requestLimit.ts
@@ -12,9 +12,9 @@
 export type RequestDecision =
   | 'run'
   | 'wait'
-  /** There are too many requests: refuse it. */
+  /** There are too many requests: refuse it, and close the connection after the answer. */
   | 'refuse'
-  /** There are too many requests, and others of this connection are not answered yet: close it. */
+  /** There are too many requests, and another of this connection is not answered yet or was refused: close it. */
   | 'close';
 
 export class RequestLimit {
@@ -43,6 +43,7 @@
   private readonly _limit: RequestLimit;
   private readonly _waiting: T[] = [];
   private _running = 0;
+  private _isRefused = false;
 
   constructor(limit: RequestLimit) {
     this._limit = limit;
@@ -54,8 +55,10 @@
   }
 
   arrived(request: T): RequestDecision {
+    if (this._isRefused) return 'close';
     const isAlone = this._running === 0 && this._waiting.length === 0;
-    if (this._limit.isFull()) return isAlone ? 'refuse' : 'close';
+    this._isRefused = this._limit.isFull();
+    if (this._isRefused) return isAlone ? 'refuse' : 'close';
     this._limit.changed(1);
     if (this._running < MAX_RUNNING) {
       this._running += 1;
--- a/tests/clientLimits.spec.ts
+++ b/tests/clientLimits.spec.ts
@@ -232,6 +232,18 @@
   },
 );
 
+await tap.test('should close a connection that goes on after a refusal', t => {
+  // Guards against requests that are held behind a refusal whose answer ends their connection.
+  const limit = new RequestLimit(1);
+  limit.changed(1);
+  const refused = new ConnectionRequests<number>(limit);
+  t.equal(refused.arrived(1), 'refuse');
+  limit.changed(-1);
+  t.equal(refused.arrived(2), 'close');
+  t.equal(limit.requests(), 0);
+  t.end();
+});
+
 await tap.test('should read answers one after the other while clients do not read theirs', async t => {
   // Guards against answers that are held for all clients that asked at once.
   const clock = new VirtualClock();
