Drop answers that can't be held, and copy answers into one buffer

Cause: an answer that waits for memory isn't free: its connection has read two times 64 KB of it. 300 of them took 38 MB that no part of the budget had. An answer that is read was held twice, as chunks and as their concatenation. Change: a part of the budget for the beginnings of waiting answers; more than fit are dropped with 502, which promises nothing, and aren't sent to another endpoint. Answers up to 64 KB never wait. An answer of known length is copied into one buffer as it arrives. The shares of answers and requests give up what the new part takes.

--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -56,13 +56,15 @@
   | { readonly kind: 'denied' }
   /** The request itself is at fault and must not be retried. */
   | { readonly kind: 'rejected'; readonly reason: string }
-  | { readonly kind: 'unknown'; readonly reason: 'broken' | 'late' }
+  | { readonly kind: 'unknown'; readonly reason: 'broken' | 'late' | 'dropped' }
   | { readonly kind: 'caller-left' };
 
 export type RequestAttemptEnd =
   | { readonly kind: 'answered'; readonly answer: CompleteAnswer; readonly isFailure: boolean }
   | ({ readonly kind: 'not-run'; readonly reason: NotRunReason } & AnswerOrigin)
   | ({ readonly kind: 'broken'; readonly text: string } & AnswerOrigin)
+  /** The endpoint has answered, and there is no memory for its answer. */
+  | { readonly kind: 'dropped' }
   | { readonly kind: 'cancelled' };
 
 /** Details of an attempt for its log message. */
--- a/packages/gateway/src/forwardedRequest.ts
+++ b/packages/gateway/src/forwardedRequest.ts
@@ -137,6 +137,8 @@
     if (end.kind === 'answered' && end.isFailure) this._failureCount += 1;
     if (end.kind === 'answered' && !(end.isFailure && isRetryable)) return this._toAnswered(end.answer);
     if (end.kind === 'answered') this._failureAnswer = end.answer;
+    // Another endpoint's answer would not be held either.
+    if (end.kind === 'dropped') return { kind: 'unknown', reason: 'dropped' };
     if (end.kind !== 'not-run') this._mayHaveRun = true;
     else if (isUnsent(end.reason)) this._unconnectedCount += 1;
     if (end.kind === 'not-run' || isRetryable) this._startAttempt();
--- a/packages/gateway/src/forwarder.ts
+++ b/packages/gateway/src/forwarder.ts
@@ -13,7 +13,7 @@
   type PickRequest,
   type PoisonVerdict,
 } from '@fuchsiahitch/requests';
-import type { AnswerBudget } from '@fuchsiahitch/limits';
+import { AnswerBuffer, type AnswerBudget } from '@fuchsiahitch/limits';
 import type { MeteredRequest } from '@fuchsiahitch/metering';
 import type { Route } from '@fuchsiahitch/rules';
 import { otherAnsweredId, reasonOf } from './attemptReason.js';
@@ -334,16 +334,17 @@
   ): Promise<RequestAttemptEnd> {
     recordAnswer(endpoint, answer);
     const held = this._answers.read();
-    const chunks: Buffer[] = [];
+    const buffer = new AnswerBuffer(answer.announcedBytes);
     let body: Buffer;
     try {
-      await held.begin(answer.announcedBytes, signal);
+      if (!(await held.begin(answer.announcedBytes, signal))) return { kind: 'dropped' };
       for await (const chunk of answer.body) {
-        chunks.push(chunk);
-        if (!(await held.add(chunk.length, signal)))
-          return { kind: 'broken', text: 'the answer is too long to be buffered' };
+        buffer.add(chunk);
+        const decision = await held.add(chunk.length, signal);
+        if (decision === 'drop') return { kind: 'dropped' };
+        if (decision === 'too-long') return { kind: 'broken', text: 'the answer is too long to be buffered' };
       }
-      body = Buffer.concat(chunks);
+      body = buffer.whole();
     } catch (thrown) {
       if (signal.aborted) return { kind: 'cancelled' };
       // A truncated answer is discarded: whether the request ran is unknown.
--- a/packages/gateway/src/httpExchange.ts
+++ b/packages/gateway/src/httpExchange.ts
@@ -115,7 +115,8 @@
     if (hasBody(status)) allPairs.push(['Content-Length', String(body.length)]);
     this.response.writeHead(status, [...this.headers(allPairs)]);
     if (body.length > 0) {
-      const held = this._answers.deliver(body.length, () => this.response.destroy());
+      const reader = { address: this.clientAddress(), close: () => this.response.destroy() };
+      const held = this._answers.deliver(body.length, reader);
       this.response.once('close', () => held.release());
     }
     this.response.end(body);
--- a/packages/limits/src/answerBudget.ts
+++ b/packages/limits/src/answerBudget.ts
@@ -3,6 +3,7 @@
  *
  * An answer counts from the first byte that an endpoint sent until the client has taken the last one. When there is no
  * room, clients that have not read their answer for a while are closed, and answers of endpoints are read on one at a time.
+ * Some answers wait meanwhile; further ones are dropped, since the connection of each holds its beginning.
  */
 import type { Clock } from '@fuchsiahitch/base';
 import type { GarbageLimit } from './garbageLimit.js';
@@ -24,24 +25,42 @@
   readonly proceed: () => void;
 }
 
+/** What to do with a chunk of an answer. `drop`: there is no memory for it. `too-long`: no answer of this length is held. */
+export type ChunkDecision = 'hold' | 'drop' | 'too-long';
+
+/** A client to whom an answer is delivered. */
+export interface AnswerReader {
+  readonly address: string;
+  close(): void;
+}
+
+export interface AnswerBudgetOptions {
+  readonly clock: Clock;
+  readonly totalBytes: number;
+  /** How many answers may wait for memory. */
+  readonly maxWaiting: number;
+  readonly garbage: GarbageLimit;
+  /** Told the address of a client that was closed because it did not read its answer. */
+  readonly closed: (address: string) => void;
+}
+
 export class AnswerBudget {
-  private readonly _clock: Clock;
-  private readonly _totalBytes: number;
-  private readonly _garbage: GarbageLimit;
+  private readonly _options: AnswerBudgetOptions;
   /** Answers of endpoints that are being read, the oldest first. */
   private readonly _reading = new Set<HeldAnswer>();
   /** Answers that are being delivered, the oldest first. */
-  private readonly _unread = new Map<HeldAnswer, { readonly sinceMs: number; readonly close: () => void }>();
+  private readonly _unread = new Map<
+    HeldAnswer,
+    { readonly sinceMs: number; readonly reader: AnswerReader }
+  >();
   private readonly _waiting = new Set<Waiting>();
   private _heldBytes = 0;
   private _unreadBytes = 0;
   private readonly _check: RepeatedCheck;
 
-  constructor(clock: Clock, totalBytes: number, garbage: GarbageLimit) {
-    this._clock = clock;
-    this._garbage = garbage;
-    this._totalBytes = totalBytes;
-    this._check = new RepeatedCheck(clock, CHECK_INTERVAL_MS, () => this._closeUnread());
+  constructor(options: AnswerBudgetOptions) {
+    this._options = options;
+    this._check = new RepeatedCheck(options.clock, CHECK_INTERVAL_MS, () => this._closeUnread());
   }
 
   heldBytes(): number {
@@ -55,10 +74,10 @@
     return answer;
   }
 
-  /** Begins an answer to a client, who is disconnected by `close`. `release` must be called when it has left. */
-  deliver(bytes: number, close: () => void): HeldAnswer {
+  /** Begins an answer to a client. `release` must be called when it has left. */
+  deliver(bytes: number, reader: AnswerReader): HeldAnswer {
     const answer = new HeldAnswer(this);
-    this._unread.set(answer, { sinceMs: this._clock.nowMs(), close });
+    this._unread.set(answer, { sinceMs: this._options.clock.nowMs(), reader });
     this._unreadBytes += bytes;
     this.reserveNow(answer, bytes);
     return answer;
@@ -71,15 +90,15 @@
     answer.sizeBytes = totalBytes;
     this._heldBytes += addedBytes;
     if (totalBytes <= SMALL_ANSWER_BYTES) return;
-    this._garbage.passed(addedBytes);
-    this._garbage.beforeAllocating(addedBytes);
+    this._options.garbage.passed(addedBytes);
+    this._options.garbage.beforeAllocating(addedBytes);
   }
 
   release(answer: HeldAnswer): void {
     this._reading.delete(answer);
     if (this._unread.delete(answer)) this._unreadBytes -= answer.sizeBytes;
     this._heldBytes -= answer.sizeBytes;
-    if (answer.sizeBytes > SMALL_ANSWER_BYTES) this._garbage.released(answer.sizeBytes);
+    if (answer.sizeBytes > SMALL_ANSWER_BYTES) this._options.garbage.released(answer.sizeBytes);
     answer.sizeBytes = 0;
     this._proceed();
   }
@@ -88,11 +107,18 @@
     return sizeBytes > ALWAYS_ALLOWED_BYTES && this._heldBytes > MAX_HELD_BYTES;
   }
 
-  /** Resolves when memory for an answer that is being read is reserved, or when the signal is aborted. */
-  async reserve(answer: HeldAnswer, totalBytes: number, signal: AbortSignal): Promise<void> {
+  /**
+   * Resolves when memory for an answer that is being read is reserved, or when the signal is aborted. Resolves with false
+   * at once if too many answers wait.
+   */
+  async reserve(answer: HeldAnswer, totalBytes: number, signal: AbortSignal): Promise<boolean> {
     if (this._hasRoom(answer, totalBytes) || signal.aborted) {
       this.reserveNow(answer, totalBytes);
-      return;
+      return true;
+    }
+    if (this._waiting.size >= this._options.maxWaiting) {
+      this._options.garbage.released(SMALL_ANSWER_BYTES);
+      return false;
     }
     await new Promise<void>(proceed => {
       const waiting = { answer, totalBytes, proceed };
@@ -103,6 +129,7 @@
       });
       if (this._closeUnread()) this._check.schedule();
     });
+    return true;
   }
 
   /** The oldest answer waits only for clients to read theirs: answers that are not whole would wait for each other. */
@@ -111,7 +138,7 @@
     const [oldest] = this._reading;
     if (answer === oldest && this._unreadBytes === 0) return true;
     const othersBytes = answer === oldest ? this._unreadBytes : this._heldBytes - answer.sizeBytes;
-    return othersBytes + totalBytes <= this._totalBytes;
+    return othersBytes + totalBytes <= this._options.totalBytes;
   }
 
   private _proceed(): void {
@@ -125,11 +152,13 @@
 
   /** Closes clients that don't read, the longest first, while others wait. Returns true if some still wait. */
   private _closeUnread(): boolean {
-    const beforeMs = this._clock.nowMs() - UNREAD_MS;
-    for (const [answer, { sinceMs, close }] of this._unread) {
+    const { clock, closed } = this._options;
+    const beforeMs = clock.nowMs() - UNREAD_MS;
+    for (const [answer, { sinceMs, reader }] of this._unread) {
       if (this._waiting.size === 0 || sinceMs > beforeMs) break;
       this.release(answer);
-      close();
+      closed(reader.address);
+      reader.close();
     }
     return this._waiting.size > 0;
   }
@@ -146,16 +175,18 @@
     this._budget = budget;
   }
 
-  /** Waits for room for the whole answer; for its beginning if its length is unknown. */
-  async begin(announcedBytes: number | undefined, signal: AbortSignal): Promise<void> {
-    await this._budget.reserve(this, announcedBytes ?? SMALL_ANSWER_BYTES + 1, signal);
+  /** Waits for room for the whole answer; for its beginning if its length is unknown. Returns false if it must be dropped. */
+  async begin(announcedBytes: number | undefined, signal: AbortSignal): Promise<boolean> {
+    return this._budget.reserve(this, announcedBytes ?? SMALL_ANSWER_BYTES + 1, signal);
   }
 
-  /** Waits for room for a chunk. Returns false if the answer is too long to be held. */
-  async add(bytes: number, signal: AbortSignal): Promise<boolean> {
+  /** Waits for room for a chunk. */
+  async add(bytes: number, signal: AbortSignal): Promise<ChunkDecision> {
     this._readBytes += bytes;
-    if (this._readBytes > this.sizeBytes) await this._budget.reserve(this, this._readBytes, signal);
-    return !this._budget.isTooLong(this);
+    const hasRoom =
+      this._readBytes <= this.sizeBytes || (await this._budget.reserve(this, this._readBytes, signal));
+    if (!hasRoom) return 'drop';
+    return this._budget.isTooLong(this) ? 'too-long' : 'hold';
   }
 
   /** Idempotent. */
--- /dev/null
+++ b/packages/limits/src/answerBuffer.ts
@@ -0,0 +1,27 @@
+/**
+ * Joins the chunks of an endpoint's answer. An answer of known length is copied into one buffer as it arrives: its chunks
+ * and their concatenation would take twice its size.
+ */
+import { BodyBuffer } from './bodyBuffer.js';
+
+/** An endpoint may announce any length; beyond this one, memory is taken as the answer arrives. */
+const MAX_ANNOUNCED_BYTES = 32 * 1024 * 1024;
+
+export class AnswerBuffer {
+  private readonly _buffer: BodyBuffer | undefined;
+  private readonly _chunks: Buffer[] = [];
+
+  constructor(announcedBytes: number | undefined) {
+    if (announcedBytes === undefined || announcedBytes > MAX_ANNOUNCED_BYTES) return;
+    this._buffer = new BodyBuffer(announcedBytes, announcedBytes);
+  }
+
+  add(chunk: Buffer): void {
+    if (this._buffer) this._buffer.add(chunk);
+    else this._chunks.push(chunk);
+  }
+
+  whole(): Buffer {
+    return this._buffer?.whole() ?? Buffer.concat(this._chunks);
+  }
+}
--- a/packages/limits/src/clientLimits.ts
+++ b/packages/limits/src/clientLimits.ts
@@ -43,10 +43,16 @@
     this.budget = budget;
     this.bodies = new BodyBudget({ clock, totalBytes: budget.bodiesBytes, idleTimeoutMs });
     this.garbage = new GarbageLimit(budget.garbageBytes, options.collectGarbage);
-    this.answers = new AnswerBudget(clock, budget.answersBytes, this.garbage);
     this.turns = new ReadTurns(options.nextTurn);
     this.requests = new RequestLimit(budget.callerRequests);
     this.report = new LimitReport(clock, options.count, options.write);
+    this.answers = new AnswerBudget({
+      clock,
+      totalBytes: budget.answersBytes,
+      maxWaiting: budget.waitingAnswers,
+      garbage: this.garbage,
+      closed: client => this.report.refused('answer-unread', client),
+    });
     this._clock = clock;
   }
 
--- a/packages/limits/src/hostBudget.ts
+++ b/packages/limits/src/hostBudget.ts
@@ -10,9 +10,10 @@
 const MIN_BODIES_BYTES = 36 * BYTES_PER_MB;
 const BODIES_SHARE = 0.4;
 /** Shares of what remains without the bodies. */
-const ANSWERS_SHARE = 0.25;
+const ANSWERS_SHARE = 0.2;
+const WAITING_ANSWERS_SHARE = 0.1;
 const CONNECTIONS_SHARE = 0.35;
-const REQUESTS_SHARE = 0.25;
+const REQUESTS_SHARE = 0.2;
 const GARBAGE_SHARE = 0.15;
 /** The least that a machine below the sum of the other parts still gives each part. */
 const MIN_REMAINDER_BYTES = 8 * BYTES_PER_MB;
@@ -20,6 +21,8 @@
 const CONNECTION_BYTES = 10_000;
 /** A request in process without its body. */
 const REQUEST_BYTES = 8000;
+/** What the connection to an endpoint has read of an answer that is not read on: two reads of 64 KB. */
+const WAITING_ANSWER_BYTES = 131_072;
 
 /** Descriptors of files, which include those of the runtime. */
 const FILE_DESCRIPTORS = 200;
@@ -45,6 +48,8 @@
   readonly bodiesBytes: number;
   /** Answers that wait for their caller to read them. */
   readonly answersBytes: number;
+  /** Answers of endpoints that wait for memory, of which only the beginning has been read. */
+  readonly waitingAnswers: number;
   readonly connectionsBytes: number;
   /** Buffers that are no longer used but not yet collected. */
   readonly garbageBytes: number;
@@ -70,6 +75,7 @@
     runtimeBytes,
     bodiesBytes,
     answersBytes: ANSWERS_SHARE * remainderBytes,
+    waitingAnswers: Math.floor((WAITING_ANSWERS_SHARE * remainderBytes) / WAITING_ANSWER_BYTES),
     connectionsBytes,
     garbageBytes: GARBAGE_SHARE * remainderBytes,
     callerConnections: Math.floor(Math.min(connectionsBytes / CONNECTION_BYTES, CALLERS_SHARE * descriptors)),
--- a/packages/limits/src/limitReport.ts
+++ b/packages/limits/src/limitReport.ts
@@ -13,6 +13,8 @@
   | 'head-memory'
   | 'connections'
   | 'requests'
+  | 'answer-memory'
+  | 'answer-unread'
   | 'batch-memory'
   | 'status-connections';
 
--- a/tests/clientLimits.spec.ts
+++ b/tests/clientLimits.spec.ts
@@ -5,6 +5,8 @@
 import { VirtualClock } from '@fuchsiahitch/base';
 import {
   AnswerBudget,
+  AnswerBuffer,
+  type AnswerReader,
   BodyBudget,
   BodyBuffer,
   ConnectionLimit,
@@ -30,8 +32,14 @@
   return new BodyBudget({ clock, totalBytes: TOTAL_BYTES, idleTimeoutMs: () => 15_000 });
 }
 
-function createAnswers(clock: VirtualClock, totalBytes: number): AnswerBudget {
-  return new AnswerBudget(clock, totalBytes, new GarbageLimit(Infinity, () => undefined));
+function createAnswers(clock: VirtualClock, totalBytes: number, maxWaiting = 2): AnswerBudget {
+  const garbage = new GarbageLimit(Infinity, () => undefined);
+  return new AnswerBudget({ clock, totalBytes, maxWaiting, garbage, closed: () => undefined });
+}
+
+/** A client that is closed by `close`. */
+function reader(close: () => void = () => undefined): AnswerReader {
+  return { address: '10.0.0.1', close };
 }
 
 await tap.test('should keep the sum of all parts below the memory of the machine', t => {
@@ -39,7 +47,8 @@
   for (const memoryMb of [160, 178, 200, 250, 350, 602, 4000]) {
     const budget = hostBudget({ memoryMb, maxDescriptors: 4100 });
     const requestsBytes = budget.callerRequests * 8000;
-    const parts = [budget.runtimeBytes, budget.bodiesBytes, budget.answersBytes, budget.connectionsBytes];
+    const answersBytes = budget.answersBytes + budget.waitingAnswers * 131_072;
+    const parts = [budget.runtimeBytes, budget.bodiesBytes, answersBytes, budget.connectionsBytes];
     const sumBytes = parts.reduce((sum, bytes) => sum + bytes, requestsBytes + budget.garbageBytes);
     t.ok(sumBytes <= memoryMb * MB, `${memoryMb} MB`);
     t.ok(budget.bodiesBytes * 0.95 >= FULL_BYTES, 'one body of full size fits');
@@ -249,7 +258,10 @@
   const clock = new VirtualClock();
   const answers = createAnswers(clock, 2 * MB);
   let closed = 0;
-  const unread = answers.deliver(1.5 * MB, () => (closed += 1));
+  const unread = answers.deliver(
+    1.5 * MB,
+    reader(() => (closed += 1)),
+  );
   const next = answers.read();
   let isRead = false;
   const begun = next.begin(MB, NEVER).then(() => (isRead = true));
@@ -268,7 +280,7 @@
 await tap.test('should stop waiting for room when the request is given up', async t => {
   const clock = new VirtualClock();
   const answers = createAnswers(clock, MB);
-  answers.deliver(MB, () => undefined);
+  answers.deliver(MB, reader());
   const left = new AbortController();
   const begun = answers.read().begin(MB, left.signal);
   left.abort();
@@ -276,6 +288,29 @@
   t.equal(answers.heldBytes(), MB);
 });
 
+await tap.test('should drop an answer when too many others wait for room', async t => {
+  // Guards against the beginnings of answers that wait on hundreds of connections.
+  const answers = createAnswers(new VirtualClock(), MB, 1);
+  answers.deliver(MB, reader());
+  const left = new AbortController();
+  const waiting = answers.read().begin(MB, left.signal);
+  t.equal(await answers.read().begin(MB, NEVER), false);
+  t.equal(await answers.read().begin(1000, NEVER), true, 'a small answer never waits');
+  left.abort();
+  t.equal(await waiting, true);
+});
+
+await tap.test('should join an answer of any announced length', t => {
+  // Guards against memory that is taken for a length that an endpoint only announces.
+  for (const announcedBytes of [undefined, 6, 10_000_000_000]) {
+    const buffer = new AnswerBuffer(announcedBytes);
+    buffer.add(Buffer.from('abc'));
+    buffer.add(Buffer.from('def'));
+    t.equal(buffer.whole().toString(), 'abcdef', `announced: ${announcedBytes ?? 'nothing'}`);
+  }
+  t.end();
+});
+
 await tap.test('should estimate what a JSON text becomes', t => {
   // Guards against batches that fit as a body and not as objects.
   t.equal(jsonCostBytes(Buffer.from('['.repeat(100))), 'too-deep');
--- a/tests/forwarder.spec.ts
+++ b/tests/forwarder.spec.ts
@@ -7,6 +7,7 @@
 import tap from 'tap';
 import { VirtualClock } from '@fuchsiahitch/base';
 import { EndpointDirectory, Forwarder, type CallerRequest, type EndpointReply } from '@fuchsiahitch/gateway';
+import { AnswerBudget, GarbageLimit } from '@fuchsiahitch/limits';
 import { BoundedWriter, Tracing } from '@fuchsiahitch/telemetry';
 import { FakeStore } from './fakeStore.js';
 import {
@@ -29,7 +30,7 @@
   readonly stop: AbortController;
 }
 
-async function forwarding(tracing?: Tracing): Promise<Forwarding> {
+async function forwarding(tracing?: Tracing, answers?: AnswerBudget): Promise<Forwarding> {
   const clock = new VirtualClock();
   const store = new FakeStore(clock);
   const context = testContext(clock);
@@ -46,8 +47,8 @@
   const client = new ScriptedClient(clock);
   const traced = tracing ? { ...context, tracing } : context;
   const poison = singleHostPoisonGuard(context, store.client(), client);
-  const { answers } = testClientLimits(clock);
-  const forwarder = new Forwarder(traced, endpoints, client, poison, answers);
+  const budget = answers ?? testClientLimits(clock).answers;
+  const forwarder = new Forwarder(traced, endpoints, client, poison, budget);
   return { clock, client, forwarder, stop: context.stop };
 }
 
@@ -115,6 +116,26 @@
   stop.abort();
 });
 
+await tap.test('should not retry a request whose answer is dropped for lack of memory', async t => {
+  // Guards against sending a request to every endpoint while no answer can be held.
+  const garbage = new GarbageLimit(Infinity, () => undefined);
+  const options = {
+    clock: new VirtualClock(),
+    totalBytes: 0,
+    maxWaiting: 0,
+    garbage,
+    closed: () => undefined,
+  };
+  const budget = new AnswerBudget(options);
+  budget.deliver(1, { address: '', close: () => undefined });
+  const { client, forwarder, stop } = await forwarding(undefined, budget);
+  const large = { kind: 'answered', answer: answer(200, 'whole', { announcedBytes: 1_000_000 }) } as const;
+  client.reply = replySequence(large);
+  t.same(await forwarder.forward(REQUEST, IDEMPOTENT, NEVER_ABORTED), { kind: 'unknown', reason: 'dropped' });
+  t.equal(client.sends.length, 1);
+  stop.abort();
+});
+
 await tap.test('should report "not run" only with proof from every endpoint', async t => {
   const { client, forwarder, stop } = await forwarding();
   client.reply = replySequence(REFUSED);
