Close streams that their callers don't read on when memory is used up

Cause: a stream is read only as fast as its caller reads it, but its two connections hold some 260 KB meanwhile. Nothing summed that up. Change: a stream that stalls counts in the memory of answers. When that is used up, the one that has stalled for longest is closed.

--- a/packages/gateway/src/httpExchange.ts
+++ b/packages/gateway/src/httpExchange.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@fuchsiahitch/base';
 import { toHeaderPairs, headerValue } from '@fuchsiahitch/clients';
 import { lingerAtClose, type RequestBody } from '@fuchsiahitch/intake';
-import type { AnswerBudget } from '@fuchsiahitch/limits';
+import type { AnswerBudget, AnswerReader } from '@fuchsiahitch/limits';
 import type { IncomingRequest } from './callerConnection.js';
 import type { HeaderPair } from './ports.js';
 import { StreamReply } from './streamReply.js';
@@ -106,7 +106,11 @@
   }
 
   streamReply(): StreamReply {
-    return new StreamReply(this.response, pairs => this.headers(pairs));
+    return new StreamReply(
+      this.response,
+      pairs => this.headers(pairs),
+      () => this._answers.stall(this._reader()),
+    );
   }
 
   answer(status: number, pairs: readonly HeaderPair[] = [], body: Buffer = Buffer.alloc(0)): void {
@@ -115,8 +119,7 @@
     if (hasBody(status)) allPairs.push(['Content-Length', String(body.length)]);
     this.response.writeHead(status, [...this.headers(allPairs)]);
     if (body.length > 0) {
-      const reader = { address: this.clientAddress(), close: () => this.response.destroy() };
-      const held = this._answers.deliver(body.length, reader);
+      const held = this._answers.deliver(body.length, this._reader());
       this.response.once('close', () => held.release());
     }
     this.response.end(body);
@@ -125,6 +128,10 @@
   answerJson(text: string): void {
     this.answer(FIRST_SUCCESS_STATUS, [['Content-Type', 'application/json']], Buffer.from(text));
   }
+
+  private _reader(): AnswerReader {
+    return { address: this.clientAddress(), close: () => this.response.destroy() };
+  }
 }
 
 function hasBody(status: number): boolean {
--- a/packages/limits/src/answerBudget.ts
+++ b/packages/limits/src/answerBudget.ts
@@ -11,6 +11,8 @@
 
 /** Answers up to this size never wait: many of them fit, and waiting would cost more than they hold. */
 const SMALL_ANSWER_BYTES = 65_536;
+/** What a host holds of a stream that its client doesn't read on: chunks on both connections. */
+const STALLED_STREAM_BYTES = 262_144;
 /** A client that has not read its answer for this long may be closed for others. */
 const UNREAD_MS = 2000;
 const CHECK_INTERVAL_MS = 250;
@@ -53,6 +55,8 @@
     HeldAnswer,
     { readonly sinceMs: number; readonly reader: AnswerReader }
   >();
+  /** Streams that their clients don't read on, the one that has stalled for longest first. */
+  private readonly _stalled = new Map<HeldAnswer, AnswerReader>();
   private readonly _waiting = new Set<Waiting>();
   private _heldBytes = 0;
   private _unreadBytes = 0;
@@ -83,6 +87,23 @@
     return answer;
   }
 
+  /**
+   * Notes a stream whose client doesn't read on. Those that have stalled for longest are closed if there is no room.
+   * `release` must be called when the client reads on or has left.
+   */
+  stall(reader: AnswerReader): HeldAnswer {
+    const answer = new HeldAnswer(this);
+    this._options.garbage.beforeAllocating(STALLED_STREAM_BYTES);
+    answer.sizeBytes = STALLED_STREAM_BYTES;
+    this._heldBytes += STALLED_STREAM_BYTES;
+    this._stalled.set(answer, reader);
+    for (const [stalled, client] of this._stalled) {
+      if (this._heldBytes <= this._options.totalBytes || stalled === answer) break;
+      this._close(stalled, client);
+    }
+    return answer;
+  }
+
   /** Reserves memory for an answer without waiting for room. */
   reserveNow(answer: HeldAnswer, totalBytes: number): void {
     const addedBytes = totalBytes - answer.sizeBytes;
@@ -96,6 +117,7 @@
 
   release(answer: HeldAnswer): void {
     this._reading.delete(answer);
+    this._stalled.delete(answer);
     if (this._unread.delete(answer)) this._unreadBytes -= answer.sizeBytes;
     this._heldBytes -= answer.sizeBytes;
     if (answer.sizeBytes > SMALL_ANSWER_BYTES) this._options.garbage.released(answer.sizeBytes);
@@ -152,16 +174,19 @@
 
   /** Closes clients that don't read, the longest first, while others wait. Returns true if some still wait. */
   private _closeUnread(): boolean {
-    const { clock, closed } = this._options;
-    const beforeMs = clock.nowMs() - UNREAD_MS;
+    const beforeMs = this._options.clock.nowMs() - UNREAD_MS;
     for (const [answer, { sinceMs, reader }] of this._unread) {
       if (this._waiting.size === 0 || sinceMs > beforeMs) break;
-      this.release(answer);
-      closed(reader.address);
-      reader.close();
+      this._close(answer, reader);
     }
     return this._waiting.size > 0;
   }
+
+  private _close(answer: HeldAnswer, reader: AnswerReader): void {
+    this.release(answer);
+    this._options.closed(reader.address);
+    reader.close();
+  }
 }
 
 /** One answer. */
--- a/tests/clientLimits.spec.ts
+++ b/tests/clientLimits.spec.ts
@@ -300,6 +300,24 @@
   t.equal(await waiting, true);
 });
 
+await tap.test('should close the stream that has stalled for longest when there is no room', t => {
+  // Guards against streams that are held as long as their clients stay.
+  const answers = createAnswers(new VirtualClock(), 600_000);
+  const closed: string[] = [];
+  const stall = (name: string) => answers.stall(reader(() => closed.push(name)));
+  stall('a');
+  const readOn = stall('b');
+  t.same(closed, []);
+  stall('c');
+  t.same(closed, ['a']);
+  readOn.release();
+  stall('d');
+  t.same(closed, ['a']);
+  stall('e');
+  t.same(closed, ['a', 'c']);
+  t.end();
+});
+
 await tap.test('should join an answer of any announced length', t => {
   // Guards against memory that is taken for a length that an endpoint only announces.
   for (const announcedBytes of [undefined, 6, 10_000_000_000]) {
--- a/tests/crowdHost.ts
+++ b/tests/crowdHost.ts
@@ -34,6 +34,7 @@
 const ANSWER_BYTES: readonly (readonly [string, number])[] = [
   ['/a/large', 1_000_000],
   ['/a/huge', 8_000_000],
+  ['/s/', 8_000_000],
 ];
 
 const route = { host: 'h', service: 's', max_attempts: 3, timeout_ms: REQUEST_TIMEOUT_MS };
@@ -41,6 +42,7 @@
   version: 1,
   routes: [
     { ...route, name: 'r', prefix: '/a/', type: 'idempotent', target_latency_ms: 200 },
+    { ...route, name: 's', prefix: '/s/', type: 'streaming', target_latency_ms: 200 },
     { ...route, name: 'b', prefix: '/b/', type: 'rollout', due_ms: 60_000, queue_ttl_s: 120 },
   ],
   services: [{ name: 's' }],
--- a/tests/crowds.spec.ts
+++ b/tests/crowds.spec.ts
@@ -162,6 +162,13 @@
     parts: () => [head('Content-Length: 0', '/a/huge')],
     isUnread: true,
   },
+  {
+    name: 'streams of 8 MB that nobody reads',
+    guards: 'streams that are held as long as their clients stay',
+    count: 300,
+    parts: () => [head('Content-Length: 0', '/s/x')],
+    isUnread: true,
+  },
   {
     name: 'a batch of a million items',
     guards: 'objects of a parser that are many times its input',
