--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -5,10 +5,12 @@
 import type { Clock } from '@fuchsiahitch/base';
 import type { BodyFailure } from '@fuchsiahitch/intake';
 import type { ClientLimits } from '@fuchsiahitch/limits';
+import type { ForwardOutcome } from './callerRequest.js';
 import type { AccessResult, ConfigurationService } from './configurationService.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { HttpExchange } from './httpExchange.js';
 
+const MS_PER_SECOND = 1000;
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
 const HTTP_TIMEOUT = 408;
@@ -139,6 +141,15 @@
     exchange.refuse(retryAfterMs);
   }
 
+  /** Counts a request that was forwarded. */
+  countForwarded(exchange: T, outcome: ForwardOutcome): void {
+    const { metrics, clientLimits } = this._options;
+    metrics.requests.inc({ outcome: outcome.kind });
+    metrics.latency.observe(exchange.elapsedMs() / MS_PER_SECOND);
+    if (outcome.kind === 'unknown' && outcome.reason === 'dropped')
+      clientLimits.report.refused('answer-memory', exchange.clientAddress());
+  }
+
   deny(exchange: T): void {
     exchange.answer(HTTP_UNAUTHORIZED, [['WWW-Authenticate', 'Token']]);
   }
