Bound the age of an empty page over its whole way

Cause: that there is nothing is a belief with an age. The owner may not know for 600 ms of an append that has taken effect, a reply of a peer may take 700 ms, a read of the store 1 s, 1.3 s by a relay, and the confirmation of a claim counted as fresh after 1 s. Each part had its bound, and nothing added them up. Evidence: endedReads.spec.ts, two new tests, failed before: empty pages 940 to 1,140 ms after another reader had got the result from the store (withheld answer of an append with a late reply), and 960 ms (late answer of the store). Change: absenceAge.ts divides the second: 600 ms at the source, 300 ms on the way. What is older is asked for again, read from the store, or answered with 503. 404 for a batch has the same bound. Empty pages are logged with their time.

--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -3,10 +3,11 @@
  */
 import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
 import { BatchLedger, pageFrom, type BatchItem, type BatchReadReply } from '@fuchsiahitch/batches';
+import { isAbsence, MAX_SOURCE_AGE_MS } from './absenceAge.js';
 import { otherAnsweredId, reasonOf } from './attemptReason.js';
 import { batchRoute } from './batchRoute.js';
 import type { BatchStore, HeldClaim, StoredBatch } from './batchStore.js';
-import { ClaimLease, READ_CONFIRMATION_MAX_AGE_MS } from './claimLease.js';
+import { ClaimLease } from './claimLease.js';
 import type { ConfigurationService } from './configurationService.js';
 import type { DemandUpdates } from './demandUpdates.js';
 import type { Endpoint } from './endpoint.js';
@@ -164,22 +165,35 @@
   async read(after: number, waitMs: number): Promise<BatchReadReply> {
     const deadline = Deadline.after(this._context.clock, waitMs);
     while (this._hasNoResultAfter(after) && !deadline.isOver()) await this._waitForChange(deadline);
-    if (this._hasNoResultAfter(after) && this._resultLister.pendingWriteMs() >= READ_CONFIRMATION_MAX_AGE_MS)
-      return this._readStored(after);
-    if (this._hasNoResultAfter(after) && !(await this._lease.confirmOwnership())) return { kind: 'unsure' };
+    if (this._mustReadStore(after)) return this._readStored(after);
+    if (this._hasNoResultAfter(after) && !(await this._lease.confirmOwnership(MAX_SOURCE_AGE_MS)))
+      return { kind: 'unsure' };
     if (this._isClaimLost) return { kind: 'not-owner' };
+    // The confirmation may have taken long, or the batch may have been handed over meanwhile.
+    if (this._mustReadStore(after)) return this._readStored(after);
     return { kind: 'page', ...pageFrom(this.ledger.listed(), this.ledger.total(), after) };
   }
 
+  /** True if the next result may be in the store without this host's knowledge: an unanswered append may have taken effect. */
+  private _mustReadStore(after: number): boolean {
+    if (after < this.ledger.listed().length || this.isEnded()) return false;
+    if (this._isStopped) return !this._resultLister.isSettled();
+    return this._resultLister.pendingWriteMs() >= MAX_SOURCE_AGE_MS;
+  }
+
   /**
    * Reads results from the store while an append is unanswered. The append may have taken effect: hosts that can't
    * reach this one then return its results, so this host must not return an empty page, even with a confirmed claim.
    */
   private async _readStored(after: number): Promise<BatchReadReply> {
+    const { clock } = this._context;
+    const askedMs = clock.nowMs();
     const results = await this._ports.store.results(this.batchId, this._storeDeadline());
     if (!results.ok) return { kind: 'unsure' };
     if (this._isClaimLost) return { kind: 'not-owner' };
-    return { kind: 'page', ...pageFrom(results.value, this.ledger.total(), after) };
+    const page = pageFrom(results.value, this.ledger.total(), after);
+    if (isAbsence(page, after) && clock.nowMs() - askedMs > MAX_SOURCE_AGE_MS) return { kind: 'unsure' };
+    return { kind: 'page', ...page };
   }
 
   /** True while new requests may be sent for the batch. */
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -15,6 +15,7 @@
   Owner,
 } from '@fuchsiahitch/batches';
 import { calls } from '@fuchsiahitch/protocol';
+import { isAbsence, MAX_ABSENCE_AGE_MS, MAX_PASSAGE_MS } from './absenceAge.js';
 import { BatchHandover } from './batchHandover.js';
 import { BatchHomes } from './batchHomes.js';
 import type { EndOutcome, ItemOutcome, ReadOutcome, SubmitOutcome } from './batchOutcomes.js';
@@ -123,13 +124,22 @@
     return this._submissions.submit(batch, deadline);
   }
 
+  /** Returns results from a position on. Waits up to `waitMs` for the first one. */
   async read(batchId: string, after: number, waitMs: number): Promise<ReadOutcome> {
+    const { clock, log } = this._context;
+    const askedMs = clock.nowMs();
+    const outcome = await this._read(batchId, after, waitMs);
+    if (outcome.kind === 'page' && isAbsence(outcome.page, after))
+      log.info('empty page', { batchId, after, waitMs, tookMs: Math.round(clock.nowMs() - askedMs) });
+    return outcome;
+  }
+
+  private async _read(batchId: string, after: number, waitMs: number): Promise<ReadOutcome> {
     const deadline = Deadline.after(this._context.clock, waitMs);
-    const request = { batchId, after, waitMs };
     const reply = await this._atOwner<BatchReadReply>(
       batchId,
       owner => owner.read(after, deadline.remainingMs()),
-      address => this._hosts.call(address, calls.batchRead, request, waitMs + PEER_TIMEOUT_MS),
+      address => this._readAt(address, { batchId, after, waitMs }),
     );
     switch (reply.kind) {
       case 'page':
@@ -144,6 +154,26 @@
     }
   }
 
+  /**
+   * Reads at a peer. An empty page that took long on its way is asked for again without waiting, since other readers may
+   * have read the result meanwhile.
+   */
+  private async _readAt(
+    address: string,
+    request: { readonly batchId: string; readonly after: number; readonly waitMs: number },
+  ): Promise<Result<BatchReadReply, unknown>> {
+    const { clock, log } = this._context;
+    const { batchId, after, waitMs } = request;
+    const askedMs = clock.nowMs();
+    const reply = await this._hosts.call(address, calls.batchRead, request, waitMs + PEER_TIMEOUT_MS);
+    // The owner has waited for the whole time, so the rest of the time was spent on the way.
+    const passageMs = clock.nowMs() - askedMs - waitMs;
+    const isOutdated = reply.ok && reply.value.kind === 'page' && isAbsence(reply.value, after);
+    if (!isOutdated || passageMs <= MAX_PASSAGE_MS) return reply;
+    log.info('empty page is out of date', { batchId, after, passageMs: Math.round(passageMs) });
+    return this._hosts.call(address, calls.batchRead, { ...request, waitMs: 0 }, MAX_PASSAGE_MS);
+  }
+
   async item(batchId: string, itemId: string): Promise<ItemOutcome> {
     const request = { batchId, itemId };
     const reply = await this._atOwner<BatchItemReply>(
@@ -170,7 +200,7 @@
     const location = await this._locate(batchId, false, false);
     const reply = await this._endAt(batchId, location);
     if (reply === 'ended' || reply === 'no-batch') return reply;
-    const held = await this._ports.store.readClaim(batchId, this._storeDeadline());
+    const held = await this._readClaim(batchId);
     if (!held.ok) return 'unsure';
     if (!held.value) return 'no-batch';
     this._claims.set(batchId, held.value);
@@ -340,7 +370,7 @@
     if (owner) return { kind: 'here', owner };
     const cached = this._claims.get(batchId);
     if (cached && !isRetry) return toLocation(cached);
-    const held = await this._ports.store.readClaim(batchId, this._storeDeadline());
+    const held = await this._readClaim(batchId);
     if (!held.ok) return cached ? toLocation(cached) : { kind: 'unsure' };
     if (!held.value) return { kind: 'no-batch' };
     this._claims.set(batchId, held.value);
@@ -373,7 +403,7 @@
     unfinished: readonly ItemEvents[],
   ): Promise<BatchLocation> {
     const { store } = this._ports;
-    const held = await store.readClaim(batchId, this._storeDeadline());
+    const held = await this._readClaim(batchId);
     if (!held.ok) return { kind: 'unsure' };
     if (!held.value) return { kind: 'no-batch' };
     const { claim } = held.value;
@@ -400,6 +430,15 @@
     return { kind: 'here', owner: await this._startBatch(done.value, stored.value, unfinished) };
   }
 
+  /** Reads a claim. Fails if the batch may have been accepted since the store was asked for it. */
+  private async _readClaim(batchId: string): Promise<Result<HeldClaim | undefined, unknown>> {
+    const { clock } = this._context;
+    const askedMs = clock.nowMs();
+    const held = await this._ports.store.readClaim(batchId, this._storeDeadline());
+    const isOutdated = held.ok && !held.value && clock.nowMs() - askedMs > MAX_ABSENCE_AGE_MS;
+    return isOutdated ? err('outdated') : held;
+  }
+
   private _cacheAndLocate(batchId: string, held: HeldClaim): BatchLocation {
     this._claims.set(batchId, held);
     return toLocation(held);
--- a/packages/gateway/src/claimLease.ts
+++ b/packages/gateway/src/claimLease.ts
@@ -26,11 +26,6 @@
  * be answered at about the time when the lease expires.
  */
 const RENEW_TIMEOUT_MS = 700;
-/**
- * An owner returns an empty page only if the store confirmed its claim this recently: a result that was read at one
- * host must be readable at all hosts within a second.
- */
-export const READ_CONFIRMATION_MAX_AGE_MS = 600;
 const CONFIRM_TIMEOUT_MS = 1000;
 
 /** `batchEndMs`: how long items may still reach endpoints after the end of their batch was confirmed. */
@@ -112,9 +107,11 @@
     this._requested = Instant.ofMonotonic(this._context.clock, held.requestedAtMs);
   }
 
-  /** True if the store confirmed recently, or confirms now, that this host owns the batch. */
-  async confirmOwnership(): Promise<boolean> {
-    return this.ageMs() < READ_CONFIRMATION_MAX_AGE_MS || this._readClaim(CONFIRM_TIMEOUT_MS);
+  /** True if the store confirmed within `maxAgeMs`, or confirms now, that this host owns the batch. */
+  async confirmOwnership(maxAgeMs: number): Promise<boolean> {
+    if (this.ageMs() < maxAgeMs) return true;
+    // A slow confirmation may be too old when it arrives.
+    return (await this._readClaim(CONFIRM_TIMEOUT_MS)) && this.ageMs() < maxAgeMs;
   }
 
   private async _run(): Promise<void> {
--- a/packages/gateway/src/storedBatchReader.ts
+++ b/packages/gateway/src/storedBatchReader.ts
@@ -3,6 +3,7 @@
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
 import { pageFrom, type Batch, type ItemResult } from '@fuchsiahitch/batches';
+import { MAX_ABSENCE_AGE_MS } from './absenceAge.js';
 import type { ItemOutcome, ReadOutcome } from './batchOutcomes.js';
 import type { BatchStore, HeldClaim } from './batchStore.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -29,14 +30,19 @@
 
   /** Returns results from a position on. If the batch is open, waits for the first one until the deadline. */
   async read(batchId: string, held: HeldClaim, after: number, deadline: Deadline): Promise<ReadOutcome> {
+    const { clock, stopped } = this._context;
     for (;;) {
+      const askedMs = clock.nowMs();
       const results = await this._results(batchId, held);
       if (!results) return { kind: 'unsure' };
       const { items } = held.claim;
       const isWaiting = results.length <= after && after < items && !held.claim.isEnded;
-      if (!isWaiting || deadline.remainingMs() <= STORED_POLL_MS)
-        return { kind: 'page', page: pageFrom(results, items, after) };
-      await sleep(this._context.clock, STORED_POLL_MS, this._context.stopped);
+      if (!isWaiting) return { kind: 'page', page: pageFrom(results, items, after) };
+      if (deadline.remainingMs() <= STORED_POLL_MS) {
+        const isOutdated = clock.nowMs() - askedMs > MAX_ABSENCE_AGE_MS;
+        return isOutdated ? { kind: 'unsure' } : { kind: 'page', page: pageFrom(results, items, after) };
+      }
+      await sleep(clock, STORED_POLL_MS, stopped);
     }
   }
 
--- a/tests/endedReads.spec.ts
+++ b/tests/endedReads.spec.ts
@@ -4,7 +4,7 @@
  * result.
  */
 import tap from 'tap';
-import { Deadline } from '@fuchsiahitch/base';
+import { Deadline, sleep } from '@fuchsiahitch/base';
 import type { Batch, ItemResult } from '@fuchsiahitch/batches';
 import { BATCH, startHosts } from './batchCalls.js';
 import type { GatewayHost, GatewayWorld } from './gatewayHosts.js';
@@ -17,6 +17,8 @@
   item('z', { group: 'g3' }),
 ]);
 
+/** The oldest empty page, so that it reaches its reader within `SETTLED_MS` after the result that it lacks was read. */
+const MAX_PAGE_AGE_MS = 900;
 /** A recently confirmed owner of a running batch may return an outdated empty page for less than this. */
 const SETTLED_MS = 1000;
 const READ_DELAYS_MS = [0, 1000, 10_000] as const;
@@ -226,6 +228,67 @@
   t.same(violations, []);
 });
 
+const secondLastIsSlow: Script = ({ itemId }) => {
+  if (itemId === 'z') return ENDLESS;
+  return itemId === 'y' ? HALF_SECOND : SHORT;
+};
+
+/** Reads at `b` from the position after the second result, while `c` reads from the store whenever a result is there. */
+async function emptyPageAge(
+  { world, b, c, startMs }: RunningBatch,
+  waitMs: number,
+): Promise<{ readonly kind: string; readonly results: number; readonly shownForMs: number }> {
+  let shownMs = Infinity;
+  const watching = (async () => {
+    while (shownMs === Infinity && world.clock.nowMs() < startMs + 4000) {
+      const page = await c.batches.read('b1', 2, 0);
+      if (page.kind === 'page' && page.page.results.length > 0) shownMs = world.clock.nowMs();
+      else await sleep(world.clock, 10);
+    }
+  })();
+  const outcome = await world.until(b.batches.read('b1', 2, waitMs));
+  const shownForMs = world.clock.nowMs() - shownMs;
+  await world.until(watching);
+  const results = outcome.kind === 'page' ? outcome.page.results.length : 0;
+  return { kind: outcome.kind, results, shownForMs };
+}
+
+await tap.test('should not return an empty page that took long to arrive from the owner', async t => {
+  // Guards against a reader who is told that a result does not exist a second after another one has read it.
+  const violations: string[] = [];
+  for (const waitMs of [0, 100, 300, 500, 700, 900, 1000])
+    for (const replyDelayMs of [0, 100, 350, 500, 650, 690]) {
+      const running = await startBatch(FOUR_ITEMS, secondLastIsSlow);
+      running.world.replyDelaysMs.set('b-a', replyDelayMs);
+      running.world.store.withholdAnswers = 1;
+      const { kind, results, shownForMs } = await emptyPageAge(running, waitMs);
+      const isOutdated = kind === 'page' && results === 0 && shownForMs > MAX_PAGE_AGE_MS;
+      if (isOutdated) violations.push(`${waitMs} ms waited, ${replyDelayMs} ms late: ${shownForMs} ms old`);
+      running.world.stop();
+    }
+  t.same(violations, []);
+});
+
+await tap.test('should not return an empty page that the store answered long ago', async t => {
+  // Guards against the same at a host that can't reach the owner and reads the store.
+  const script: Script = call =>
+    call.itemId === 'y' ? { ...HALF_SECOND, events: 100 } : secondLastIsSlow(call);
+  const violations: string[] = [];
+  for (const answerDelayMs of [300, 700, 990])
+    for (let startMs = 0; startMs <= 1500; startMs += 20) {
+      const running = await startBatch(FOUR_ITEMS, script);
+      const { world, a, b } = running;
+      disconnect(world, a, b);
+      b.storeClient.answerDelayMs = answerDelayMs;
+      await world.clock.advance(startMs);
+      const { kind, results, shownForMs } = await emptyPageAge(running, 0);
+      const isOutdated = kind === 'page' && results === 0 && shownForMs > MAX_PAGE_AGE_MS;
+      if (isOutdated) violations.push(`answered ${answerDelayMs} ms late: ${shownForMs} ms old`);
+      world.stop();
+    }
+  t.same(violations, []);
+});
+
 await tap.test(
   'should show a result whose append got no answer, when the batch ended at another host',
   async t => {
--- a/tests/fakeStore.ts
+++ b/tests/fakeStore.ts
@@ -38,6 +38,8 @@
   private _nextLease = 1;
   /** Number of transactions that take effect but get no response. */
   loseAnswers = 0;
+  /** Like `loseAnswers`, but the caller waits for the response until its deadline. */
+  withholdAnswers = 0;
   /** If set, the next transaction gets no response and is executed after this delay. */
   delayNextWriteMs: number | undefined;
 
@@ -249,6 +251,11 @@
     }
     const result = this._store.transact(compares, writes);
     if (this.answerDelayMs > 0) await sleep(this._clock, this.answerDelayMs);
+    if (this._store.withholdAnswers > 0) {
+      this._store.withholdAnswers -= 1;
+      await sleep(this._clock, deadline.remainingMs());
+      return err('unknown');
+    }
     if (this._store.loseAnswers === 0) return ok(result);
     this._store.loseAnswers -= 1;
     return err('unknown');
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -1,7 +1,7 @@
 /**
  * Several gateway hosts in one process on a virtual clock, with calls between them that a test can block.
  */
-import { err, ok, VirtualClock, type CancelTimer, type Result } from '@fuchsiahitch/base';
+import { err, ok, sleep, VirtualClock, type CancelTimer, type Result } from '@fuchsiahitch/base';
 import { isSameOwner, type Owner } from '@fuchsiahitch/batches';
 import {
   BatchService,
@@ -157,12 +157,21 @@
     }
     const handler = host.handlers.get(call.name);
     if (!handler) return err({ kind: 'refused', text: `no call '${call.name}' in this version` });
-    const response = Promise.resolve(handler(request as never)).then(reply => ok(call.reply.parse(reply)));
+    const response = this._reply(address, Promise.resolve(handler(request as never))).then(reply =>
+      ok(call.reply.parse(reply)),
+    );
     const timeout = new Promise<Result<A, CallError>>(resolve => {
       this._world.clock.after(timeoutMs, () => resolve(err({ kind: 'timed-out' })));
     });
     return Promise.race([response, timeout]);
   }
+
+  private async _reply(address: string, handled: Promise<unknown>): Promise<unknown> {
+    const reply = await handled;
+    const delayMs = this._world.replyDelaysMs.get(`${this.context.hostId}-${address}`) ?? 0;
+    if (delayMs > 0) await sleep(this._world.clock, delayMs);
+    return reply;
+  }
 }
 
 export class GatewayWorld {
@@ -176,6 +185,8 @@
   readonly blockedLinks = new Set<string>();
   /** Unreachable hosts that do not reset connections, so that calls take their full timeout. */
   readonly unresponsive = new Set<string>();
+  /** Time that replies of a host's calls take to arrive, by link `from-to` of the call. */
+  readonly replyDelaysMs = new Map<string, number>();
   /** Hosts that refuse connections, so that calls to them are not sent. */
   readonly refusing = new Set<string>();
   /** Failure domains by host; hosts without an entry share one. */
