Bound the memory of open batches

Cause: a body gives its memory back when its request has ended; an accepted batch is held until it ends, and nothing summed that up. Change: a part of the budget for open batches. A host refuses a batch that doesn't fit with 503 after it has asked the store whether another host has accepted it: a 503 promises that no item runs. A home host declines it, so that the host that got it may. Batches of a terminated host are taken over up to twice the part, and left to others beyond. Ended ones are forgotten sooner when memory is short. Open: texts of items, and the cache of others' batches.

--- a/packages/batches/src/homeHosts.ts
+++ b/packages/batches/src/homeHosts.ts
@@ -67,6 +67,8 @@
   readonly loopLagMs: number;
   /** Items that are running or waiting, and those of batches that are being accepted. */
   readonly openItems: number;
+  /** False if the open batches leave no memory for this one. */
+  readonly hasMemory: boolean;
 }
 
 /** With more lag, the owner delays the reading of events and the start of items. */
@@ -81,5 +83,6 @@
   if (state.isRelaying) return 'the host relays its store calls';
   if (state.loopLagMs > MAX_LOOP_LAG_MS) return `event loop lag of ${Math.round(state.loopLagMs)} ms`;
   if (state.openItems >= MAX_OPEN_ITEMS) return `${state.openItems} open items`;
+  if (!state.hasMemory) return 'no memory for another batch';
   return undefined;
 }
--- a/packages/batches/src/records.ts
+++ b/packages/batches/src/records.ts
@@ -60,6 +60,19 @@
   return parseRecord(key, text, progressListSchema);
 }
 
+/** Memory of an item besides its texts. */
+const ITEM_BYTES = 200;
+
+/** The memory that a batch takes as submitted. */
+export function batchSizeBytes({ items }: Batch): number {
+  let sizeBytes = 0;
+  for (const { bodyBase64, path, headers, scoring } of items) {
+    sizeBytes += ITEM_BYTES + bodyBase64.length + path.length + (scoring?.bodyBase64.length ?? 0);
+    for (const [name, value] of Object.entries(headers)) sizeBytes += name.length + value.length;
+  }
+  return sizeBytes;
+}
+
 /** Serializes the batch into parts that each fit one record. */
 export function splitBatch(batch: Batch): readonly string[] {
   const text = JSON.stringify(batch);
--- a/packages/gateway/src/batchIntake.ts
+++ b/packages/gateway/src/batchIntake.ts
@@ -32,7 +32,10 @@
   reservation.complete();
   try {
     const batch = decode();
-    return batch ? await batches.submit(batch, deadline) : { kind: 'malformed' };
+    if (!batch) return { kind: 'malformed' };
+    const outcome = await batches.submit(batch, deadline);
+    if (outcome.kind === 'not-run' && outcome.limit) report.refused(outcome.limit, clientAddress);
+    return outcome;
   } finally {
     reservation.release();
   }
--- a/packages/gateway/src/batchOutcomes.ts
+++ b/packages/gateway/src/batchOutcomes.ts
@@ -2,11 +2,18 @@
  * Outcomes of a trainer's calls about its batches.
  */
 import type { ResultPage } from '@fuchsiahitch/batches';
+import type { ClientLimit } from '@fuchsiahitch/limits';
 
 export type SubmitOutcome =
   | { readonly kind: 'accepted' }
   /** The batch was not accepted: none of its items will run. */
-  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  | {
+      readonly kind: 'not-run';
+      readonly reason: string;
+      readonly retryAfterMs: number;
+      /** The limit on clients that refused it. */
+      readonly limit?: ClientLimit;
+    }
   /** The store did not answer: the batch may have been accepted. */
   | { readonly kind: 'unknown' };
 
--- a/packages/gateway/src/batchOwner.ts
+++ b/packages/gateway/src/batchOwner.ts
@@ -2,7 +2,13 @@
  * Runs one batch on the host that owns it: sends its items to endpoints and lists their results in the store.
  */
 import { Deadline, type CancelTimer } from '@fuchsiahitch/base';
-import { BatchLedger, pageFrom, type BatchItem, type BatchReadReply } from '@fuchsiahitch/batches';
+import {
+  BatchLedger,
+  batchSizeBytes,
+  pageFrom,
+  type BatchItem,
+  type BatchReadReply,
+} from '@fuchsiahitch/batches';
 import { isAbsence, MAX_SOURCE_AGE_MS } from './absenceAge.js';
 import { otherAnsweredId, reasonOf } from './attemptReason.js';
 import { batchRoute } from './batchRoute.js';
@@ -64,6 +70,8 @@
 
 export class BatchOwner {
   readonly ledger: BatchLedger;
+  /** Memory of the batch as submitted. */
+  readonly sizeBytes: number;
   private readonly _context: GatewayContext;
   private readonly _ports: BatchPorts;
   private readonly _onClaimLost: () => void;
@@ -93,6 +101,7 @@
     this._onClaimLost = onClaimLost;
     const { store } = ports;
     const { batch } = stored;
+    this.sizeBytes = batchSizeBytes(batch);
     const startedMs = context.clock.nowMs();
     const route = batchRoute(ports.configuration, batch);
     const maxAttempts = route?.maxAttempts ?? 1;
--- a/packages/gateway/src/batchService.ts
+++ b/packages/gateway/src/batchService.ts
@@ -5,8 +5,10 @@
  * owner's process has terminated, the host that received the call takes the batch over.
  */
 import { Deadline, err, type Result } from '@fuchsiahitch/base';
-import type {
-  Batch,
+import {
+  batchSizeBytes,
+  MAX_RECORD_UNITS,
+  type Batch,
   BatchAdopt,
   BatchEndReply,
   BatchItemReply,
@@ -14,6 +16,7 @@
   ItemEvents,
   Owner,
 } from '@fuchsiahitch/batches';
+import { BatchMemory } from '@fuchsiahitch/limits';
 import { calls } from '@fuchsiahitch/protocol';
 import { isAbsence, MAX_ABSENCE_AGE_MS, MAX_PASSAGE_MS } from './absenceAge.js';
 import { BatchHandover } from './batchHandover.js';
@@ -50,6 +53,8 @@
 export interface BatchServicePorts extends BatchPorts {
   /** True while this host cannot reach the store directly. */
   readonly isRelaying: () => boolean;
+  /** Memory for the batches that this host runs. */
+  readonly maxBatchBytes: number;
 }
 
 export class BatchService {
@@ -58,6 +63,7 @@
   private readonly _hosts: Hosts;
   private readonly _priorProgress: PriorProgress;
   private readonly _owned = new OwnedBatches();
+  private readonly _memory: BatchMemory;
   private readonly _submissions: BatchSubmissions;
   private readonly _handover: BatchHandover;
   private readonly _takeovers = new Map<string, Promise<BatchLocation>>();
@@ -73,6 +79,10 @@
     this._claims = new ClaimCache(hosts);
     this._paceUpdates = new PaceUpdates(ports.endpoints, hosts);
     const { store, configuration, endpoints, isRelaying } = ports;
+    this._memory = new BatchMemory(
+      ports.maxBatchBytes,
+      () => this._owned.openBytes() + this._submissions.sizeBytes(),
+    );
     const homes = new BatchHomes(context, { configuration, endpoints, hosts });
     this._handover = new BatchHandover(context, hosts, homes);
     this._priorProgress = new PriorProgress(context, store, (batch, earlierId) =>
@@ -84,6 +94,7 @@
       hosts,
       homes,
       isRelaying,
+      memory: this._memory,
       isReady: batch => endpoints.isSynced() && batchRoute(configuration, batch) !== undefined,
       isOwned: batchId => this._owned.has(batchId),
       openItems: () => this._owned.openItems(),
@@ -305,7 +316,8 @@
 
   private _createOwner(held: HeldClaim, stored: StoredBatch): BatchOwner {
     const { id } = stored.batch;
-    this._owned.evictEnded();
+    const sizeBytes = batchSizeBytes(stored.batch);
+    this._owned.evictEnded(() => this._memory.isFull(this._owned.sizeBytes() + sizeBytes));
     // An earlier owner object of this batch in this process has lost the claim, perhaps without noticing. It would
     // otherwise continue and run each item a second time.
     this._owned.get(id)?.claimLost();
@@ -414,6 +426,10 @@
     const isTerminated = isDenied || (this._hosts.isSynced() && !this._hosts.isAlive(claim.owner));
     if (!isTerminated) return { kind: 'stored', held: held.value };
     if (!isDenied && (await this._isRunByOwner(batchId, from))) return { kind: 'stored', held: held.value };
+    if (!this._memory.mayAdopt(claim.parts * MAX_RECORD_UNITS)) {
+      this._context.log.warn('batch not taken over: no memory', { batchId, from: from.hostId });
+      return { kind: 'unsure' };
+    }
     const change = { owner: this._hosts.self(), takeovers: claim.takeovers + 1 };
     const done = await store.changeClaim(batchId, held.value, change, this._storeDeadline());
     this._logTakeover(batchId, from, isDenied, done.kind);
--- a/packages/gateway/src/batchSubmissions.ts
+++ b/packages/gateway/src/batchSubmissions.ts
@@ -2,8 +2,9 @@
  * Accepts submitted batches exactly once: at this host, or at the home host if the pool's connections are scarce.
  */
 import { Deadline } from '@fuchsiahitch/base';
-import { declineReason, type Batch, type BatchSubmitReply } from '@fuchsiahitch/batches';
+import { batchSizeBytes, declineReason, type Batch, type BatchSubmitReply } from '@fuchsiahitch/batches';
 import { calls } from '@fuchsiahitch/protocol';
+import type { BatchMemory } from '@fuchsiahitch/limits';
 import type { BatchHomes } from './batchHomes.js';
 import type { SubmitOutcome } from './batchOutcomes.js';
 import type { BatchStore, HeldClaim } from './batchStore.js';
@@ -16,6 +17,7 @@
   readonly hosts: Pick<Hosts, 'self'>;
   readonly homes: BatchHomes;
   readonly isOwned: (batchId: string) => boolean;
+  readonly memory: BatchMemory;
   /** Items of this host's batches that are running or waiting. */
   readonly openItems: () => number;
   readonly isShuttingDown: () => boolean;
@@ -31,6 +33,7 @@
 
 interface Acceptance {
   readonly items: number;
+  readonly sizeBytes: number;
   readonly outcome: Promise<SubmitOutcome>;
 }
 
@@ -82,6 +85,13 @@
     }
   }
 
+  /** Memory of the batches that are being accepted. */
+  sizeBytes(): number {
+    let sum = 0;
+    for (const { sizeBytes } of this._acceptances.values()) sum += sizeBytes;
+    return sum;
+  }
+
   /** Waits until this host has accepted the batch or has failed to, if it is about to. */
   async acceptanceSettled(batchId: string): Promise<void> {
     await this._acceptances.get(batchId)?.outcome;
@@ -112,14 +122,17 @@
   private async _acceptForPeer(batch: Batch, deadline: Deadline): Promise<BatchSubmitReply> {
     const { id } = batch;
     const isBegun = this._ports.isOwned(id) || this._acceptances.has(id);
-    const reason = isBegun ? undefined : this._declineReason(batch);
-    if (reason !== undefined) {
+    const declined = isBegun ? undefined : this._declineReason(batch);
+    if (declined !== undefined) {
       const state = this._recent.stateOf(id);
-      this._context.log.info('batch declined', { batchId: id, reason, earlierAcceptance: state });
-      return state === undefined ? { kind: 'declined', reason } : { kind: state };
+      this._context.log.info('batch declined', { batchId: id, reason: declined, earlierAcceptance: state });
+      return state === undefined ? { kind: 'declined', reason: declined } : { kind: state };
     }
     try {
-      return await this._acceptOnce(batch, deadline);
+      const outcome = await this._acceptOnce(batch, deadline);
+      if (outcome.kind !== 'not-run') return outcome;
+      const { kind, reason, retryAfterMs } = outcome;
+      return { kind, reason, retryAfterMs };
     } catch (error) {
       this._context.log.error('accepting a forwarded batch failed', { batchId: id, error: String(error) });
       return { kind: 'unknown' };
@@ -127,7 +140,7 @@
   }
 
   private _declineReason(batch: Batch): string | undefined {
-    const { isShuttingDown, isReady, isRelaying, openItems } = this._ports;
+    const { isShuttingDown, isReady, isRelaying, openItems, memory } = this._ports;
     let beingAccepted = 0;
     for (const { items } of this._acceptances.values()) beingAccepted += items;
     return declineReason({
@@ -136,6 +149,7 @@
       isRelaying: isRelaying(),
       loopLagMs: this._currentLagMs(),
       openItems: openItems() + beingAccepted,
+      hasMemory: memory.mayAccept(batchSizeBytes(batch)),
     });
   }
 
@@ -163,15 +177,31 @@
     for (;;) {
       if (this._ports.isOwned(batch.id)) return { kind: 'accepted' };
       const running = this._acceptances.get(batch.id);
+      if (!running && !this._ports.memory.mayAccept(batchSizeBytes(batch)))
+        return this._refuse(batch, deadline);
       if (!running) return this._begin(batch, deadline);
       const outcome = await running.outcome;
       if (outcome.kind === 'accepted' || deadline.remainingMs() <= MIN_WRITE_MS) return outcome;
     }
   }
 
+  /** Refuses a batch for lack of memory, unless it was accepted before, at this or another host. */
+  private async _refuse({ id, items }: Batch, deadline: Deadline): Promise<SubmitOutcome> {
+    const held = await this._ports.store.readClaim(id, deadline);
+    if (!held.ok) return { kind: 'unknown' };
+    if (held.value) {
+      this._ports.known(id, held.value);
+      return { kind: 'accepted' };
+    }
+    const reason = 'the open batches take all memory that is kept for them';
+    this._context.log.info('batch refused', { batchId: id, items: items.length, reason });
+    return { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS, limit: 'open-batches' };
+  }
+
   private async _begin(batch: Batch, deadline: Deadline): Promise<SubmitOutcome> {
     const outcome = this._acceptAndRecord(batch, deadline);
-    this._acceptances.set(batch.id, { items: batch.items.length, outcome });
+    const sizeBytes = batchSizeBytes(batch);
+    this._acceptances.set(batch.id, { items: batch.items.length, sizeBytes, outcome });
     try {
       return await outcome;
     } finally {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,6 +51,8 @@
   readonly newsBoundMs: number;
   /** Memory of answers that callers have not read yet. */
   readonly answers: AnswerBudget;
+  /** Memory for the batches that this host runs. */
+  readonly maxBatchBytes: number;
 }
 
 const IN_FLIGHT_POLL_MS = 100;
@@ -125,6 +127,7 @@
       demand,
       claimLeaseMs: claimLeaseMs(options.batchEndMs),
       isRelaying: () => store.isRelaying(),
+      maxBatchBytes: options.maxBatchBytes,
     };
     this._sweeper = new BatchSweeper(context, storeOf('sweep'), ports.store, options.batchReadableMs);
     this.batches = new BatchService(context, ports, this.hosts);
--- a/packages/gateway/src/ownedBatches.ts
+++ b/packages/gateway/src/ownedBatches.ts
@@ -27,6 +27,16 @@
     return this._owners.size;
   }
 
+  /** Memory of all batches as submitted, including those that have ended. */
+  sizeBytes(): number {
+    return this.all().reduce((sum, owner) => sum + owner.sizeBytes, 0);
+  }
+
+  /** Memory of the batches that have not ended, as submitted. */
+  openBytes(): number {
+    return this.all().reduce((sum, owner) => sum + (owner.isEnded() ? 0 : owner.sizeBytes), 0);
+  }
+
   /** Number of items that are running or waiting. */
   openItems(): number {
     let count = 0;
@@ -49,11 +59,15 @@
     return owners;
   }
 
-  /** Evicts the oldest ended batches from memory. */
-  evictEnded(): void {
+  /** Evicts the oldest ended batches from memory, all of them while `isFull` returns true. */
+  evictEnded(isFull: () => boolean): void {
     const ended = [...this._owners].filter(([, owner]) => owner.isEnded());
-    for (const [id] of ended.slice(0, Math.max(0, ended.length - MAX_ENDED_IN_MEMORY)))
+    let count = ended.length;
+    for (const [id] of ended) {
+      if (count <= MAX_ENDED_IN_MEMORY && !isFull()) return;
       this._owners.delete(id);
+      count -= 1;
+    }
   }
 
   /**
--- a/packages/limits/src/hostBudget.ts
+++ b/packages/limits/src/hostBudget.ts
@@ -9,7 +9,11 @@
 /** One body of the largest size, and what is kept for small ones. */
 const MIN_BODIES_BYTES = 36 * BYTES_PER_MB;
 const BODIES_SHARE = 0.4;
-/** Shares of what remains without the bodies. */
+/** Some ten batches of a trainer's usual size. */
+const MIN_BATCHES_BYTES = 4 * BYTES_PER_MB;
+/** Share of what remains without the bodies. */
+const BATCHES_SHARE = 0.2;
+/** Shares of what remains without bodies and batches. */
 const ANSWERS_SHARE = 0.2;
 const WAITING_ANSWERS_SHARE = 0.1;
 const CONNECTIONS_SHARE = 0.35;
@@ -46,6 +50,8 @@
   readonly runtimeBytes: number;
   /** Requests' bodies, from their first byte until the request ends. */
   readonly bodiesBytes: number;
+  /** Batches that are run, as submitted. */
+  readonly batchesBytes: number;
   /** Answers that wait for their caller to read them. */
   readonly answersBytes: number;
   /** Answers of endpoints that wait for memory, of which only the beginning has been read. */
@@ -68,12 +74,14 @@
 ): HostBudget {
   const spareBytes = memoryMb * BYTES_PER_MB - runtimeBytes;
   const bodiesBytes = Math.max(MIN_BODIES_BYTES, BODIES_SHARE * spareBytes);
-  const remainderBytes = Math.max(MIN_REMAINDER_BYTES, spareBytes - bodiesBytes);
+  const batchesBytes = Math.max(MIN_BATCHES_BYTES, BATCHES_SHARE * (spareBytes - bodiesBytes));
+  const remainderBytes = Math.max(MIN_REMAINDER_BYTES, spareBytes - bodiesBytes - batchesBytes);
   const connectionsBytes = CONNECTIONS_SHARE * remainderBytes;
   const descriptors = Math.max(MIN_DESCRIPTORS, maxDescriptors - FILE_DESCRIPTORS);
   return {
     runtimeBytes,
     bodiesBytes,
+    batchesBytes,
     answersBytes: ANSWERS_SHARE * remainderBytes,
     waitingAnswers: Math.floor((WAITING_ANSWERS_SHARE * remainderBytes) / WAITING_ANSWER_BYTES),
     connectionsBytes,
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,6 +1,7 @@
 /** Bounds on what clients may make a host hold. Decisions only: nothing here knows a socket. */
 export * from './answerBudget.js';
 export * from './answerBuffer.js';
+export * from './batchMemory.js';
 export * from './bodyBudget.js';
 export * from './bodyBuffer.js';
 export * from './clientLimits.js';
--- a/packages/limits/src/limitReport.ts
+++ b/packages/limits/src/limitReport.ts
@@ -16,6 +16,7 @@
   | 'answer-memory'
   | 'answer-unread'
   | 'batch-memory'
+  | 'open-batches'
   | 'status-connections';
 
 export interface LimitLine {
--- a/tests/batchHomes.spec.ts
+++ b/tests/batchHomes.spec.ts
@@ -46,7 +46,14 @@
 });
 
 await tap.test('should decline at the limits of a home', t => {
-  const state = { isShuttingDown: false, isReady: true, isRelaying: false, loopLagMs: 200, openItems: 599 };
+  const state = {
+    isShuttingDown: false,
+    isReady: true,
+    isRelaying: false,
+    loopLagMs: 200,
+    openItems: 599,
+    hasMemory: true,
+  };
   t.equal(declineReason(state), undefined);
   for (const change of [
     { isShuttingDown: true },
@@ -54,6 +61,7 @@
     { isRelaying: true },
     { loopLagMs: 201 },
     { openItems: 600 },
+    { hasMemory: false },
   ])
     t.type(declineReason({ ...state, ...change }), 'string', JSON.stringify(change));
   t.end();
--- a/tests/clientLimits.spec.ts
+++ b/tests/clientLimits.spec.ts
@@ -7,6 +7,7 @@
   AnswerBudget,
   AnswerBuffer,
   type AnswerReader,
+  BatchMemory,
   BodyBudget,
   BodyBuffer,
   ConnectionLimit,
@@ -48,7 +49,8 @@
     const budget = hostBudget({ memoryMb, maxDescriptors: 4100 });
     const requestsBytes = budget.callerRequests * 8000;
     const answersBytes = budget.answersBytes + budget.waitingAnswers * 131_072;
-    const parts = [budget.runtimeBytes, budget.bodiesBytes, answersBytes, budget.connectionsBytes];
+    const { runtimeBytes, bodiesBytes, batchesBytes, connectionsBytes } = budget;
+    const parts = [runtimeBytes, bodiesBytes, batchesBytes, answersBytes, connectionsBytes];
     const sumBytes = parts.reduce((sum, bytes) => sum + bytes, requestsBytes + budget.garbageBytes);
     t.ok(sumBytes <= memoryMb * MB, `${memoryMb} MB`);
     t.ok(budget.bodiesBytes * 0.95 >= FULL_BYTES, 'one body of full size fits');
@@ -318,6 +320,19 @@
   t.end();
 });
 
+await tap.test('should keep batches within their memory, and adopt more of those that are accepted', t => {
+  // Guards against batches of legal size that are each held until they end.
+  let openBytes = 0;
+  const memory = new BatchMemory(10 * MB, () => openBytes);
+  t.ok(memory.mayAccept(20 * MB), 'a single one');
+  openBytes = 8 * MB;
+  t.ok(memory.mayAccept(2 * MB));
+  t.notOk(memory.mayAccept(3 * MB));
+  t.ok(memory.mayAdopt(3 * MB));
+  t.notOk(memory.mayAdopt(13 * MB));
+  t.end();
+});
+
 await tap.test('should join an answer of any announced length', t => {
   // Guards against memory that is taken for a length that an endpoint only announces.
   for (const announcedBytes of [undefined, 6, 10_000_000_000]) {
--- a/tests/crowdClients.ts
+++ b/tests/crowdClients.ts
@@ -118,3 +118,10 @@
   const count = Math.floor((MAX_BODY_BYTES - MAX_HEAD_BYTES) / (text.length + 1));
   return `{"items":[${Array.from({ length: count }, () => text).join(',')}]}`;
 }
+
+/** A proper batch of items with a body each. */
+export function batchOf(items: number, bodyBytes: number): Buffer {
+  const body = 'x'.repeat(bodyBytes);
+  const list = Array.from({ length: items }, (_, i) => ({ id: `i${i}`, path: '/b/y', body }));
+  return Buffer.from(JSON.stringify({ items: list }));
+}
--- a/tests/crowdHost.ts
+++ b/tests/crowdHost.ts
@@ -208,17 +208,26 @@
     let status = 0;
     for (let i = 0; i < MAX_TRIES && status !== 200 && this.isAlive(); i++) {
       if (i > 0) await delay(RETRY_PAUSE_MS);
-      this._sentRequests += 1;
-      const headers = {
-        'Request-Id': `ordinary-${this._sentRequests}`,
-        'Deadline-Ms': String(REQUEST_TIMEOUT_MS),
-      };
-      const request = { method: 'POST', path: '/a/x', headers, timeoutMs: REQUEST_TIMEOUT_MS };
-      ({ status } = await this.edge.send(request, body));
+      status = await this._send('/a/x', body);
     }
     return status;
   }
 
+  /** Submits a batch once. Returns the status. */
+  async submit(body: Buffer): Promise<number> {
+    return this._send('/b/x', body);
+  }
+
+  private async _send(path: string, body: Buffer): Promise<number> {
+    this._sentRequests += 1;
+    const headers = {
+      'Request-Id': `ordinary-${this._sentRequests}`,
+      'Deadline-Ms': String(REQUEST_TIMEOUT_MS),
+    };
+    const request = { method: 'POST', path, headers, timeoutMs: REQUEST_TIMEOUT_MS };
+    return (await this.edge.send(request, body)).status;
+  }
+
   /** Ends the process as the platform does: SIGKILL when the grace period is over. Returns its exit code. */
   async terminate(): Promise<number | null> {
     this.edge.signal('SIGTERM');
--- a/tests/crowds.spec.ts
+++ b/tests/crowds.spec.ts
@@ -7,6 +7,7 @@
 import {
   announced,
   arrived,
+  batchOf,
   chunked,
   Client,
   head,
@@ -26,6 +27,7 @@
 } from './crowdHost.js';
 
 const KIB = 1024;
+const ACCEPTED = 202;
 const FAR_OVER = 40 * MAX_BODY_BYTES;
 const FEW_DESCRIPTORS: Machine = { ...SMALL_MACHINE, maxDescriptors: 700 };
 /** The daemon has a web framework and listeners for callers, trainers and operators. */
@@ -272,6 +274,28 @@
     await host.close();
   });
 
+/** For `CROWD`. */
+const BATCHES_CROWD = { name: 'accepted batches' };
+const BATCHES = 40;
+
+if (isSelected(BATCHES_CROWD))
+  await tap.test('should live beside accepted batches that do not end', { timeout: 240_000 }, async t => {
+    // Guards against batches of legal size that are each held until they end.
+    const host = new CrowdHost(SMALL_MACHINE);
+    await host.start(programs);
+    let accepted = 0;
+    for (let i = 0; i < BATCHES && host.isAlive(); i++)
+      if ((await host.submit(batchOf(13, 300 * KIB))) === ACCEPTED) accepted += 1;
+    const beside = await host.ordinaryRequest();
+    const { memoryMb } = host.peaks;
+    t.comment(`${accepted} accepted, ${memoryMb.toFixed(0)} MB`);
+    t.ok(host.isAlive(), 'the process lives');
+    t.ok(memoryMb <= SMALL_MACHINE.memoryMb, `memory: ${memoryMb.toFixed(0)} MB`);
+    t.ok(accepted > 0, 'batches are accepted');
+    t.equal(beside, 200, 'an ordinary request beside them');
+    await host.close();
+  });
+
 const DAEMON_CROWDS: readonly (Pick<Crowd, 'name' | 'guards' | 'count' | 'parts'> & {
   readonly listener: 'callersPort' | 'trainersPort';
 })[] = [
--- a/tests/gatewayFleet.ts
+++ b/tests/gatewayFleet.ts
@@ -85,6 +85,7 @@
       batchEndMs: 3000,
       newsBoundMs: 2000,
       answers: testClientLimits(this.context.clock).answers,
+      maxBatchBytes: Infinity,
       usage: fleet.usageOf(hostId),
       capacity: fleet.capacityOf(hostId),
     });
--- a/tests/gatewayHosts.ts
+++ b/tests/gatewayHosts.ts
@@ -77,6 +77,7 @@
       demand: this.demand,
       claimLeaseMs: claimLeaseMs(BATCH_END_MS),
       isRelaying: () => this.isRelaying,
+      maxBatchBytes: world.maxBatchBytes,
     };
     this.batches = new BatchService(this.context, ports, this);
     const registry: CallRegistry = {
@@ -179,6 +180,8 @@
   readonly store = new FakeStore(this.clock);
   readonly client = new ScriptedClient(this.clock);
   readonly hosts = new Map<string, GatewayHost>();
+  /** Memory of each host for the batches that it runs. */
+  maxBatchBytes = Infinity;
   /** Processes whose leases are valid. */
   leases: Owner[] = [];
   /** Links `from-to` whose calls time out. */
--- a/tests/platformHost.ts
+++ b/tests/platformHost.ts
@@ -88,6 +88,7 @@
       batchEndMs: 3000,
       newsBoundMs: 2000,
       answers: clientLimits.answers,
+      maxBatchBytes: clientLimits.budget.batchesBytes,
     });
     const callers = new CallerServer({
       address: '127.0.0.1:0',
