Don't cache large batches of other hosts

Found by reading, beside the memory of open batches: a host that answers for items of batches that others own caches eight of them, thought to be 250 KB each. One may have 10 MB. Change: a batch or list of results above 1 MB is read from the store each time it is asked for. The test fails before the change (one read instead of two).

--- a/packages/gateway/src/storedBatchReader.ts
+++ b/packages/gateway/src/storedBatchReader.ts
@@ -2,7 +2,7 @@
  * Reads batches from the store that have ended or whose owner is unreachable.
  */
 import { Deadline, sleep } from '@fuchsiahitch/base';
-import { pageFrom, type Batch, type ItemResult } from '@fuchsiahitch/batches';
+import { batchSizeBytes, pageFrom, type Batch, type ItemResult } from '@fuchsiahitch/batches';
 import { MAX_ABSENCE_AGE_MS } from './absenceAge.js';
 import type { ItemOutcome, ReadOutcome } from './batchOutcomes.js';
 import type { BatchStore, HeldClaim } from './batchStore.js';
@@ -13,13 +13,17 @@
 const STORED_POLL_MS = 400;
 /** An entry takes about 250 KB. */
 const MAX_CACHED_ENTRIES = 8;
+/** Larger ones are read from the store each time. */
+const MAX_ENTRY_BYTES = 1_000_000;
 
 export class StoredBatchReader {
   private readonly _context: GatewayContext;
   private readonly _store: BatchStore;
   private readonly _isEnded: (batchId: string) => boolean;
-  private readonly _batches = new ReadCache<Batch>();
-  private readonly _endedResults = new ReadCache<readonly ItemResult[]>();
+  private readonly _batches = new ReadCache<Batch>(batchSizeBytes);
+  private readonly _endedResults = new ReadCache<readonly ItemResult[]>(results =>
+    results.reduce((sum, { text }) => sum + text.length, 0),
+  );
 
   /** `isEnded`: whether a batch has ended according to its claim as last read. */
   constructor(context: GatewayContext, store: BatchStore, isEnded: (batchId: string) => boolean) {
@@ -82,15 +86,21 @@
 /** Caches reads of immutable data. Concurrent reads of a key share one load. */
 class ReadCache<T> {
   private readonly _entries = new Map<string, Promise<T | undefined>>();
+  private readonly _sizeOf: (value: T) => number;
 
-  /** Returns undefined if the load fails; failures are not cached. */
+  constructor(sizeOf: (value: T) => number) {
+    this._sizeOf = sizeOf;
+  }
+
+  /** Returns undefined if the load fails; failures and large values are not cached. */
   async read(key: string, load: () => Promise<T | undefined>): Promise<T | undefined> {
     const cached = this._entries.get(key);
     if (cached) return cached;
     const reading = load();
     this._add(key, reading);
     const value = await reading;
-    if (value === undefined && this._entries.get(key) === reading) this._entries.delete(key);
+    const isKept = value !== undefined && this._sizeOf(value) <= MAX_ENTRY_BYTES;
+    if (!isKept && this._entries.get(key) === reading) this._entries.delete(key);
     return value;
   }
 
--- a/tests/batchMemory.spec.ts
+++ b/tests/batchMemory.spec.ts
@@ -65,3 +65,26 @@
   t.equal(c.batches.ownedCount(), 1);
   world.stop();
 });
+
+for (const [bodyBytes, reads] of [
+  [1000, 1],
+  [2_000_000, 2],
+] as const)
+  await tap.test(
+    `should read a batch of another host ${reads} times for two bodies of ${bodyBytes} bytes`,
+    async t => {
+      // Guards against a cache that holds batches of legal size which this host has no memory for.
+      const [world, a] = await startHosts('a');
+      if (!a) return;
+      const x = item('x', { bodyBase64: 'A'.repeat(bodyBytes) });
+      await world.until(a.batches.submit(batch('b1', [x]), Deadline.after(world.clock, 1000)));
+      t.equal(await world.until(a.batches.end('b1')), 'ended');
+      const b = world.start('b');
+      await world.clock.advance(200);
+      const count = (): number => world.store.calls.filter(call => call === 'list').length;
+      const before = count();
+      for (let i = 0; i < 2; i++) t.equal((await world.until(b.batches.item('b1', 'x'))).kind, 'body');
+      t.equal(count() - before, reads);
+      world.stop();
+    },
+  );
--- a/tests/crowds.spec.ts
+++ b/tests/crowds.spec.ts
@@ -296,7 +296,7 @@
     await host.close();
   });
 
-const DAEMON_CROWDS: readonly (Pick<Crowd, 'name' | 'guards' | 'count' | 'parts'> & {
+const DAEMON_CROWDS: readonly (Pick<Crowd, 'name' | 'guards' | 'count' | 'parts' | 'isUnread'> & {
   readonly listener: 'callersPort' | 'trainersPort';
 })[] = [
   {
@@ -313,6 +313,14 @@
     parts: () => announced(4_000_000, 3_999_999, 64 * KIB, '/v1/steps'),
     listener: 'trainersPort',
   },
+  {
+    name: 'pipelined requests of callers whose answers nobody reads',
+    guards: 'requests in process without a bound',
+    count: 200,
+    parts: () => pipelined(100, '/svc/none/x'),
+    isUnread: true,
+    listener: 'callersPort',
+  },
   {
     name: 'more connections of callers than descriptors',
     guards: 'connections without a bound',
@@ -328,7 +336,7 @@
     await daemon.start();
     const clients = Array.from(
       { length: crowd.count },
-      (_, index) => new Client(daemon[crowd.listener], crowd.parts(index)),
+      (_, index) => new Client(daemon[crowd.listener], crowd.parts(index), crowd.isUnread),
     );
     await arrived(clients, daemon);
     const beside = await daemon.ordinaryRequest();
