Answer each request that a stopping host has read

Cause: a host that shuts down took every request until the end, and closed what was unanswered then. Its time for requests counted from the end of the hand-over, which may take seconds, so that SIGKILL could come first. Change: once the load balancer has taken the host out, a request that may last beyond it is refused with 503 (not run); what is in process at the end is answered with 504 before the connections are closed. Times count from the SIGTERM.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { newsBudget } from './newsBudget.js';
 import { RelayedStore } from './relayedStore.js';
 import { ShareMonitor } from './shareMonitor.js';
+import { BALANCER_DRAIN_MS } from './requestIntake.js';
 import { SharedWatch } from './sharedWatch.js';
 import { storeRelayCall } from './storeRelayMessages.js';
 import type { EndpointClient, RecordDecoder, RecordKeys } from './ports.js';
@@ -56,8 +57,6 @@
 }
 
 const IN_FLIGHT_POLL_MS = 100;
-/** The load balancer checks readiness once a second and stops sending after two failures. */
-const BALANCER_DRAIN_MS = 3200;
 
 export class Gateway {
   readonly configuration: ConfigurationService;
@@ -190,6 +189,7 @@
   async shutDown(graceMs: number): Promise<void> {
     this._isLeaving = true;
     const { clock, log } = this._context;
+    const endMs = clock.nowMs() + graceMs;
     log.info('shutting down', { graceMs, inFlight: this._inFlight, batches: this.batches.ownedCount() });
     await Promise.all([
       ...this.orders.map(orders => orders.stop()),
@@ -198,8 +198,7 @@
     ]);
     await this.batches.handOver();
     await this.hosts.leave();
-    const endMs = clock.nowMs() + graceMs;
-    const drainMs = Math.min(BALANCER_DRAIN_MS, graceMs / 2);
+    const drainMs = Math.min(BALANCER_DRAIN_MS, graceMs / 2, Math.max(0, endMs - clock.nowMs()));
     await sleep(clock, drainMs);
     while (this._inFlight > 0 && clock.nowMs() < endMs) await sleep(clock, IN_FLIGHT_POLL_MS);
     this.hosts.close();
--- a/packages/gateway/src/httpExchange.ts
+++ b/packages/gateway/src/httpExchange.ts
@@ -114,7 +114,7 @@
   }
 
   answer(status: number, pairs: readonly HeaderPair[] = [], body: Buffer = Buffer.alloc(0)): void {
-    if (this.response.destroyed) return;
+    if (this.response.destroyed || this.response.headersSent) return;
     const allPairs: HeaderPair[] = [...pairs];
     if (hasBody(status)) allPairs.push(['Content-Length', String(body.length)]);
     this.response.writeHead(status, [...this.headers(allPairs)]);
--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -16,6 +16,7 @@
 const HTTP_TIMEOUT = 408;
 const HTTP_TOO_LARGE = 413;
 const HTTP_HEADERS_TOO_LARGE = 431;
+const HTTP_LATE = 504;
 
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** The load balancer probes readiness once a second and removes a host after two failures. */
@@ -24,6 +25,10 @@
 export const NO_MEMORY_RETRY_MS = 1000;
 /** Too many requests in process mean that the host is far behind. */
 const TOO_MANY_RETRY_MS = 1000;
+/** The load balancer sends new connections for this long after a host reports that it isn't ready. */
+export const BALANCER_DRAIN_MS = 3200;
+/** Other hosts serve the request at once. */
+const LEAVING_RETRY_MS = 100;
 /** How often a host that is shutting down looks for bodies that make no progress. */
 const STALLED_CHECK_MS = 250;
 
@@ -45,6 +50,14 @@
 export interface IntakeExchange extends HttpExchange {
   refuse(retryAfterMs: number): void;
   credential(): Credential;
+  /** How long the caller waits; undefined if it doesn't say. */
+  waitMs(): number | undefined;
+}
+
+/** The time for which a host that shuts down takes requests. */
+interface Leaving {
+  readonly sinceMs: number;
+  readonly endMs: number;
 }
 
 export interface RequestIntakeOptions<T extends IntakeExchange> {
@@ -57,6 +70,8 @@
 
 export class RequestIntake<T extends IntakeExchange> {
   private readonly _options: RequestIntakeOptions<T>;
+  private readonly _unanswered = new Set<T>();
+  private _leaving: Leaving | undefined;
 
   constructor(options: RequestIntakeOptions<T>) {
     this._options = options;
@@ -64,7 +79,21 @@
 
   /** Serves a request as `plan` decides, which is asked again when a large body has arrived. */
   async serve(exchange: T, maxHeaderBytes: number, plan: () => RequestPlan): Promise<void> {
+    this._unanswered.add(exchange);
+    try {
+      await this._serve(exchange, maxHeaderBytes, plan);
+    } finally {
+      this._unanswered.delete(exchange);
+    }
+  }
+
+  private async _serve(exchange: T, maxHeaderBytes: number, plan: () => RequestPlan): Promise<void> {
     const { clientLimits, clock } = this._options;
+    if (this._isTooLate(exchange)) {
+      exchange.cutShort(clock);
+      this.refuse(exchange, 'the host is shutting down', LEAVING_RETRY_MS);
+      return;
+    }
     if (exchange.headerBytes() > maxHeaderBytes) {
       clientLimits.report.refused('head-size', exchange.clientAddress());
       exchange.cutShort(clock);
@@ -162,11 +191,39 @@
     exchange.refuse(TOO_MANY_RETRY_MS);
   }
 
-  /** From now on, bodies that make no progress are refused: they would keep the process from ending. */
-  startDraining(): void {
+  /**
+   * When the load balancer has taken this host out, requests that may last longer than `graceMs` from now are refused.
+   * Those that are still in process then are answered.
+   */
+  startDraining(graceMs: number): void {
+    const { clock } = this._options;
+    const sinceMs = clock.nowMs();
+    this._leaving = { sinceMs, endMs: sinceMs + graceMs };
+    this._endStalled();
+    clock.after(graceMs, () => this._answerRest());
+  }
+
+  /** Answers the requests that are still in process. They may have run. */
+  private _answerRest(): void {
+    for (const exchange of this._unanswered) {
+      this._options.log(exchange, 'unknown', { reason: 'the host has shut down' });
+      exchange.answer(HTTP_LATE);
+    }
+  }
+
+  /** Bodies that make no progress are refused: they would keep the process from ending. */
+  private _endStalled(): void {
     const { clientLimits, clock } = this._options;
     clientLimits.bodies.endStalled();
-    clock.after(STALLED_CHECK_MS, () => this.startDraining());
+    clock.after(STALLED_CHECK_MS, () => this._endStalled());
+  }
+
+  /** True if the host may have ended before the request has. */
+  private _isTooLate(exchange: T): boolean {
+    if (!this._leaving) return false;
+    const nowMs = this._options.clock.nowMs();
+    const isExpected = nowMs - this._leaving.sinceMs <= BALANCER_DRAIN_MS;
+    return !isExpected && (exchange.waitMs() ?? Infinity) > this._leaving.endMs - nowMs;
   }
 
   /** Answers a request whose body was not received. It has not run. */
--- a/tests/crowdHost.ts
+++ b/tests/crowdHost.ts
@@ -37,6 +37,9 @@
   ['/s/', 8_000_000],
 ];
 
+/** Requests that the endpoint never answers. */
+export const UNANSWERED_PATH = '/a/never';
+
 const route = { host: 'h', service: 's', max_attempts: 3, timeout_ms: REQUEST_TIMEOUT_MS };
 const CONFIGURATION = {
   version: 1,
@@ -127,6 +130,7 @@
   private readonly _server = http.createServer((request, response) => {
     request.resume();
     request.on('end', () => {
+      if (request.url?.startsWith(UNANSWERED_PATH)) return;
       const id = String(request.headers['request-id']);
       response.writeHead(200, { 'Request-Id': id, 'Server-Stamp': 'proof' });
       const lengthBytes = ANSWER_BYTES.find(([start]) => request.url?.startsWith(start))?.[1];
--- a/tests/platformHost.ts
+++ b/tests/platformHost.ts
@@ -23,6 +23,8 @@
 import { StoreStandIn, WireServer } from './platformStandIns.js';
 import { testClientLimits } from './testClientLimits.js';
 
+const GRACE_MS = 8000;
+
 const POLL_MS = 10;
 const MAX_POLLS = 500;
 const FLEET_KEY = 'fleet-key-for-tests';
@@ -113,7 +115,7 @@
 
   /** Starts draining: connections are closed after their next response. */
   drain(): void {
-    this._callers.startDraining();
+    this._callers.startDraining(GRACE_MS);
   }
 
   /** Stores a configuration, starts the gateway and waits until it is ready. */
