--- a/tests/crowdDaemon.ts
+++ b/tests/crowdDaemon.ts
@@ -7,7 +7,7 @@
 import type { Machine } from './crowdHost.js';
 import { ProcessPeaks } from './processPeaks.js';
 
-const PROGRAM = 'packages/entry/dist/main.js';
+const PROGRAM = 'dist/bin/fuchsiahitch-entry.mjs';
 const IP_AND_FREE_PORT = '127.0.0.1:0';
 
 interface ListeningLine {
@@ -72,6 +72,15 @@
     });
   }
 
+  /** Ends the process by SIGTERM. Returns its exit code; null if it was killed. */
+  async terminate(): Promise<number | null> {
+    const child = this._child;
+    if (!child) return null;
+    const ended = new Promise<number | null>(resolve => child.once('exit', resolve));
+    child.kill('SIGTERM');
+    return ended;
+  }
+
   async close(): Promise<void> {
     this._child?.kill('SIGKILL');
     await this._store.close();
--- a/utils/bundle.mjs
+++ b/utils/bundle.mjs
@@ -1,27 +1,10 @@
-// Bundles each program into one file under dist/bin, so that a host needs only Node.js.
+// Bundles the programs of the product into dist/bin, so that a host needs only Node.js.
 import fs from 'node:fs';
 import { build } from 'esbuild';
-import { BANNER, REPLACED, UNUSED } from './bundleOptions.mjs';
+import { PRODUCT_BUILD } from './bundleOptions.mjs';
 
-const PROGRAMS = {
-  'fuchsiahitch-entry': 'packages/entry/dist/main.js',
-  fuchsiahitchctl: 'packages/ctl/dist/main.js',
-  'fuchsiahitch-standin': 'packages/standins/dist/main.js',
-};
-for (const [name, entry] of Object.entries(PROGRAMS)) {
-  if (!fs.existsSync(entry)) continue;
-  const outfile = `dist/bin/${name}.mjs`;
-  await build({
-    entryPoints: [entry],
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'esm',
-    outfile,
-    external: UNUSED,
-    alias: REPLACED,
-    logLevel: 'error',
-    banner: { js: BANNER },
-  });
-  fs.chmodSync(outfile, 0o755);
-}
+const entryPoints = Object.fromEntries(
+  Object.entries(PRODUCT_BUILD.entryPoints).filter(([, entry]) => fs.existsSync(entry)),
+);
+await build({ ...PRODUCT_BUILD, entryPoints });
+for (const name of Object.keys(entryPoints)) fs.chmodSync(`${PRODUCT_BUILD.outdir}/${name}.mjs`, 0o755);
--- a/utils/bundleOptions.mjs
+++ b/utils/bundleOptions.mjs
@@ -2,7 +2,7 @@
 import { fileURLToPath, URL } from 'node:url';
 
 /** Optional dependencies of libraries that this project does not use. */
-export const UNUSED = [
+const UNUSED = [
   '@nestjs/platform-express',
   '@nestjs/microservices',
   '@nestjs/microservices/*',
@@ -19,32 +19,25 @@
 const ASSERT = fileURLToPath(new URL('assertWithMessage.cjs', import.meta.url));
 
 /** Modules that bundles use in place of others. */
-export const REPLACED = { 'node:assert': ASSERT, assert: ASSERT };
+const REPLACED = { 'node:assert': ASSERT, assert: ASSERT };
 
 /** Defines `require`, which some CommonJS libraries call at run time. */
-export const BANNER = [
+const BANNER = [
   '#!/usr/bin/env node',
   "import { createRequire as makeRequire } from 'node:module';",
   'const require = makeRequire(import.meta.url);',
 ].join('\n');
 
 /**
- * Options for the programs that run on the users' platform. Dynamically imported modules, such as the metrics server,
- * are split into separate files, so that startup neither reads nor compiles them.
+ * Dynamically imported modules, such as the metrics server, are split into separate files: startup neither reads nor
+ * compiles them. Without splitting, a module that is imported in both ways is never initialized.
  */
-export const TARGET_BUILD = {
-  entryPoints: {
-    'fuchsiahitch-edge': 'platform/dist/edge.js',
-    'fuchsiahitch-storage': 'platform/dist/storage.js',
-  },
+const BUILD = {
   bundle: true,
   splitting: true,
-  minify: true,
-  keepNames: true,
   platform: 'node',
   target: 'node20',
   format: 'esm',
-  outdir: 'target',
   outExtension: { '.js': '.mjs' },
   chunkNames: 'parts/[name]-[hash]',
   external: UNUSED,
@@ -52,3 +45,26 @@
   logLevel: 'error',
   banner: { js: BANNER },
 };
+
+/** Options for the programs that run on the users' platform. */
+export const TARGET_BUILD = {
+  ...BUILD,
+  entryPoints: {
+    'fuchsiahitch-edge': 'platform/dist/edge.js',
+    'fuchsiahitch-storage': 'platform/dist/storage.js',
+  },
+  minify: true,
+  keepNames: true,
+  outdir: 'target',
+};
+
+/** Options for the programs of the product. */
+export const PRODUCT_BUILD = {
+  ...BUILD,
+  entryPoints: {
+    'fuchsiahitch-entry': 'packages/entry/dist/main.js',
+    fuchsiahitchctl: 'packages/ctl/dist/main.js',
+    'fuchsiahitch-standin': 'packages/standins/dist/main.js',
+  },
+  outdir: 'dist/bin',
+};
