--- a/tests/crowdHost.ts
+++ b/tests/crowdHost.ts
@@ -153,7 +153,7 @@
 
 export class CrowdHost {
   private readonly _store = new StoreStandIn();
-  private readonly _endpoint = new SinkEndpoint();
+  private _endpoint = new SinkEndpoint();
   private readonly _machine: Machine;
   private _edge: EdgeProcess | undefined;
   private _exitCode: number | null | undefined;
@@ -192,6 +192,20 @@
     for (let i = 0; i < MAX_READY_POLLS && !(await this._edge.isReady()); i++) await delay(READY_POLL_MS);
   }
 
+  /** Writes a record into the list of endpoints. */
+  putEndpoint(id: string, record: string): void {
+    this._store.data.put(`servers/${id}`, record);
+  }
+
+  /** Replaces the endpoint by one at another address, under another identifier. */
+  async moveEndpoint(): Promise<void> {
+    await this._endpoint.close();
+    this._endpoint = new SinkEndpoint();
+    const address = await this._endpoint.listen();
+    this._store.data.remove('servers/i-1');
+    this.putEndpoint('i-2', JSON.stringify({ ...ENDPOINT, address }));
+  }
+
   async close(): Promise<void> {
     if (this.isAlive()) await this.edge.end('SIGKILL');
     await this._endpoint.close();
--- a/tests/unexpectedBytes.ts
+++ b/tests/unexpectedBytes.ts
@@ -24,6 +24,8 @@
 export const INVALID_BYTES = [
   'HTTP/1.1 099 Below\r\n\r\n',
   'HTTP/1.1 000 Zero\r\n\r\n',
+  `HTTP/1.1 000 Zero\r\nRequest-Id: ${OWN_ID}\r\nServer-Stamp: proof\r\nContent-Length: 5\r\n\r\nwhole`,
+  `HTTP/1.1 000 Zero\r\nRequest-Id: ${OWN_ID}\r\nServer-Stamp: proof\r\nContent-Length: 0\r\n\r\n`,
   'HTTP/1.1 100 Continue\r\n\r\n',
   'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n',
   'HTTP/1.1 204 No Content\r\n\r\n',
