--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -207,6 +207,7 @@
   private _answerRest(): void {
     for (const exchange of this._unanswered) {
       this._options.log(exchange, 'unknown', { reason: 'the host has shut down' });
+      exchange.cutShort(this._options.clock);
       exchange.answer(HTTP_LATE);
     }
   }
